--- /dev/null
+++ b/features/support/index.ts
@@ -0,0 +1,3 @@
+/** Shared by the steps. */
+
+export {};
--- /dev/null
+++ b/packages/command/src/index.ts
@@ -0,0 +1,3 @@
+/** Not here yet. */
+
+export {};
--- /dev/null
+++ b/packages/operator/src/index.ts
@@ -0,0 +1,3 @@
+/** The operators' interface of an entry. */
+
+export {};
--- /dev/null
+++ b/packages/peer/src/index.ts
@@ -0,0 +1,3 @@
+/** How entries talk to each other. */
+
+export {};
--- /dev/null
+++ b/packages/shared/src/document.ts
@@ -0,0 +1,175 @@
+/** Reading JSON with comments against a schema, with every finding placed. */
+
+import {
+  findNodeAtLocation,
+  getNodeValue,
+  parseTree,
+  printParseErrorCode,
+  type Node,
+  type ParseError,
+} from 'jsonc-parser';
+import {Err, Ok, type Result} from 'ts-results-es';
+import type {z} from 'zod';
+import {FindingCollector, type Finding, type Place} from './finding.js';
+
+/** A path inside a document: property names and array indexes. */
+export type DocumentPath = ReadonlyArray<string | number>;
+
+/** A parsed document that can tell the place of each of its parts. */
+export class DocumentSource {
+  readonly #source: string;
+  readonly #text: string;
+  readonly #root: Node | undefined;
+  readonly #lineStarts: readonly number[];
+  readonly #syntaxErrors: ParseError[] = [];
+
+  /** @param source Name of the input, used in places. */
+  constructor(source: string, text: string) {
+    this.#source = source;
+    this.#text = text;
+    this.#lineStarts = findLineStarts(text);
+    this.#root = parseTree(text, this.#syntaxErrors, {
+      allowTrailingComma: true,
+      disallowComments: false,
+    });
+  }
+
+  /** The place of the value at `path`, or of its nearest existing ancestor. */
+  toPlace(path: DocumentPath): Place {
+    const node = this.#findNearest(path);
+    return this.#placeAt(node?.offset ?? 0, formatPath(path));
+  }
+
+  /**
+   * Parses the document against `schema`.
+   * @returns The typed value, or every finding, sorted by place.
+   */
+  parse<Schema extends z.ZodType>(
+    schema: Schema,
+  ): Result<z.infer<Schema>, readonly Finding[]> {
+    const findings = new FindingCollector();
+    this.#collectSyntax(findings);
+    if (this.#root === undefined || findings.has()) {
+      return Err(this.#orEmptyInput(findings));
+    }
+    this.#collectDuplicateProperties(this.#root, [], findings);
+    const parsed = schema.safeParse(getNodeValue(this.#root));
+    if (!parsed.success) {
+      this.#collectIssues(parsed.error.issues, findings);
+    }
+    if (findings.has() || !parsed.success) {
+      return Err(findings.toSorted());
+    }
+    return Ok(parsed.data);
+  }
+
+  #collectSyntax(findings: FindingCollector): void {
+    for (const error of this.#syntaxErrors) {
+      const message = `Syntax error: ${printParseErrorCode(error.error)}.`;
+      const place = this.#placeAt(error.offset, '');
+      findings.add({code: 'syntax', message, place});
+    }
+  }
+
+  #orEmptyInput(findings: FindingCollector): readonly Finding[] {
+    if (!findings.has()) {
+      const message = 'The document is empty.';
+      findings.add({code: 'syntax', message, place: this.#placeAt(0, '')});
+    }
+    return findings.toSorted();
+  }
+
+  #collectDuplicateProperties(
+    node: Node,
+    path: DocumentPath,
+    findings: FindingCollector,
+  ): void {
+    const seen = new Set<string>();
+    for (const [index, child] of (node.children ?? []).entries()) {
+      const [key, value] = child.children ?? [];
+      if (child.type !== 'property' || key === undefined) {
+        this.#collectDuplicateProperties(child, [...path, index], findings);
+        continue;
+      }
+      const name = String(key.value);
+      if (seen.has(name)) {
+        const message = `Property "${name}" stands twice; remove one.`;
+        const place = this.#placeAt(key.offset, formatPath([...path, name]));
+        findings.add({code: 'duplicate-property', message, place});
+      }
+      seen.add(name);
+      if (value !== undefined) {
+        this.#collectDuplicateProperties(value, [...path, name], findings);
+      }
+    }
+  }
+
+  #collectIssues(
+    issues: ReadonlyArray<z.core.$ZodIssue>,
+    findings: FindingCollector,
+  ): void {
+    for (const issue of issues) {
+      if (issue.code === 'unrecognized_keys') {
+        this.#collectUnknownKeys(issue, findings);
+        continue;
+      }
+      const place = this.toPlace(toDocumentPath(issue.path));
+      findings.add({code: issue.code, message: issue.message, place});
+    }
+  }
+
+  #collectUnknownKeys(
+    issue: z.core.$ZodIssueUnrecognizedKeys,
+    findings: FindingCollector,
+  ): void {
+    for (const key of issue.keys) {
+      const place = this.toPlace([...toDocumentPath(issue.path), key]);
+      const message = `Unknown property "${key}"; remove it or correct its name.`;
+      findings.add({code: 'unknown-property', message, place});
+    }
+  }
+
+  #findNearest(path: DocumentPath): Node | undefined {
+    if (this.#root === undefined) {
+      return undefined;
+    }
+    for (let length = path.length; length > 0; length--) {
+      const node = findNodeAtLocation(this.#root, path.slice(0, length));
+      if (node !== undefined) {
+        return node;
+      }
+    }
+    return this.#root;
+  }
+
+  #placeAt(offset: number, path: string): Place {
+    const bounded = Math.min(offset, this.#text.length);
+    const after = this.#lineStarts.findIndex(start => start > bounded);
+    const line = after === -1 ? this.#lineStarts.length : after;
+    const column = bounded - this.#lineStarts[line - 1] + 1;
+    return {source: this.#source, line, column, path};
+  }
+}
+
+/** Writes a document path the way JavaScript would access it. */
+export function formatPath(path: DocumentPath): string {
+  let text = '';
+  for (const part of path) {
+    text +=
+      typeof part === 'number' ? `[${part}]` : text === '' ? part : `.${part}`;
+  }
+  return text;
+}
+
+function toDocumentPath(path: readonly PropertyKey[]): DocumentPath {
+  return path.map(part => (typeof part === 'number' ? part : String(part)));
+}
+
+function findLineStarts(text: string): readonly number[] {
+  const starts = [0];
+  for (let index = text.indexOf('\n'); index !== -1;) {
+    starts.push(index + 1);
+    index = text.indexOf('\n', index + 1);
+  }
+  return starts;
+}
--- /dev/null
+++ b/packages/shared/src/index.ts
@@ -0,0 +1,13 @@
+/** What every other package stands on. */
+
+export * from './clock.js';
+export * from './document.js';
+export * from './finding.js';
+export * from './life-cycle.js';
+export * from './metrics.js';
+export * from './outcome.js';
+export * from './reporter.js';
+export * from './result.js';
+export * from './task.js';
+export * from './time-line.js';
+export * from './units.js';
--- /dev/null
+++ b/packages/shared/src/result.ts
@@ -0,0 +1,3 @@
+/** Results of operations that may fail in ways their caller must handle. */
+
+export {Err, Ok, type Result} from 'ts-results-es';
--- /dev/null
+++ b/packages/shared/src/units.ts
@@ -0,0 +1,13 @@
+/** Units of time and size as multiples of the base units, milliseconds and bytes. */
+
+/** One second in milliseconds. */
+export const SECOND_MS = 1_000;
+
+/** One minute in milliseconds. */
+export const MINUTE_MS = 60 * SECOND_MS;
+
+/** One kibibyte in bytes. */
+export const KIBIBYTE = 1_024;
+
+/** One mebibyte in bytes. */
+export const MEBIBYTE = 1_024 * KIBIBYTE;
