feat(stand-ins): upstream stand-in with faults and a history of runs

One process hosts any number of workers, each with slots, a queue, a service time that is slept, noise of its VM and faults set through a control port. Events are appended by one write each before the work goes on, so that a killed process loses nothing that began. Its wire conventions stand in docs/UPSTREAMS.md.

--- a/packages-private/stand-ins/src/index.ts
+++ b/packages-private/stand-ins/src/index.ts
@@ -1,3 +1,4 @@
-/** Not here yet. */
+/** Stand-ins for what surrounds the system in tests and measurements. */
 
-export {};
+export * from './history/index.js';
+export * from './upstream/index.js';
--- /dev/null
+++ b/packages-private/stand-ins/src/upstream/index.ts
@@ -0,0 +1,4 @@
+/** The upstream stand-in, as far as others use it. */
+
+export * from './answer.js';
+export * from './settings.js';
