--- /dev/null
+++ b/packages-private/stand-ins/src/link/link.ts
@@ -0,0 +1,131 @@
+/** A TCP link that can delay, cut and silence what it carries. */
+
+import {once} from 'node:events';
+import {connect, createServer, type Server, type Socket} from 'node:net';
+import type {LinkSettings, LinkState} from './settings.js';
+
+/** Connections of one link; further ones are reset. */
+const MAXIMUM_CONNECTIONS = 1_024;
+
+/** Bytes and connections that a link carried. */
+export interface LinkCounts {
+  bytesForward: number;
+  bytesBack: number;
+  connections: number;
+}
+
+type Direction = 'forward' | 'back';
+
+/** One link. */
+export class Link {
+  readonly settings: LinkSettings;
+  readonly counts: LinkCounts = {bytesForward: 0, bytesBack: 0, connections: 0};
+  readonly #server: Server;
+  readonly #pipes = new Set<LinkPipe>();
+  #state: LinkState;
+
+  constructor(settings: LinkSettings) {
+    this.settings = settings;
+    this.#state = settings;
+    this.#server = createServer(socket => this.#onConnection(socket));
+  }
+
+  get state(): LinkState {
+    return this.#state;
+  }
+
+  /** Listens. Returns the address with its actual port. */
+  async listen(): Promise<string> {
+    const [host, port] = this.settings.listen.split(':');
+    this.#server.listen(Number(port), host);
+    await once(this.#server, 'listening');
+    const bound = this.#server.address();
+    return typeof bound === 'object' ? `${host}:${bound?.port}` : host;
+  }
+
+  /** Changes the link, and all its connections with it. */
+  change(change: Partial<LinkState>): void {
+    this.#state = {...this.#state, ...change};
+    for (const pipe of this.#pipes) {
+      pipe.apply(this.#state.mode);
+    }
+  }
+
+  #onConnection(socket: Socket): void {
+    this.counts.connections += 1;
+    if (
+      this.#state.mode === 'reset' ||
+      this.#pipes.size > 2 * MAXIMUM_CONNECTIONS
+    ) {
+      socket.resetAndDestroy();
+      return;
+    }
+    const [host, port] = this.settings.target.split(':');
+    const target = connect(Number(port), host);
+    this.#pipe('forward', socket, target);
+    this.#pipe('back', target, socket);
+  }
+
+  #pipe(direction: Direction, from: Socket, to: Socket): void {
+    const pipe = new LinkPipe(this, direction, from, to);
+    this.#pipes.add(pipe);
+    pipe.apply(this.#state.mode);
+    from.once('close', () => this.#pipes.delete(pipe));
+  }
+}
+
+/** One direction of one connection. */
+class LinkPipe {
+  readonly #link: Link;
+  readonly #direction: Direction;
+  readonly #from: Socket;
+  readonly #to: Socket;
+
+  constructor(link: Link, direction: Direction, from: Socket, to: Socket) {
+    this.#link = link;
+    this.#direction = direction;
+    this.#from = from;
+    this.#to = to;
+    from.setNoDelay();
+    from.on('data', chunk => this.#carry(chunk));
+    from.on('end', () => this.#later(() => to.end()));
+    from.on('error', () => to.resetAndDestroy());
+    from.on('close', () => this.#later(() => to.destroySoon()));
+    to.on('drain', () => this.apply(link.state.mode));
+  }
+
+  /** Follows the mode of the link. */
+  apply(mode: LinkState['mode']): void {
+    if (mode === 'reset') {
+      this.#from.resetAndDestroy();
+      return;
+    }
+    const isSilent =
+      mode === 'silent' || (mode === 'half-open' && this.#direction === 'back');
+    if (isSilent) {
+      this.#from.pause();
+    } else {
+      this.#from.resume();
+    }
+  }
+
+  #carry(chunk: Buffer): void {
+    const counter =
+      this.#direction === 'forward' ? 'bytesForward' : 'bytesBack';
+    this.#link.counts[counter] += chunk.length;
+    this.#later(() => {
+      if (!this.#to.destroyed && !this.#to.write(chunk)) {
+        this.#from.pause();
+      }
+    });
+  }
+
+  #later(action: () => void): void {
+    const {delayMs} = this.#link.state;
+    if (delayMs === 0) {
+      action();
+      return;
+    }
+    setTimeout(action, delayMs);
+  }
+}
