--- a/packages-private/stand-ins/src/history/events.ts
+++ b/packages-private/stand-ins/src/history/events.ts
@@ -166,6 +166,14 @@
   status: z.int().nullable(),
 });
 
+/** A budget for watching load was accepted; the first one stands from the start. */
+export const budgetSetSchema = z.strictObject({
+  kind: z.literal('budget-set'),
+  ...baseShape,
+  requestsPerSecond: z.number().nonnegative(),
+  bytesPerSecond: z.number().nonnegative(),
+});
+
 /** One event of a history. */
 export const historyEventSchema = z.discriminatedUnion('kind', [
   workReceivedSchema,
@@ -181,6 +189,7 @@
   submissionAnsweredSchema,
   faultSchema,
   stopSchema,
+  budgetSetSchema,
 ]);
 
 /** One event of a history. */
--- a/packages-private/stand-ins/src/history/index.ts
+++ b/packages-private/stand-ins/src/history/index.ts
@@ -2,3 +2,4 @@
 
 export * from './events.js';
 export * from './recorder.js';
+export * from './history.js';
--- a/packages-private/stand-ins/src/index.ts
+++ b/packages-private/stand-ins/src/index.ts
@@ -1,4 +1,7 @@
 /** Stand-ins for what surrounds the system in tests and measurements. */
 
+export * from './caller/index.js';
+export * from './checks/index.js';
 export * from './history/index.js';
+export * from './link/index.js';
 export * from './upstream/index.js';
