--- a/packages-private/stand-ins/src/upstream/listener.ts
+++ b/packages-private/stand-ins/src/upstream/listener.ts
@@ -9,6 +9,8 @@
   type ServerResponse,
 } from 'node:http';
 import type {Socket} from 'node:net';
+import {Readable} from 'node:stream';
+import {pipeline} from 'node:stream/promises';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {HistoryRecorder} from '../history/index.js';
 import {createPayload, digestBlocks, type AnswerHead} from './answer.js';
@@ -294,15 +296,11 @@
   response: ServerResponse,
   chunks: readonly Buffer[],
 ): Promise<void> {
-  for (const chunk of chunks) {
-    if (response.destroyed) {
-      return;
-    }
-    if (!response.write(chunk)) {
-      await Promise.race([once(response, 'drain'), once(response, 'close')]);
-    }
+  try {
+    await pipeline(Readable.from(chunks), response);
+  } catch {
+    // The entry went away, which the history tells from the caller's side.
   }
-  response.end();
 }
 
 async function writeHalf(
