--- /dev/null
+++ b/packages/entry/src/data-path/problem.ts
@@ -0,0 +1,107 @@
+/** Answers that the system makes itself: problem documents (RFC 9457) with an outcome. */
+
+import type {ServerResponse} from 'node:http';
+import type {Outcome} from '@wasabidyke/shared';
+import {OUTCOME_HEADER} from './headers.js';
+
+/** Every reason for which the system answers by itself; docs/CALLERS.md lists them. */
+export type ProblemReason = keyof typeof PROBLEMS;
+
+interface ProblemKind {
+  readonly status: number;
+  readonly title: string;
+}
+
+const PROBLEMS = {
+  'bad-request': {status: 400, title: 'The request cannot be read'},
+  'bad-idempotency-key': {
+    status: 400,
+    title: 'The idempotency key has no valid home token',
+  },
+  'unknown-service': {status: 404, title: 'No service has this path'},
+  'unknown-request': {
+    status: 404,
+    title: 'The service has no rule for this path',
+  },
+  'wrong-method': {
+    status: 405,
+    title: 'The service has no rule for this method',
+  },
+  'key-lapsed': {status: 410, title: 'The idempotency key has lapsed'},
+  'body-too-large': {status: 413, title: 'The body is too large'},
+  'key-reused': {
+    status: 422,
+    title: 'The idempotency key belongs to another request',
+  },
+  quarantined: {
+    status: 422,
+    title: 'Requests like this one crashed the upstreams that ran them',
+  },
+  'key-required': {
+    status: 428,
+    title: 'This request needs an idempotency key',
+  },
+  'headers-too-large': {status: 431, title: 'The headers are too large'},
+  'upstream-failed': {status: 502, title: 'The upstream broke off'},
+  'answer-too-large': {
+    status: 502,
+    title: 'The answer is larger than this kind of request allows',
+  },
+  'home-gone': {
+    status: 503,
+    title: 'The entry that knows this idempotency key is gone',
+  },
+  'home-unreachable': {
+    status: 503,
+    title: 'The entry that knows this idempotency key cannot be reached',
+  },
+  draining: {status: 503, title: 'This entry is being stopped'},
+  'not-ready': {status: 503, title: 'This entry has no manifest yet'},
+  overloaded: {status: 503, title: 'No upstream has room'},
+  'no-upstream': {status: 503, title: 'No upstream can be reached'},
+  'ledger-full': {
+    status: 503,
+    title: 'This entry cannot take more idempotency keys',
+  },
+  'deadline-exceeded': {status: 504, title: 'The deadline has passed'},
+} as const satisfies Record<string, ProblemKind>;
+
+/** A problem to tell a caller. */
+export interface Problem {
+  readonly reason: ProblemReason;
+  readonly outcome: Outcome;
+  readonly detail: string;
+  /** When coming back helps: after how many seconds. */
+  readonly retryAfterSeconds?: number;
+}
+
+/** The HTTP status that goes with a reason. */
+export function toStatus(reason: ProblemReason): number {
+  return PROBLEMS[reason].status;
+}
+
+/** The body of a problem document. */
+export function toProblemBody(problem: Problem): string {
+  const {status, title} = PROBLEMS[problem.reason];
+  return JSON.stringify({
+    type: `urn:wasabidyke:problem:${problem.reason}`,
+    title,
+    status,
+    detail: problem.detail,
+    reason: problem.reason,
+    outcome: problem.outcome,
+  });
+}
+
+/** Answers with a problem document. The answer must not have begun. */
+export function sendProblem(response: ServerResponse, problem: Problem): void {
+  const body = toProblemBody(problem);
+  response.statusCode = toStatus(problem.reason);
+  response.setHeader('content-type', 'application/problem+json');
+  response.setHeader('content-length', Buffer.byteLength(body));
+  response.setHeader(OUTCOME_HEADER, problem.outcome);
+  if (problem.retryAfterSeconds !== undefined) {
+    response.setHeader('retry-after', problem.retryAfterSeconds);
+  }
+  response.end(body);
+}
--- /dev/null
+++ b/packages/entry/src/once/home-token.ts
@@ -0,0 +1,103 @@
+/**
+ * Home tokens. The idempotency key of a request that must run at most once
+ * begins with one: it names the entry, the start of its process and the second
+ * of its issue. Only that process runs the key, so a resend to any entry
+ * reaches the one ledger that knows it.
+ */
+
+import type {Clock} from '@wasabidyke/shared';
+
+/** What a token says. */
+export interface HomeToken {
+  readonly entry: string;
+  /** Random, new with each start of the process. */
+  readonly incarnation: string;
+  /** Seconds from the start of the process to the issue of the token. */
+  readonly issue: number;
+}
+
+/** An idempotency key that holds a home token. */
+export interface HomeKey {
+  readonly home: HomeToken;
+  /** The whole key as sent. */
+  readonly key: string;
+}
+
+/** Longest idempotency key, in characters. */
+const MAXIMUM_KEY_LENGTH = 256;
+
+const KEY_PATTERN =
+  /^([a-z0-9-]{1,63})\.([A-Za-z0-9_-]{8,32})\.(\d{1,10}):([\x21-\x7e]{1,128})$/;
+
+const MILLISECONDS_PER_ISSUE = 1_000;
+
+/** Writes a token. */
+export function formatHomeToken(token: HomeToken): string {
+  return `${token.entry}.${token.incarnation}.${token.issue}`;
+}
+
+/** Reads an idempotency key; undefined when it holds no valid token. */
+export function parseHomeKey(key: string): HomeKey | undefined {
+  const match = KEY_PATTERN.exec(key);
+  if (key.length > MAXIMUM_KEY_LENGTH || match === null) {
+    return undefined;
+  }
+  const [, entry, incarnation, issue] = match;
+  return {home: {entry, incarnation, issue: Number(issue)}, key};
+}
+
+/** Issues and judges the tokens of this process. */
+export class HomeTokenIssuer {
+  readonly entry: string;
+  readonly incarnation: string;
+  readonly #clock: Clock;
+  readonly #startedAtMs: number;
+  readonly #lifetimeIssues: number;
+
+  /** @param lifetimeMs How long a token may be used after its issue. */
+  constructor(
+    entry: string,
+    incarnation: string,
+    lifetimeMs: number,
+    clock: Clock,
+  ) {
+    this.entry = entry;
+    this.incarnation = incarnation;
+    this.#clock = clock;
+    this.#startedAtMs = clock.now();
+    this.#lifetimeIssues = Math.ceil(lifetimeMs / MILLISECONDS_PER_ISSUE);
+  }
+
+  /** The number of a token issued now. */
+  get issue(): number {
+    const elapsedMs = this.#clock.now() - this.#startedAtMs;
+    return Math.floor(elapsedMs / MILLISECONDS_PER_ISSUE);
+  }
+
+  /** A token issued now. */
+  create(): HomeToken {
+    const {entry, incarnation, issue} = this;
+    return {entry, incarnation, issue};
+  }
+
+  /** Whether this process issued the token. */
+  isOwn(token: HomeToken): boolean {
+    return token.entry === this.entry && token.incarnation === this.incarnation;
+  }
+
+  /** Whether a token of this issue number must no longer be used. */
+  hasLapsed(issue: number): boolean {
+    return this.issue - issue > this.#lifetimeIssues;
+  }
+
+  /** Whether a token says that it was issued later than now. */
+  isFromFuture(issue: number): boolean {
+    return issue > this.issue;
+  }
+
+  /** Milliseconds until a token of this issue number lapses. */
+  leftMs(issue: number): number {
+    const leftIssues = issue + this.#lifetimeIssues - this.issue;
+    return Math.max(0, leftIssues) * MILLISECONDS_PER_ISSUE;
+  }
+}
