feat(policy): six selections behind one name

createSelection gives each manifest name its class. Failures, shedding and a new start lower the share that every selection gives.

onStart and onEnd take the time as an optional last argument.

Ruled out: a report's own long average as its value when old; an upstream that is not selected would then stay avoided for ever. Old reports fall back to what is usual over all upstreams.

Not measured yet.

--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,6 +1,13 @@
 /** Decisions: pure, with no I/O and no clock of their own. */
 
+export * from './create-selection.js';
+export * from './hot-cold.js';
+export * from './least-in-flight.js';
+export * from './load-report.js';
 export * from './random.js';
+export * from './random-selection.js';
+export * from './round-robin.js';
 export * from './selection.js';
 export * from './two-choices.js';
+export * from './two-choices-reported.js';
 export * from './upstream-load.js';
--- a/packages/policy/src/upstream-load.ts
+++ b/packages/policy/src/upstream-load.ts
@@ -1,31 +1,30 @@
 /** What one entry knows about the load of one upstream. */
 
 import type {Upstream} from '@wasabidyke/manifest';
+import type {LoadReport} from './load-report.js';
+import {ReportedLoad} from './reported-load.js';
+import {UpstreamShare} from './upstream-share.js';
 
 /** How far an upstream is from this entry. */
 export type Distance = 'same-zone' | 'same-region' | 'other-region';
 
-/** A load report that an upstream gave, with its age. */
-export interface LoadReport {
-  /** Requests that the upstream said were running or waiting there. */
-  readonly requests: number;
-  /** When the report was made, on this process's monotonic clock, in milliseconds. */
-  readonly madeAtMs: number;
-}
-
 /** How a request to an upstream ended, as far as selection cares. */
 export type AttemptEnd = 'answered' | 'failed' | 'shed' | 'cancelled';
 
 /** Weight of the newest latency in the moving average. */
-const LATENCY_WEIGHT = 0.1;
+const LATENCY_WEIGHT = 0.3;
 
 /** What one entry knows about the load of one upstream. */
 export class UpstreamLoad {
   readonly distance: Distance;
+  readonly #share = new UpstreamShare();
+  readonly #reported = new ReportedLoad();
   #upstream: Upstream;
   #inFlight = 0;
+  #startSumMs = 0;
   #latencyMs = 0;
-  #report: LoadReport | undefined;
+  #latencyAtMs = 0;
+  #newestMs = 0;
 
   constructor(upstream: Upstream, distance: Distance) {
     this.#upstream = upstream;
@@ -46,9 +45,14 @@
     return this.#latencyMs;
   }
 
+  /** When the newest latency was seen, in milliseconds. */
+  get latencyAtMs(): number {
+    return this.#latencyAtMs;
+  }
+
   /** The newest report, if the upstream ever gave one. */
   get report(): LoadReport | undefined {
-    return this.#report;
+    return this.#reported.report;
   }
 
   /** Takes over a changed description of the same upstream. */
@@ -56,26 +60,68 @@
     this.#upstream = upstream;
   }
 
+  /** The upstream is new, or has come back: its share of the work rises from `nowMs` on. */
+  beginRamp(nowMs: number): void {
+    this.#share.beginRamp(nowMs);
+  }
+
   /** A request is sent to the upstream. */
-  onStart(): void {
+  onStart(nowMs: number = this.#newestMs): void {
+    this.#newestMs = nowMs;
     this.#inFlight += 1;
+    this.#startSumMs += nowMs;
   }
 
   /** A request to the upstream has ended after `durationMs`. */
-  onEnd(end: AttemptEnd, durationMs: number): void {
+  onEnd(
+    end: AttemptEnd,
+    durationMs: number,
+    nowMs: number = this.#newestMs,
+  ): void {
+    this.#newestMs = nowMs;
     this.#inFlight -= 1;
-    if (end !== 'answered') {
-      return;
+    this.#startSumMs -= nowMs - durationMs;
+    if (end === 'failed') {
+      this.#share.onFailure(nowMs);
+    } else if (end === 'shed') {
+      this.#share.onShed(nowMs);
+    } else if (end === 'answered') {
+      this.#share.onAnswer();
+      this.#applyLatency(durationMs, nowMs);
     }
-    const isFirst = this.#latencyMs === 0;
-    const weight = isFirst ? 1 : LATENCY_WEIGHT;
-    this.#latencyMs += weight * (durationMs - this.#latencyMs);
   }
 
   /** The upstream reported its load. Older reports than the present one are dropped. */
   onReport(report: LoadReport): void {
-    if (this.#report === undefined || report.madeAtMs > this.#report.madeAtMs) {
-      this.#report = report;
-    }
+    this.#newestMs = Math.max(this.#newestMs, report.madeAtMs);
+    this.#reported.apply(report, this.#inFlight);
+  }
+
+  /** The share of its usual work that the upstream is given: above 0, at most 1. */
+  shareAt(nowMs: number): number {
+    return this.#share.at(nowMs);
+  }
+
+  /** How far the newest report is believed at `nowMs`, from 0 to 1. */
+  reportWeightAt(nowMs: number): number {
+    return this.#reported.weightAt(nowMs);
+  }
+
+  /** Requests of other entries that the newest report implies; 0 before the first report. */
+  get reportedByOthers(): number {
+    return this.#reported.others;
+  }
+
+  /** Mean time that the requests in flight have been under way, in milliseconds. */
+  meanAgeMs(nowMs: number): number {
+    return this.#inFlight === 0
+      ? 0
+      : Math.max(0, nowMs - this.#startSumMs / this.#inFlight);
+  }
+
+  #applyLatency(durationMs: number, nowMs: number): void {
+    const weight = this.#latencyMs === 0 ? 1 : LATENCY_WEIGHT;
+    this.#latencyMs += weight * (durationMs - this.#latencyMs);
+    this.#latencyAtMs = nowMs;
   }
 }
