--- a/packages/platform/src/store.ts
+++ b/packages/platform/src/store.ts
@@ -6,11 +6,11 @@
 export type StoreErrorKind =
   /** Nothing reached the store; the call had no effect. */
   | 'unreachable'
-  /** The call may or may not have taken effect. */
+  /** The call was sent; whether it took effect is not known. For a read, merely that its answer was lost. */
   | 'unknown-outcome'
   /** The store answered that it refuses the call. */
   | 'refused'
-  /** The store answered something that cannot be read. */
+  /** The store answered something that cannot be read; whether a write took effect is not known. */
   | 'malformed'
   /** The limit on calls was reached; the call was not sent. */
   | 'rate-limited';
@@ -25,7 +25,7 @@
 export interface StoreValue {
   readonly key: string;
   readonly value: string;
-  /** Rises with each write to the key; 0 stands for an absent key. */
+  /** Rises with each write to the key, also over its deletion; 0 stands for an absent key. */
   readonly version: number;
 }
 
@@ -50,6 +50,8 @@
 
 /** Told of what a watch sees. */
 export interface WatchListener {
+  /** The watch stands: what is read from now on misses no change. */
+  onStart(): void;
   /** The key has this value now; undefined when it was deleted. */
   onValue(value: StoreValue | undefined): void;
   /** The watch ended; the watcher must read the key and watch anew. */
--- a/packages/platform/src/vm-list.ts
+++ b/packages/platform/src/vm-list.ts
@@ -1,6 +1,6 @@
 /** The platform's list of VMs. It lags. */
 
-import type {Result} from '@wasabidyke/shared';
+import type {Finding, Result} from '@wasabidyke/shared';
 import {z} from 'zod';
 
 /** One VM as the platform lists it. */
@@ -15,9 +15,17 @@
   state: z.enum(['live', 'leaving']),
 });
 
+/** Most VMs of one list. */
+const MAXIMUM_VMS = 10_000;
+
 /** The list of VMs: `{"vms": [...]}`. */
 export const vmListSchema = z.strictObject({
-  vms: z.array(vmSchema).max(10_000),
+  vms: z.array(vmSchema).max(MAXIMUM_VMS),
+});
+
+/** The list of VMs with its rows unread, so that one bad row doesn't hide the others. */
+export const vmListDocumentSchema = z.strictObject({
+  vms: z.array(z.unknown()).max(MAXIMUM_VMS),
 });
 
 /** One VM as the platform lists it. */
@@ -29,10 +37,17 @@
   readonly message: string;
 }
 
+/** What a reading of the list gave. */
+export interface VmListing {
+  readonly vms: readonly Vm[];
+  /** Rows that cannot be read, and names that stand twice; those rows are left out. */
+  readonly findings: readonly Finding[];
+}
+
 /** Reads the platform's list of VMs. */
 export abstract class VmList {
   /** The VMs that the platform lists now. */
-  abstract read(): Promise<Result<readonly Vm[], VmListError>>;
+  abstract read(): Promise<Result<VmListing, VmListError>>;
 
   /** Ends all connections. */
   abstract close(): Promise<void>;
