--- a/packages/entry/src/data-path/answer-sink.ts
+++ b/packages/entry/src/data-path/answer-sink.ts
@@ -35,10 +35,16 @@
   abstract onBroken(): void;
 }
 
+/** Chooses which headers of an answer go on to the caller. */
+export type HeaderFilter = (
+  headers: IncomingHttpHeaders,
+) => OutgoingHttpHeaders;
+
 /** Relays to the caller; what is small enough is held until it is whole. */
 export class CallerSink extends AnswerSink {
   readonly #response: ServerResponse;
   readonly #holdLimitBytes: number;
+  readonly #filterHeaders: HeaderFilter;
   #status = 0;
   #headers: OutgoingHttpHeaders = {};
   #flow: FlowControl | undefined;
@@ -47,10 +53,15 @@
   #isCommitted = false;
 
   /** @param holdLimitBytes Answers up to this size are held until they are whole; 0 relays at once. */
-  constructor(response: ServerResponse, holdLimitBytes: number) {
+  constructor(
+    response: ServerResponse,
+    holdLimitBytes: number,
+    filterHeaders: HeaderFilter = toCallerHeaders,
+  ) {
     super();
     this.#response = response;
     this.#holdLimitBytes = holdLimitBytes;
+    this.#filterHeaders = filterHeaders;
   }
 
   override get isCommitted(): boolean {
@@ -63,7 +74,7 @@
     flow: FlowControl,
   ): void {
     this.#status = status;
-    this.#headers = toCallerHeaders(headers);
+    this.#headers = this.#filterHeaders(headers);
     this.#flow = flow;
     const announced = Number(headers['content-length'] ?? 0);
     if (this.#holdLimitBytes === 0 || announced > this.#holdLimitBytes) {
--- a/packages/entry/src/data-path/attempt.ts
+++ b/packages/entry/src/data-path/attempt.ts
@@ -45,6 +45,8 @@
   readonly request: AttemptRequest;
   readonly sink: AnswerSink;
   readonly onAnswerHead: AnswerHeadListener;
+  /** Whether the other side is an entry, whose refusals are relayed as they are. */
+  readonly isToEntry?: boolean;
 }
 
 const SHED_STATUS = 503;
@@ -133,7 +135,9 @@
     this.#status = status;
     this.#options.onAnswerHead(headers);
     this.#isShed =
-      status === SHED_STATUS && headers[OUTCOME_HEADER] === 'not-run';
+      this.#options.isToEntry !== true &&
+      status === SHED_STATUS &&
+      headers[OUTCOME_HEADER] === 'not-run';
     if (this.#isShed) {
       this.#retryAfterSeconds = readRetryAfter(headers);
       return;
@@ -232,9 +236,7 @@
 
 function isSocketError(error: Error): boolean {
   const code = (error as NodeJS.ErrnoException).code;
-  return (
-    code === 'UND_ERR_SOCKET' || code === 'ECONNRESET' || code === 'EPIPE'
-  );
+  return code === 'UND_ERR_SOCKET' || code === 'ECONNRESET' || code === 'EPIPE';
 }
 
 function toMessage(error: unknown): string {
--- a/packages/entry/src/data-path/dispatcher.ts
+++ b/packages/entry/src/data-path/dispatcher.ts
@@ -4,6 +4,7 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import type {RequestRule, Service} from '@wasabidyke/manifest';
 import {
+  LOAD_REPORT_HEADER,
   parseLoadReport,
   type AttemptEnd,
   type CrashGuard,
@@ -20,7 +21,7 @@
 import type {UpstreamRegistry} from '../upstreams/upstream-registry.js';
 import type {AnswerSink} from './answer-sink.js';
 import {Attempt, type AttemptRequest, type AttemptResult} from './attempt.js';
-import {LOAD_REPORT_HEADER, UPSTREAM_STATE_HEADER} from './headers.js';
+import {UPSTREAM_STATE_HEADER} from './headers.js';
 import type {Problem, ProblemReason} from './problem.js';
 import {TrialLock} from './trial-lock.js';
 
--- a/packages/entry/src/data-path/headers.ts
+++ b/packages/entry/src/data-path/headers.ts
@@ -1,6 +1,7 @@
 /** Header names of the interfaces for callers and upstreams, and which headers pass through. */
 
 import type {IncomingHttpHeaders, OutgoingHttpHeaders} from 'node:http';
+import {LOAD_REPORT_HEADER} from '@wasabidyke/policy';
 
 /** Whether the request was run: on every answer that the system itself makes. */
 export const OUTCOME_HEADER = 'wasabidyke-outcome';
@@ -26,9 +27,6 @@
 /** An upstream says with it that it is leaving. */
 export const UPSTREAM_STATE_HEADER = 'wasabidyke-upstream-state';
 
-/** The published ORCA header with which an upstream reports its load. */
-export const LOAD_REPORT_HEADER = 'endpoint-load-metrics';
-
 /** Headers that concern one connection alone. Source: RFC 9110, section 7.6.1. */
 const HOP_BY_HOP_HEADERS: ReadonlySet<string> = new Set([
   'connection',
@@ -71,6 +69,13 @@
   return copyHeaders(headers, CONSUMED_ANSWER_HEADERS);
 }
 
+/** The answer headers that go on from another entry to the caller. */
+export function toForwardedHeaders(
+  headers: IncomingHttpHeaders,
+): OutgoingHttpHeaders {
+  return copyHeaders(headers, NO_HEADERS);
+}
+
 /** Reads a header that holds one whole number from 0 to `maximum`; undefined otherwise. */
 export function readWholeNumber(
   headers: IncomingHttpHeaders,
--- a/packages/entry/src/once/home-token.ts
+++ b/packages/entry/src/once/home-token.ts
@@ -31,6 +31,9 @@
 
 const MILLISECONDS_PER_ISSUE = 1_000;
 
+/** Other entries name issues by the heartbeats that they heard, which may run ahead by this much. */
+const MAXIMUM_LEAD_ISSUES = 60;
+
 /** Writes a token. */
 export function formatHomeToken(token: HomeToken): string {
   return `${token.entry}.${token.incarnation}.${token.issue}`;
@@ -90,9 +93,9 @@
     return this.issue - issue > this.#lifetimeIssues;
   }
 
-  /** Whether a token says that it was issued later than now. */
+  /** Whether a token says that it was issued much later than now, which no entry ever did. */
   isFromFuture(issue: number): boolean {
-    return issue > this.issue;
+    return issue > this.issue + MAXIMUM_LEAD_ISSUES;
   }
 
   /** Milliseconds until a token of this issue number lapses. */
--- /dev/null
+++ b/packages/entry/src/once/once-handler.ts
@@ -0,0 +1,290 @@
+/**
+ * Answers requests that must run at most once. Only the entry that is the home
+ * of an idempotency key runs it; every other entry passes it on.
+ */
+
+import {createHash} from 'node:crypto';
+import type {Clock} from '@wasabidyke/shared';
+import {RecordingSink, sendRecorded} from '../data-path/answer-sink.js';
+import {
+  createUpstreamHeaders,
+  type CallerRequest,
+} from '../data-path/caller-request.js';
+import type {
+  DispatchResult,
+  RequestDispatcher,
+} from '../data-path/dispatcher.js';
+import {
+  FORWARDED_HEADER,
+  IDEMPOTENCY_KEY_HEADER,
+  REPLAYED_HEADER,
+} from '../data-path/headers.js';
+import {
+  sendProblem,
+  type Problem,
+  type ProblemReason,
+} from '../data-path/problem.js';
+import {sendTooLarge} from '../data-path/relay-handler.js';
+import {readBody} from '../data-path/request-body.js';
+import type {AdoptedLedgers} from './adopted-ledgers.js';
+import type {HomeForwarder} from './home-forwarder.js';
+import {
+  parseHomeKey,
+  type HomeKey,
+  type HomeTokenIssuer,
+} from './home-token.js';
+import type {Ledger, Run, RunEnd} from './run-ledger.js';
+
+/** Largest body of a request that must run at most once. */
+const BODY_LIMIT_BYTES = 1_048_576;
+
+/** Largest answer that is kept for resends. */
+const ANSWER_LIMIT_BYTES = 1_048_576;
+
+/** A run may go on for this many times the caller's timeout: its answer is kept for a resend. */
+const RUN_TIMEOUT_FACTOR = 2;
+
+const RETRY_AFTER_SECONDS = 1;
+
+/** What the handler needs. */
+export interface OnceHandlerOptions {
+  readonly issuer: HomeTokenIssuer;
+  readonly ledger: Ledger;
+  readonly adopted: AdoptedLedgers;
+  readonly forwarder: HomeForwarder;
+  readonly dispatcher: RequestDispatcher;
+  readonly clock: Clock;
+}
+
+/** A request with its key and its body read. */
+export interface KeyedCall {
+  readonly call: CallerRequest;
+  readonly key: HomeKey;
+  readonly body: Buffer;
+  readonly fingerprint: string;
+}
+
+/** Answers requests that must run at most once. */
+export class OnceHandler {
+  readonly #options: OnceHandlerOptions;
+  #isDraining = false;
+
+  constructor(options: OnceHandlerOptions) {
+    this.#options = options;
+  }
+
+  /** From now on, new keys are refused; known ones are still answered. */
+  startDraining(): void {
+    this.#isDraining = true;
+  }
+
+  /** Answers a request. */
+  async handle(call: CallerRequest): Promise<void> {
+    const text = call.request.headers[IDEMPOTENCY_KEY_HEADER];
+    if (typeof text !== 'string') {
+      const detail =
+        'Send Idempotency-Key: <home token>:<unique part>, with a token from /v1/entries.';
+      refuse(call, 'key-required', 'not-run', detail);
+      return;
+    }
+    const key = parseHomeKey(text);
+    if (key === undefined) {
+      const detail = 'A key is <home token>:<1 to 128 visible characters>.';
+      refuse(call, 'bad-idempotency-key', 'not-run', detail);
+      return;
+    }
+    const read = await readBody(call.request, BODY_LIMIT_BYTES);
+    if (read.kind === 'too-large') {
+      sendTooLarge(call, BODY_LIMIT_BYTES);
+    } else if (read.kind === 'broken-off') {
+      call.response.destroy();
+    } else {
+      const fingerprint = toFingerprint(call, read.body);
+      await this.#route({call, key, body: read.body, fingerprint});
+    }
+  }
+
+  async #route(keyed: KeyedCall): Promise<void> {
+    const {issuer, adopted, forwarder} = this.#options;
+    const {home} = keyed.key;
+    if (issuer.isOwn(home)) {
+      this.#answerAtHome(keyed);
+      return;
+    }
+    const known = adopted.find(keyed.key);
+    if (known !== 'not-adopted') {
+      this.#answerAdopted(keyed, known);
+      return;
+    }
+    const isForwarded =
+      keyed.call.request.headers[FORWARDED_HEADER] !== undefined;
+    if (isForwarded) {
+      this.#refuseUnknown(keyed, 'home-gone', 'This entry is not its home.');
+      return;
+    }
+    await forwarder.forward(keyed);
+  }
+
+  #answerAtHome(keyed: KeyedCall): void {
+    const {issuer, ledger} = this.#options;
+    const {issue} = keyed.key.home;
+    if (issuer.isFromFuture(issue)) {
+      const detail = 'Its home never issued this token.';
+      refuse(keyed.call, 'bad-idempotency-key', 'not-run', detail);
+      return;
+    }
+    if (issuer.hasLapsed(issue)) {
+      const detail = 'What became of it is no longer known.';
+      this.#refuseUnknown(keyed, 'key-lapsed', detail);
+      return;
+    }
+    if (this.#isDraining && !ledger.has(keyed.key)) {
+      const detail = 'Take another entry as the home of a new key.';
+      refuse(keyed.call, 'draining', 'not-run', detail);
+      return;
+    }
+    const admission = ledger.admit(keyed.key, keyed.fingerprint);
+    switch (admission.kind) {
+      case 'run':
+        this.#answerWhenEnded(keyed, admission.run, false);
+        void this.#run(keyed, admission.run);
+        return;
+      case 'known':
+        this.#answerWhenEnded(keyed, admission.run, true);
+        return;
+      case 'other-request': {
+        const detail = 'Use a new key for a new request.';
+        refuse(keyed.call, 'key-reused', 'not-run', detail);
+        return;
+      }
+      case 'full': {
+        const detail = 'Take another entry as its home.';
+        refuse(keyed.call, 'ledger-full', 'not-run', detail);
+        return;
+      }
+    }
+  }
+
+  /** A key that its home never handed over was never run there. */
+  #answerAdopted(keyed: KeyedCall, run: Run | undefined): void {
+    if (run === undefined) {
+      const detail = 'Its home has stopped and never ran it; take a new key.';
+      refuse(keyed.call, 'home-gone', 'not-run', detail);
+    } else if (run.fingerprint !== keyed.fingerprint) {
+      const detail = 'Use a new key for a new request.';
+      refuse(keyed.call, 'key-reused', 'not-run', detail);
+    } else {
+      this.#answerWhenEnded(keyed, run, true);
+    }
+  }
+
+  async #run(keyed: KeyedCall, run: Run): Promise<void> {
+    const {call, body} = keyed;
+    const {dispatcher, ledger, clock} = this.#options;
+    const nowMs = clock.now();
+    const sink = new RecordingSink(ANSWER_LIMIT_BYTES);
+    const headers = createUpstreamHeaders(call, nowMs);
+    delete headers['transfer-encoding'];
+    headers['content-length'] = String(body.length);
+    const dispatch = dispatcher.dispatch({
+      service: call.route.service,
+      rule: call.route.rule,
+      request: {
+        method: call.request.method ?? 'POST',
+        path: call.request.url ?? '/',
+        headers,
+        body,
+      },
+      sink,
+      deadlineMs: nowMs + call.timeoutMs * RUN_TIMEOUT_FACTOR,
+      depth: call.depth,
+    });
+    const result = await dispatch.run();
+    ledger.finish(run, toRunEnd(result, sink));
+  }
+
+  #answerWhenEnded(keyed: KeyedCall, run: Run, isResend: boolean): void {
+    const {call} = keyed;
+    if (run.end !== undefined) {
+      sendRunEnd(call, run.end, isResend);
+      return;
+    }
+    const stopListening = run.onEnd(end => {
+      clearTimeout(timer);
+      sendRunEnd(call, end, isResend);
+    });
+    const timer = setTimeout(() => {
+      stopListening();
+      const detail = 'It is still running; send the same key again.';
+      refuse(call, 'deadline-exceeded', 'unknown', detail);
+    }, call.deadlineMs - this.#options.clock.now());
+    call.response.once('close', () => {
+      clearTimeout(timer);
+      stopListening();
+    });
+  }
+
+  /** Nothing is known of the key here: only a first attempt was certainly not run. */
+  #refuseUnknown(
+    keyed: KeyedCall,
+    reason: ProblemReason,
+    detail: string,
+  ): void {
+    const isFirst = keyed.call.attempt === 1;
+    refuse(keyed.call, reason, isFirst ? 'not-run' : 'unknown', detail);
+  }
+}
+
+function toRunEnd(result: DispatchResult, sink: RecordingSink): RunEnd {
+  if (result.kind === 'answered') {
+    return {kind: 'done', answer: sink.answer};
+  }
+  if (result.kind === 'broken-off') {
+    const problem: Problem = {
+      reason: 'upstream-failed',
+      outcome: 'unknown',
+      detail: 'The upstream broke off.',
+    };
+    return {kind: 'unknown', problem};
+  }
+  const {problem} = result;
+  const kind = problem.outcome === 'not-run' ? 'not-run' : 'unknown';
+  return {kind, problem};
+}
+
+function sendRunEnd(call: CallerRequest, end: RunEnd, isResend: boolean): void {
+  const {response} = call;
+  if (response.headersSent || response.destroyed) {
+    return;
+  }
+  if (end.kind !== 'done') {
+    sendProblem(response, end.problem);
+  } else if (end.answer === undefined) {
+    const detail = `Answers of this kind go up to ${ANSWER_LIMIT_BYTES} bytes.`;
+    refuse(call, 'answer-too-large', 'ran', detail);
+  } else {
+    const extra = isResend ? {[REPLAYED_HEADER]: 'true'} : {};
+    sendRecorded(response, end.answer, extra);
+  }
+}
+
+function refuse(
+  call: CallerRequest,
+  reason: ProblemReason,
+  outcome: Problem['outcome'],
+  detail: string,
+): void {
+  const helps = reason === 'draining' || reason === 'ledger-full';
+  const isRunning = reason === 'deadline-exceeded';
+  const retryAfterSeconds =
+    helps || isRunning ? RETRY_AFTER_SECONDS : undefined;
+  if (!call.response.headersSent) {
+    sendProblem(call.response, {reason, outcome, detail, retryAfterSeconds});
+  }
+}
+
+function toFingerprint(call: CallerRequest, body: Buffer): string {
+  const {method, url} = call.request;
+  const hash = createHash('sha256').update(`${method}\n${url}\n`).update(body);
+  return hash.digest('base64url');
+}
--- a/packages/entry/src/once/run-ledger.ts
+++ b/packages/entry/src/once/run-ledger.ts
@@ -111,6 +111,9 @@
   /** Admits a request whose token is this process's own and has not lapsed. */
   abstract admit(key: HomeKey, fingerprint: string): LedgerAdmission;
 
+  /** Whether anything is known of a key. */
+  abstract has(key: HomeKey): boolean;
+
   /** A run has ended: keeps its end for resends. */
   abstract finish(run: Run, end: RunEnd): void;
 
@@ -159,6 +162,10 @@
     return {kind: 'run', run};
   }
 
+  override has(key: HomeKey): boolean {
+    return this.#runs.has(key.key);
+  }
+
   override finish(run: Run, end: RunEnd): void {
     run.finish(end);
     this.#running -= 1;
--- a/packages/entry/src/upstreams/service-pool.ts
+++ b/packages/entry/src/upstreams/service-pool.ts
@@ -117,7 +117,8 @@
     const nowMs = this.#clock.now();
     if (this.#lastEndMs !== undefined) {
       const intervalMs = nowMs - this.#lastEndMs;
-      this.#endIntervalMs += INTERVAL_WEIGHT * (intervalMs - this.#endIntervalMs);
+      this.#endIntervalMs +=
+        INTERVAL_WEIGHT * (intervalMs - this.#endIntervalMs);
     }
     this.#lastEndMs = nowMs;
     this.#latencyMs += INTERVAL_WEIGHT * (durationMs - this.#latencyMs);
@@ -174,7 +175,8 @@
       return 'deadline-exceeded';
     }
     const waitMs = this.#queue.length * this.#endIntervalMs;
-    const isTooLate = this.#queue.length > 0 && waitMs + this.#latencyMs > leftMs;
+    const isTooLate =
+      this.#queue.length > 0 && waitMs + this.#latencyMs > leftMs;
     return isTooLate ? 'overloaded' : undefined;
   }
 
--- a/packages/entry/src/upstreams/upstream-registry.ts
+++ b/packages/entry/src/upstreams/upstream-registry.ts
@@ -8,10 +8,7 @@
 } from '@wasabidyke/policy';
 import type {Clock, Reporter} from '@wasabidyke/shared';
 import {ServicePool} from './service-pool.js';
-import {
-  UpstreamHandle,
-  type UpstreamState,
-} from './upstream-handle.js';
+import {UpstreamHandle, type UpstreamState} from './upstream-handle.js';
 
 /** Where this entry runs. */
 export interface Location {
@@ -89,7 +86,8 @@
     const pool = this.#pools.get(service.name);
     const isSamePolicy = this.#policies.get(service.name) === service.policy;
     const selection = createSelection(service.policy, this.#options.random);
-    const present = pool ?? new ServicePool(service, selection, this.#options.clock);
+    const present =
+      pool ?? new ServicePool(service, selection, this.#options.clock);
     const handles = this.#reconcile(service, present, snapshot);
     present.apply(service, isSamePolicy ? undefined : selection, handles);
     this.#pools.set(service.name, present);
