feat(operator): the settings of an entry, their checks and the token's source

The entry and `settings check` read the same settings and neither may import the other, so the schema stands with the operators' interface. Findings come all at once with line, column and path. File names are relative to the settings file, so that an entry may be started from anywhere.

Ruled out: a union of {file} and {environment} for the token, because a schema library reports a union's failure as one finding without the reason; the choice of exactly one is a check between settings instead.

--- a/packages/manifest/src/schema.ts
+++ b/packages/manifest/src/schema.ts
@@ -14,7 +14,8 @@
 /** Most services of one manifest. */
 const MAXIMUM_SERVICES = 1_000;
 
-const nameSchema = z
+/** A name of anything: of a service, a region, a VM. */
+export const nameSchema = z
   .string()
   .max(MAXIMUM_NAME_LENGTH)
   .regex(/^[a-z0-9]([a-z0-9-]*[a-z0-9])?$/, {
--- a/packages/operator/src/index.ts
+++ b/packages/operator/src/index.ts
@@ -1,8 +1,9 @@
-/** The operators' interface of an entry: its messages, its server and its client. */
+/** The operators' interface of an entry: its messages, server, client and settings. */
 
 export * from './address.js';
 export * from './client.js';
 export * from './messages.js';
+export * from './parse-settings.js';
 export * from './problem.js';
 export {
   OperatorServer,
@@ -11,4 +12,5 @@
   type OperatorServerOptions,
 } from './server.js';
 export * from './service.js';
+export * from './settings.js';
 export {TokenGuard} from './token.js';
