--- a/packages/entry/src/data-path/answer-sink.ts
+++ b/packages/entry/src/data-path/answer-sink.ts
@@ -1,11 +1,7 @@
 /** Where the answer of an attempt goes. */
 
-import type {
-  IncomingHttpHeaders,
-  OutgoingHttpHeaders,
-  ServerResponse,
-} from 'node:http';
-import {toCallerHeaders} from './headers.js';
+import type {IncomingHttpHeaders, ServerResponse} from 'node:http';
+import {toCallerHeaders, type HeaderFields} from './headers.js';
 
 /** Lets a sink hold back an upstream that sends faster than the sink takes. */
 export interface FlowControl {
@@ -36,9 +32,7 @@
 }
 
 /** Chooses which headers of an answer go on to the caller. */
-export type HeaderFilter = (
-  headers: IncomingHttpHeaders,
-) => OutgoingHttpHeaders;
+export type HeaderFilter = (headers: IncomingHttpHeaders) => HeaderFields;
 
 /** Relays to the caller; what is small enough is held until it is whole. */
 export class CallerSink extends AnswerSink {
@@ -46,7 +40,7 @@
   readonly #holdLimitBytes: number;
   readonly #filterHeaders: HeaderFilter;
   #status = 0;
-  #headers: OutgoingHttpHeaders = {};
+  #headers: HeaderFields = {};
   #flow: FlowControl | undefined;
   #held: Buffer[] = [];
   #heldBytes = 0;
@@ -150,7 +144,7 @@
 /** A whole answer, kept for resends. */
 export interface RecordedAnswer {
   readonly status: number;
-  readonly headers: OutgoingHttpHeaders;
+  readonly headers: HeaderFields;
   readonly body: Buffer;
 }
 
@@ -158,7 +152,7 @@
 export class RecordingSink extends AnswerSink {
   readonly #limitBytes: number;
   #status = 0;
-  #headers: OutgoingHttpHeaders = {};
+  #headers: HeaderFields = {};
   #chunks: Buffer[] = [];
   #bytes = 0;
   #answer: RecordedAnswer | undefined;
@@ -210,7 +204,7 @@
 export function sendRecorded(
   response: ServerResponse,
   answer: RecordedAnswer,
-  extraHeaders: OutgoingHttpHeaders = {},
+  extraHeaders: HeaderFields = {},
 ): void {
   response.writeHead(answer.status, {...answer.headers, ...extraHeaders});
   response.end(answer.body);
--- a/packages/entry/src/data-path/attempt.ts
+++ b/packages/entry/src/data-path/attempt.ts
@@ -4,17 +4,17 @@
  * was given up, so that a late answer can never meet another request.
  */
 
-import type {IncomingHttpHeaders, OutgoingHttpHeaders} from 'node:http';
+import type {IncomingHttpHeaders} from 'node:http';
 import type {Readable} from 'node:stream';
 import type {Dispatcher} from 'undici';
 import type {AnswerSink} from './answer-sink.js';
-import {OUTCOME_HEADER} from './headers.js';
+import {OUTCOME_HEADER, type HeaderFields} from './headers.js';
 
 /** What to send. */
 export interface AttemptRequest {
   readonly method: string;
   readonly path: string;
-  readonly headers: OutgoingHttpHeaders;
+  readonly headers: HeaderFields;
   readonly body: Buffer | Readable | null;
 }
 
--- /dev/null
+++ b/packages/entry/src/data-path/caller-listener.ts
@@ -0,0 +1,244 @@
+/** Listens for callers: tells them which entries to use and answers their requests. */
+
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+import type {RouteMiss} from '@wasabidyke/manifest';
+import {parseSocketAddress} from '@wasabidyke/operator';
+import type {
+  Clock,
+  Counter,
+  DurationHistogram,
+  MetricRegistry,
+} from '@wasabidyke/shared';
+import Fastify, {type FastifyInstance} from 'fastify';
+import type {EntryList} from '../control/entry-list.js';
+import type {ManifestKeeper} from '../control/manifest-keeper.js';
+import type {OnceHandler} from '../once/once-handler.js';
+import {createCallerRequest} from './caller-request.js';
+import {sendProblem, toProblemBody, toStatus, type Problem} from './problem.js';
+import type {RelayHandler} from './relay-handler.js';
+
+/** What the listener needs. */
+export interface CallerListenerOptions {
+  /** IP address and port. */
+  readonly address: string;
+  readonly keeper: ManifestKeeper;
+  readonly entryList: EntryList;
+  readonly relayHandler: RelayHandler;
+  readonly onceHandler: OnceHandler;
+  readonly clock: Clock;
+  readonly metrics: MetricRegistry;
+}
+
+/** Callers' connections that may be open at the same time. */
+const MAXIMUM_CONNECTIONS = 20_000;
+
+/** How long an idle connection of a caller is kept, in milliseconds. */
+const IDLE_CONNECTION_MS = 75_000;
+
+/** Time for the headers of a request to arrive, in milliseconds. */
+const HEADERS_TIMEOUT_MS = 10_000;
+
+const RETRY_AFTER_SECONDS = 1;
+
+const HEADERS_TOO_LARGE_CODE = 'HPE_HEADER_OVERFLOW';
+
+/** Listens for callers. */
+export class CallerListener {
+  readonly #options: CallerListenerOptions;
+  readonly #fastify: FastifyInstance;
+  readonly #requests: Counter;
+  readonly #latency: DurationHistogram;
+  #inFlight = 0;
+  #isDraining = false;
+  #onIdle: (() => void) | undefined;
+
+  constructor(options: CallerListenerOptions) {
+    this.#options = options;
+    this.#requests = options.metrics.counter(
+      'wasabidyke_requests_total',
+      'Requests of callers.',
+    );
+    this.#latency = options.metrics.histogram(
+      'wasabidyke_request_duration_seconds',
+      'Time from the arrival of a request to the end of its answer.',
+    );
+    options.metrics.gauge(
+      'wasabidyke_requests_in_flight',
+      'Requests of callers under way.',
+      () => this.#inFlight,
+    );
+    this.#fastify = this.#createFastify();
+  }
+
+  /** Requests under way. */
+  get inFlight(): number {
+    return this.#inFlight;
+  }
+
+  /** Starts to listen. @throws When the address cannot be had. */
+  async listen(): Promise<void> {
+    const address = parseSocketAddress(this.#options.address);
+    if (address === undefined) {
+      throw new Error(`"${this.#options.address}" is no address.`);
+    }
+    await this.#fastify.listen(address);
+  }
+
+  /** From now on, connections are closed after their answers. */
+  startDraining(): void {
+    this.#isDraining = true;
+    this.#options.onceHandler.startDraining();
+  }
+
+  /** Takes no new connections, and resolves once every request under way has ended. */
+  async stop(): Promise<void> {
+    const {server} = this.#fastify;
+    server.close();
+    server.closeIdleConnections();
+    if (this.#inFlight > 0) {
+      await new Promise<void>(resolve => (this.#onIdle = resolve));
+    }
+    server.closeIdleConnections();
+    await this.#fastify.close();
+  }
+
+  #createFastify(): FastifyInstance {
+    const fastify = Fastify({
+      keepAliveTimeout: IDLE_CONNECTION_MS,
+      requestTimeout: 0,
+      bodyLimit: Number.MAX_SAFE_INTEGER,
+      forceCloseConnections: 'idle',
+      return503OnClosing: false,
+      exposeHeadRoutes: false,
+      clientErrorHandler: refuseMalformed,
+      http: {headersTimeout: HEADERS_TIMEOUT_MS},
+    });
+    fastify.server.maxConnections = MAXIMUM_CONNECTIONS;
+    fastify.removeAllContentTypeParsers();
+    fastify.addContentTypeParser('*', (_request, _payload, done) => done(null));
+    fastify.get('/v1/entries', (request, reply) => {
+      reply.hijack();
+      this.#sendEntries(request.raw, reply.raw);
+    });
+    fastify.all('/*', (request, reply) => {
+      reply.hijack();
+      this.#answer(request.raw, reply.raw);
+    });
+    fastify.setNotFoundHandler((request, reply) => {
+      reply.hijack();
+      this.#answer(request.raw, reply.raw);
+    });
+    return fastify;
+  }
+
+  #answer(request: IncomingMessage, response: ServerResponse): void {
+    const startedAtMs = this.#options.clock.now();
+    this.#inFlight += 1;
+    this.#requests.add();
+    if (this.#isDraining) {
+      response.setHeader('connection', 'close');
+    }
+    response.once('close', () => this.#onClose(startedAtMs));
+    this.#route(request, response, startedAtMs);
+  }
+
+  #onClose(startedAtMs: number): void {
+    this.#inFlight -= 1;
+    this.#latency.record(this.#options.clock.now() - startedAtMs);
+    if (this.#inFlight === 0) {
+      this.#onIdle?.();
+    }
+  }
+
+  #route(
+    request: IncomingMessage,
+    response: ServerResponse,
+    nowMs: number,
+  ): void {
+    const {snapshot} = this.#options.keeper;
+    if (snapshot === undefined) {
+      const detail = 'It waits for its first manifest.';
+      refuse(response, 'not-ready', detail, RETRY_AFTER_SECONDS);
+      return;
+    }
+    const path = toPath(request.url ?? '/');
+    const route = snapshot.findRoute(request.method ?? 'GET', path);
+    if (typeof route === 'string') {
+      refuse(response, route, MISS_DETAILS[route]);
+      return;
+    }
+    const call = createCallerRequest(request, response, snapshot, route, nowMs);
+    const isOnce = route.rule.kind === 'at-most-once';
+    const {onceHandler, relayHandler} = this.#options;
+    const handler = isOnce ? onceHandler : relayHandler;
+    handler.handle(call).catch(() => response.destroy());
+  }
+
+  #sendEntries(request: IncomingMessage, response: ServerResponse): void {
+    const {entryList, keeper} = this.#options;
+    const query = new URL(request.url ?? '/', 'http://entry').searchParams;
+    const region = query.get('region') ?? undefined;
+    const zone = query.get('zone') ?? undefined;
+    const maximumAgeSeconds =
+      keeper.snapshot?.manifest.entries.listMaximumAgeSeconds ??
+      RETRY_AFTER_SECONDS;
+    const entries = entryList.list({region, zone});
+    const body = JSON.stringify({entries, maximumAgeSeconds});
+    response.writeHead(200, {
+      'content-type': 'application/json',
+      'content-length': Buffer.byteLength(body),
+      'cache-control': `max-age=${maximumAgeSeconds}`,
+    });
+    response.end(body);
+  }
+}
+
+const MISS_DETAILS: Readonly<Record<RouteMiss, string>> = {
+  'unknown-service': 'No service of the manifest in force has this path.',
+  'unknown-request': 'Its service has no rule for this path.',
+  'wrong-method': 'Its service has no rule for this method at this path.',
+};
+
+function refuse(
+  response: ServerResponse,
+  reason: Problem['reason'],
+  detail: string,
+  retryAfterSeconds?: number,
+): void {
+  sendProblem(response, {
+    reason,
+    outcome: 'not-run',
+    detail,
+    retryAfterSeconds,
+  });
+}
+
+function toPath(url: string): string {
+  const end = url.indexOf('?');
+  return end === -1 ? url : url.slice(0, end);
+}
+
+/** Answers what is not HTTP, or is but can't be told apart safely. */
+function refuseMalformed(error: Error, socket: Socket): void {
+  if (!socket.writable) {
+    socket.destroy();
+    return;
+  }
+  const {code} = error as NodeJS.ErrnoException;
+  const isTooLarge = code === HEADERS_TOO_LARGE_CODE;
+  const problem: Problem = {
+    reason: isTooLarge ? 'headers-too-large' : 'bad-request',
+    outcome: 'not-run',
+    detail: 'It was refused before it was read whole.',
+  };
+  const body = toProblemBody(problem);
+  const head = [
+    `HTTP/1.1 ${toStatus(problem.reason)} Refused`,
+    'Content-Type: application/problem+json',
+    `Content-Length: ${Buffer.byteLength(body)}`,
+    'Wasabidyke-Outcome: not-run',
+    'Connection: close',
+  ];
+  socket.end(`${head.join('\r\n')}\r\n\r\n${body}`);
+}
--- a/packages/entry/src/data-path/caller-request.ts
+++ b/packages/entry/src/data-path/caller-request.ts
@@ -1,10 +1,6 @@
 /** A caller's request, with what its headers and its route say. */
 
-import type {
-  IncomingMessage,
-  OutgoingHttpHeaders,
-  ServerResponse,
-} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Route, Snapshot} from '@wasabidyke/manifest';
 import {
   ATTEMPT_HEADER,
@@ -12,6 +8,7 @@
   readWholeNumber,
   TIMEOUT_HEADER,
   toUpstreamHeaders,
+  type HeaderFields,
 } from './headers.js';
 
 /** A caller's request that has a route. */
@@ -62,7 +59,7 @@
 export function createUpstreamHeaders(
   call: CallerRequest,
   nowMs: number,
-): OutgoingHttpHeaders {
+): HeaderFields {
   const headers = toUpstreamHeaders(call.request.headers);
   const leftMs = Math.max(1, Math.ceil(call.deadlineMs - nowMs));
   headers[TIMEOUT_HEADER] = String(leftMs);
--- a/packages/entry/src/data-path/headers.ts
+++ b/packages/entry/src/data-path/headers.ts
@@ -1,8 +1,11 @@
 /** Header names of the interfaces for callers and upstreams, and which headers pass through. */
 
-import type {IncomingHttpHeaders, OutgoingHttpHeaders} from 'node:http';
+import type {IncomingHttpHeaders} from 'node:http';
 import {LOAD_REPORT_HEADER} from '@wasabidyke/policy';
 
+/** Header names in lower case, with their values. */
+export type HeaderFields = Record<string, string | string[] | undefined>;
+
 /** Whether the request was run: on every answer that the system itself makes. */
 export const OUTCOME_HEADER = 'wasabidyke-outcome';
 
@@ -56,23 +59,17 @@
 ]);
 
 /** The request headers that go on to an upstream. */
-export function toUpstreamHeaders(
-  headers: IncomingHttpHeaders,
-): OutgoingHttpHeaders {
+export function toUpstreamHeaders(headers: IncomingHttpHeaders): HeaderFields {
   return copyHeaders(headers, CONSUMED_REQUEST_HEADERS);
 }
 
 /** The answer headers that go on to the caller. */
-export function toCallerHeaders(
-  headers: IncomingHttpHeaders,
-): OutgoingHttpHeaders {
+export function toCallerHeaders(headers: IncomingHttpHeaders): HeaderFields {
   return copyHeaders(headers, CONSUMED_ANSWER_HEADERS);
 }
 
 /** The answer headers that go on from another entry to the caller. */
-export function toForwardedHeaders(
-  headers: IncomingHttpHeaders,
-): OutgoingHttpHeaders {
+export function toForwardedHeaders(headers: IncomingHttpHeaders): HeaderFields {
   return copyHeaders(headers, NO_HEADERS);
 }
 
@@ -92,9 +89,9 @@
 function copyHeaders(
   headers: IncomingHttpHeaders,
   consumed: ReadonlySet<string>,
-): OutgoingHttpHeaders {
+): HeaderFields {
   const named = toConnectionHeaders(headers.connection);
-  const copy: OutgoingHttpHeaders = {};
+  const copy: HeaderFields = {};
   for (const name in headers) {
     const isDropped =
       HOP_BY_HOP_HEADERS.has(name) || consumed.has(name) || named.has(name);
--- a/packages/entry/src/once/adopted-ledgers.ts
+++ b/packages/entry/src/once/adopted-ledgers.ts
@@ -59,8 +59,9 @@
     return true;
   }
 
-  /** The last part has arrived. */
-  complete(incarnation: string): void {
+  /** The last part has arrived, or there was none. */
+  complete(incarnation: string, lapsesInMs: number): void {
+    this.add(incarnation, [], lapsesInMs);
     const home = this.#homes.get(incarnation);
     if (home !== undefined) {
       home.isWhole = true;
--- a/packages/entry/src/once/home-token.ts
+++ b/packages/entry/src/once/home-token.ts
@@ -31,9 +31,6 @@
 
 const MILLISECONDS_PER_ISSUE = 1_000;
 
-/** Other entries name issues by the heartbeats that they heard, which may run ahead by this much. */
-const MAXIMUM_LEAD_ISSUES = 60;
-
 /** Writes a token. */
 export function formatHomeToken(token: HomeToken): string {
   return `${token.entry}.${token.incarnation}.${token.issue}`;
@@ -49,38 +46,51 @@
   return {home: {entry, incarnation, issue: Number(issue)}, key};
 }
 
+/** Counts issues: rises by about one a second, and is told to other entries. */
+export abstract class IssueCounter {
+  abstract get issue(): number;
+}
+
+/** Counts the seconds since its creation, where there are no other entries. */
+export class ClockIssueCounter extends IssueCounter {
+  readonly #clock: Clock;
+  readonly #startedAtMs: number;
+
+  constructor(clock: Clock) {
+    super();
+    this.#clock = clock;
+    this.#startedAtMs = clock.now();
+  }
+
+  override get issue(): number {
+    const elapsedMs = this.#clock.now() - this.#startedAtMs;
+    return Math.floor(elapsedMs / MILLISECONDS_PER_ISSUE);
+  }
+}
+
 /** Issues and judges the tokens of this process. */
 export class HomeTokenIssuer {
   readonly entry: string;
   readonly incarnation: string;
-  readonly #clock: Clock;
-  readonly #startedAtMs: number;
+  readonly #counter: IssueCounter;
   readonly #lifetimeIssues: number;
 
-  /** @param lifetimeMs How long a token may be used after its issue. */
+  /** @param lifetimeMs How long a token may be used after its issue, in milliseconds. */
   constructor(
     entry: string,
     incarnation: string,
     lifetimeMs: number,
-    clock: Clock,
+    counter: IssueCounter,
   ) {
     this.entry = entry;
     this.incarnation = incarnation;
-    this.#clock = clock;
-    this.#startedAtMs = clock.now();
+    this.#counter = counter;
     this.#lifetimeIssues = Math.ceil(lifetimeMs / MILLISECONDS_PER_ISSUE);
   }
 
   /** The number of a token issued now. */
   get issue(): number {
-    const elapsedMs = this.#clock.now() - this.#startedAtMs;
-    return Math.floor(elapsedMs / MILLISECONDS_PER_ISSUE);
-  }
-
-  /** A token issued now. */
-  create(): HomeToken {
-    const {entry, incarnation, issue} = this;
-    return {entry, incarnation, issue};
+    return this.#counter.issue;
   }
 
   /** Whether this process issued the token. */
@@ -93,9 +103,9 @@
     return this.issue - issue > this.#lifetimeIssues;
   }
 
-  /** Whether a token says that it was issued much later than now, which no entry ever did. */
+  /** Whether a token says that it was issued later than now, which no entry ever did. */
   isFromFuture(issue: number): boolean {
-    return issue > this.issue + MAXIMUM_LEAD_ISSUES;
+    return issue > this.issue;
   }
 
   /** Milliseconds until a token of this issue number lapses. */
--- a/packages/entry/src/once/run-ledger.ts
+++ b/packages/entry/src/once/run-ledger.ts
@@ -31,10 +31,11 @@
   readonly #listeners = new Set<(end: RunEnd) => void>();
   #end: RunEnd | undefined;
 
-  constructor(key: HomeKey, fingerprint: string) {
-    this.key = key.key;
+  /** @param issue Number of the issue of its key's token. */
+  constructor(key: string, issue: number, fingerprint: string) {
+    this.key = key;
+    this.issue = issue;
     this.fingerprint = fingerprint;
-    this.issue = key.home.issue;
   }
 
   get state(): RunState {
@@ -156,7 +157,7 @@
     if (isFull) {
       return {kind: 'full'};
     }
-    const run = new Run(key, fingerprint);
+    const run = new Run(key.key, key.home.issue, fingerprint);
     this.#runs.set(key.key, run);
     this.#running += 1;
     return {kind: 'run', run};
--- a/packages/entry/src/upstreams/upstream-handle.ts
+++ b/packages/entry/src/upstreams/upstream-handle.ts
@@ -92,6 +92,11 @@
     return this.#pool;
   }
 
+  /** Connections that are open now. */
+  get connections(): number {
+    return this.#pool.stats.connected;
+  }
+
   get connectionLimit(): number {
     return this.#connectionLimit;
   }
