--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -4,6 +4,7 @@
 export * from './hot-cold.js';
 export * from './least-in-flight.js';
 export * from './load-report.js';
+export * from './locality.js';
 export * from './random.js';
 export * from './random-selection.js';
 export * from './round-robin.js';
--- a/packages/policy/src/reported-load.ts
+++ b/packages/policy/src/reported-load.ts
@@ -5,6 +5,9 @@
 /** Time in which a report loses half of its weight, in milliseconds. */
 const REPORT_HALF_LIFE_MS = 100;
 
+/** Weight below which a report counts for nothing. */
+const SMALLEST_WEIGHT = 0.02;
+
 /** Part of its trust that an upstream keeps after a report that contradicts what is seen. */
 const TRUST_AFTER_CONTRADICTION = 0.5;
 
@@ -52,6 +55,7 @@
       return 0;
     }
     const ageMs = Math.max(0, nowMs - this.#report.madeAtMs);
-    return this.#trust * 2 ** (-ageMs / REPORT_HALF_LIFE_MS);
+    const weight = this.#trust * 2 ** (-ageMs / REPORT_HALF_LIFE_MS);
+    return weight < SMALLEST_WEIGHT ? 0 : weight;
   }
 }
