fix(shared): refuse deeply nested documents instead of exhausting the stack

A text of 100,000 opening brackets made the recursive parser throw a RangeError, which stopped the process that read it; found by reading nonsense VM lists. Catching the error was ruled out, because the walks after the parser recurse too. A scan that doesn't recurse finds the depth first; beyond 100 levels it is a finding, too-deep.

--- a/features/manifest/check.feature
+++ b/features/manifest/check.feature
@@ -29,3 +29,10 @@
       | budget-exceeds-whole   | loadWatch.crossRegionBytesPerSecond |
       | retries-not-idempotent | services[0].requests[0].retries     |
       | unknown-zone           | services[0].upstreams[0].zone       |
+
+  Scenario: Text that is nested too deeply is a finding
+    Given a manifest of 100000 opening brackets
+    When the manifest is checked
+    Then the findings are
+      | code     | path |
+      | too-deep |      |
--- a/features/steps/manifest-check.steps.ts
+++ b/features/steps/manifest-check.steps.ts
@@ -14,6 +14,13 @@
   this.text = text;
 });
 
+Given(
+  'a manifest of {int} opening brackets',
+  function (this: ManifestWorld, count: number) {
+    this.text = '['.repeat(count);
+  },
+);
+
 When('the manifest is checked', function (this: ManifestWorld) {
   const parsed = parseManifest('manifest.jsonc', this.text);
   this.findings = parsed.isErr() ? parsed.error : [];
--- a/packages/shared/src/document.ts
+++ b/packages/shared/src/document.ts
@@ -1,10 +1,12 @@
 /** Reading JSON with comments against a schema, with every finding placed. */
 
 import {
+  createScanner,
   findNodeAtLocation,
   getNodeValue,
   parseTree,
   printParseErrorCode,
+  SyntaxKind,
   type Node,
   type ParseError,
 } from 'jsonc-parser';
@@ -12,6 +14,9 @@
 import type {z} from 'zod';
 import {FindingCollector, type Finding, type Place} from './finding.js';
 
+/** Deepest nesting that is read; deeper text would exhaust the parser's stack. */
+const MAXIMUM_DEPTH = 100;
+
 /** A path inside a document: property names and array indexes. */
 export type DocumentPath = ReadonlyArray<string | number>;
 
@@ -22,16 +27,20 @@
   readonly #root: Node | undefined;
   readonly #lineStarts: readonly number[];
   readonly #syntaxErrors: ParseError[] = [];
+  readonly #tooDeepAt: number | undefined;
 
   /** @param source Name of the input, used in places. */
   constructor(source: string, text: string) {
     this.#source = source;
     this.#text = text;
     this.#lineStarts = findLineStarts(text);
-    this.#root = parseTree(text, this.#syntaxErrors, {
-      allowTrailingComma: true,
-      disallowComments: false,
-    });
+    this.#tooDeepAt = findTooDeep(text);
+    if (this.#tooDeepAt === undefined) {
+      this.#root = parseTree(text, this.#syntaxErrors, {
+        allowTrailingComma: true,
+        disallowComments: false,
+      });
+    }
   }
 
   /** The place of the value at `path`, or of its nearest existing ancestor. */
@@ -64,6 +73,11 @@
   }
 
   #collectSyntax(findings: FindingCollector): void {
+    if (this.#tooDeepAt !== undefined) {
+      const message = `Nested deeper than ${MAXIMUM_DEPTH} levels; flatten it.`;
+      const place = this.#placeAt(this.#tooDeepAt, '');
+      findings.add({code: 'too-deep', message, place});
+    }
     for (const error of this.#syntaxErrors) {
       const message = `Syntax error: ${printParseErrorCode(error.error)}.`;
       const place = this.#placeAt(error.offset, '');
@@ -165,6 +179,37 @@
   return path.map(part => (typeof part === 'number' ? part : String(part)));
 }
 
+function findTooDeep(text: string): number | undefined {
+  const scanner = createScanner(text, true);
+  let depth = 0;
+  let token = scanner.scan();
+  while (token !== SyntaxKind.EOF) {
+    if (isOpening(token)) {
+      depth += 1;
+    } else if (isClosing(token)) {
+      depth -= 1;
+    }
+    if (depth > MAXIMUM_DEPTH) {
+      return scanner.getTokenOffset();
+    }
+    token = scanner.scan();
+  }
+  return undefined;
+}
+
+function isOpening(token: SyntaxKind): boolean {
+  return (
+    token === SyntaxKind.OpenBraceToken || token === SyntaxKind.OpenBracketToken
+  );
+}
+
+function isClosing(token: SyntaxKind): boolean {
+  return (
+    token === SyntaxKind.CloseBraceToken ||
+    token === SyntaxKind.CloseBracketToken
+  );
+}
+
 function findLineStarts(text: string): readonly number[] {
   const starts = [0];
   for (let index = text.indexOf('\n'); index !== -1;) {
