--- a/packages-private/stand-ins/src/index.ts
+++ b/packages-private/stand-ins/src/index.ts
@@ -1,3 +1,4 @@
-/** Not here yet. */
+/** Stand-ins for what surrounds the system. */
 
-export {};
+export * from './store/index.js';
+export * from './vm-list/index.js';
