--- /dev/null
+++ b/packages-private/prove/src/schedule/draw.ts
@@ -0,0 +1,213 @@
+/** Draws schedules from a seed by fast-check. */
+
+import {plannedRequestSchema, type PlannedRequest} from '@wasabidyke/stand-ins';
+import type {PromiseName} from '@wasabidyke/stand-ins';
+import fc from 'fast-check';
+import {FAULTS, type FaultName} from '../faults/index.js';
+import type {Layout} from '../site/layout.js';
+import {PROFILE_OF_ALL, PROFILES, type Profile} from './profiles.js';
+import type {PlannedCaller, PlannedFault, Schedule} from './schedule.js';
+
+const CALLERS = 2;
+const FIRST_FAULT_MS = 500;
+const LAST_FAULT_MARGIN_MS = 2_000;
+const SHORTEST_FAULT_MS = 300;
+const LONGEST_FAULT_MS = 4_000;
+const POISON_ATTEMPTS = 8;
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** Workers that leave keep away from other faults that would bring them back. */
+const DEPARTURES: ReadonlySet<FaultName> = new Set([
+  'leave-by-manifest',
+  'leave-by-vm-list',
+  'leave-by-signal',
+]);
+
+/** Draws the schedule of a seed. */
+export function drawSchedule(
+  seed: number,
+  promise: PromiseName | undefined,
+  layout: Layout,
+): Schedule {
+  const profile = promise === undefined ? PROFILE_OF_ALL : PROFILES[promise];
+  const schedule = fc.record({
+    callers: fc.tuple(
+      ...Array.from({length: CALLERS}, (_, index) =>
+        drawCaller(`caller-${index + 1}`, index === 0, profile),
+      ),
+    ),
+    faults: drawFaults(profile),
+  });
+  const [drawn] = fc.sample(fc.noBias(schedule), {seed, numRuns: 1});
+  const faults = drawn.faults.map(fault => aim(fault, layout));
+  return {
+    seed,
+    promise,
+    durationMs: profile.durationMs,
+    callers: drawn.callers,
+    faults: keepOneDeparture(faults),
+  };
+}
+
+interface DrawnFault {
+  readonly name: FaultName;
+  readonly target: number;
+  readonly atMs: number;
+  readonly lengthMs: number;
+}
+
+function drawFaults(profile: Profile): fc.Arbitrary<DrawnFault[]> {
+  const {always, pool, minimumDrawn, maximumDrawn} = profile;
+  const drawn = fc.array(drawFault(fc.constantFrom(...pool), profile), {
+    minLength: minimumDrawn,
+    maxLength: maximumDrawn,
+    size: 'max',
+  });
+  const certain = always.map(name => drawFault(fc.constant(name), profile));
+  return fc
+    .tuple(fc.tuple(...certain), drawn)
+    .map(([first, further]) => [...first, ...further]);
+}
+
+function drawFault(
+  name: fc.Arbitrary<FaultName>,
+  {durationMs}: Profile,
+): fc.Arbitrary<DrawnFault> {
+  return fc.record({
+    name,
+    target: fc.nat(),
+    atMs: fc.integer({
+      min: FIRST_FAULT_MS,
+      max: durationMs - LAST_FAULT_MARGIN_MS,
+    }),
+    lengthMs: fc.integer({min: SHORTEST_FAULT_MS, max: LONGEST_FAULT_MS}),
+  });
+}
+
+function aim(fault: DrawnFault, layout: Layout): PlannedFault {
+  const {targetKind} = FAULTS[fault.name];
+  if (targetKind === 'site') {
+    return {...fault, target: 'site'};
+  }
+  const candidates = targetKind === 'entry' ? layout.entries : layout.workers;
+  return {...fault, target: candidates[fault.target % candidates.length].name};
+}
+
+/** A worker that leaves does nothing else, and leaves once. */
+function keepOneDeparture(faults: readonly PlannedFault[]): PlannedFault[] {
+  const leaving = new Map<string, PlannedFault>();
+  for (const fault of faults) {
+    if (DEPARTURES.has(fault.name) && !leaving.has(fault.target)) {
+      leaving.set(fault.target, fault);
+    }
+  }
+  return faults.filter(fault => {
+    const departure = leaving.get(fault.target);
+    return departure === undefined || departure === fault;
+  });
+}
+
+function drawCaller(
+  name: string,
+  keepsOldList: boolean,
+  profile: Profile,
+): fc.Arbitrary<PlannedCaller> {
+  const {durationMs, requestsPerSecond, poisonous} = profile;
+  const count = (durationMs / MILLISECONDS_PER_SECOND) * requestsPerSecond;
+  const requests = Array.from({length: count}, (_, index) =>
+    drawRequest(`${name}-${index + 1}`, profile),
+  );
+  const poison = Array.from({length: poisonous}, (_, index) =>
+    drawPoison(`${name}-poison-${index + 1}`, profile),
+  );
+  return fc
+    .tuple(...requests, ...poison)
+    .map(planned => ({name, keepsOldList, requests: planned}));
+}
+
+function drawRequest(
+  request: string,
+  profile: Profile,
+): fc.Arbitrary<PlannedRequest> {
+  const {lookups, orders, durationMs} = profile;
+  const base = {
+    request: fc.constant(request),
+    atMs: fc.integer({min: 0, max: durationMs}),
+    service: fc.constantFrom('shop', 'farm'),
+    workMs: drawRarely(fc.integer({min: 50, max: 1_000})),
+    cancelAfterMs: drawRarely(fc.integer({min: 2, max: 200})),
+  };
+  const others = 100 - lookups - orders;
+  return fc
+    .oneof(
+      {weight: lookups, arbitrary: drawLookup(base)},
+      {weight: orders, arbitrary: drawOrder(base)},
+      {weight: others, arbitrary: drawUpload(base)},
+    )
+    .map(planned => plannedRequestSchema.parse(planned));
+}
+
+type Base = Record<string, fc.Arbitrary<unknown>>;
+
+function drawLookup(base: Base): fc.Arbitrary<object> {
+  return fc.record({
+    ...base,
+    method: fc.constant('GET'),
+    path: fc.constantFrom('/items', '/stock'),
+    rule: fc.constant('idempotent'),
+    payloadBytes: fc.integer({min: 0, max: 100_000}),
+  });
+}
+
+function drawOrder(base: Base): fc.Arbitrary<object> {
+  return fc.record({
+    ...base,
+    method: fc.constant('POST'),
+    path: fc.constant('/orders'),
+    rule: fc.constant('at-most-once'),
+    bodyBytes: fc.integer({min: 1, max: 2_000}),
+    isDuplicated: drawBoolean(15),
+    isResentAfterAnswer: drawBoolean(25),
+  });
+}
+
+function drawUpload(base: Base): fc.Arbitrary<object> {
+  return fc.record({
+    ...base,
+    method: fc.constant('POST'),
+    path: fc.constant('/photos'),
+    rule: fc.constant('bulk'),
+    bodyBytes: fc.integer({min: 1_000, max: 1_000_000}),
+    uploadMs: fc.integer({min: 0, max: 1_500}),
+  });
+}
+
+function drawPoison(
+  request: string,
+  {durationMs}: Profile,
+): fc.Arbitrary<PlannedRequest> {
+  return fc
+    .record({
+      request: fc.constant(request),
+      atMs: fc.integer({min: FIRST_FAULT_MS, max: durationMs / 2}),
+      service: fc.constantFrom('shop', 'farm'),
+      method: fc.constant('GET'),
+      path: fc.constant('/items'),
+      rule: fc.constant('idempotent'),
+      attempts: fc.constant(POISON_ATTEMPTS),
+      isSameAgain: fc.constant(true),
+    })
+    .map(planned => plannedRequestSchema.parse(planned));
+}
+
+function drawRarely<Value>(
+  arbitrary: fc.Arbitrary<Value>,
+): fc.Arbitrary<Value | undefined> {
+  return fc
+    .tuple(arbitrary, drawBoolean(15))
+    .map(([value, isDrawn]) => (isDrawn ? value : undefined));
+}
+
+function drawBoolean(percentage: number): fc.Arbitrary<boolean> {
+  return fc.integer({min: 1, max: 100}).map(drawn => drawn <= percentage);
+}
