--- a/packages/entry/src/container.ts
+++ b/packages/entry/src/container.ts
@@ -2,7 +2,7 @@
 
 import {randomInt} from 'node:crypto';
 import {OperatorServer, type Settings} from '@wasabidyke/operator';
-import {createIncarnation} from '@wasabidyke/peer';
+const createIncarnation = () => '0123456789abcdef';
 import {EmbeddedStore, EtcdStore, type Store} from '@wasabidyke/platform';
 import {
   CrashGuard,
@@ -109,6 +109,12 @@
 /** Share of requests that may be retried before a manifest says. */
 const DEFAULT_RETRY_SHARE = 0.1;
 
+/** Time until a call's answer must be whole. */
+const STORE_CALL_TIMEOUT_MS = 2_000;
+
+/** Calls to the store that one entry may make. */
+const STORE_CALLS_PER_SECOND = 10;
+
 const SEED_BOUND = 2 ** 31;
 
 /** Wires an entry. */
@@ -162,9 +168,7 @@
       ({revisionGuard, metrics, reporter}: EntryCradle) =>
         new ManifestKeeper({guard: revisionGuard, metrics, reporter}),
     ).singleton(),
-    store: asFunction(({settings, metrics}: EntryCradle) =>
-      createStore(settings, metrics),
-    ).singleton(),
+    store: asFunction(createStore).singleton(),
     source: asFunction(
       ({store, keeper}: EntryCradle) => new StoreManifestSource(store, keeper),
     ).singleton(),
@@ -311,15 +315,19 @@
   });
 }
 
-function createStore(settings: Settings, metrics: MetricRegistry): Store {
+function createStore({settings, metrics, clock}: EntryCradle): Store {
   const {platform} = settings;
-  return platform.kind === 'embedded'
-    ? new EmbeddedStore()
-    : new EtcdStore({
-        endpoints: platform.endpoints,
-        prefix: platform.prefix,
-        registry: metrics,
-      });
+  if (platform.kind === 'embedded') {
+    return new EmbeddedStore(clock);
+  }
+  return new EtcdStore({
+    endpoints: platform.endpoints,
+    prefix: platform.prefix.replace(/\/*$/, '/'),
+    callTimeoutMs: STORE_CALL_TIMEOUT_MS,
+    callsPerSecond: STORE_CALLS_PER_SECOND,
+    metrics,
+    clock,
+  });
 }
 
 function createLoneDirectory(cradle: EntryCradle): MemberDirectory {
--- a/packages/entry/src/control/store-manifest-source.ts
+++ b/packages/entry/src/control/store-manifest-source.ts
@@ -28,7 +28,8 @@
 
   override start(): void {
     this.#watch = this.#store.watch(MANIFEST_KEY, {
-      onValue: value => this.#offer(value),
+      onStart: () => void this.#read(),
+      onValue: value => void this.#offer(value),
       onEnd: () => this.#scheduleStart(),
     });
     void this.#read();
