feat(peer): replicated rows, failure detection, spreading and the task

PeerTask exchanges tables with one random peer of its region each second and pushes fresh rows at once; a region's two lowest-ranked live entries exchange with other regions. Merging takes the higher row of each key, so order and repetition do not matter. Members are judged by their heartbeats alone.

--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -1,3 +1,35 @@
-/** How entries talk to each other. */
+/**
+ * How entries talk to each other. What an entry learns here may be late, and may
+ * differ from what others know; nothing that must be safe rests on it.
+ */
 
-export {};
+export type {HandOverAnswer} from './hand-over.js';
+export {
+  ledgerRecordSchema,
+  MAXIMUM_RECORD_BODY_BYTES,
+  type LedgerRecord,
+} from './ledger-record.js';
+export type {MemberHealth} from './member-health.js';
+export type {PeerError, PeerTarget} from './peer-clients.js';
+export {PeerDialer, TcpDialer} from './peer-dialer.js';
+export {PeerHandler, type PeerIdentity} from './peer-handler.js';
+export {
+  createIncarnation,
+  type MemberFacts,
+  type PeerTaskOptions,
+} from './peer-options.js';
+export type {PeerRandom, SeedPeer} from './peer-selection.js';
+export type {ListenAddress} from './peer-server.js';
+export {PeerTask, type PublishAnswer} from './peer-task.js';
+export {DEFAULT_PEER_TIMINGS, type PeerTimings} from './peer-timings.js';
+export type {MemberView} from './replica.js';
+export {
+  DEFAULT_ROW_LIMITS,
+  MAXIMUM_ROW_LIFE_MS,
+  MAXIMUM_VERSION_LEAD_MS,
+  RowTable,
+  type MergeOutcome,
+  type RowLimits,
+} from './row-table.js';
+export * from './rows.js';
+export type {SuspectView} from './suspect-view.js';
--- /dev/null
+++ b/packages/peer/src/peer-clients.ts
@@ -0,0 +1,194 @@
+/** Calls to peers: one warm HTTP/2 connection for each peer that is in use. */
+
+import {
+  Code,
+  ConnectError,
+  createClient,
+  type Client,
+} from '@connectrpc/connect';
+import {
+  compressionGzip,
+  createConnectTransport,
+} from '@connectrpc/connect-node';
+import {Err, MEBIBYTE, Ok, type Clock, type Result} from '@wasabidyke/shared';
+import {PeerService} from './gen/wasabidyke/peer/v1/peer_pb.js';
+import type {PeerDialer} from './peer-dialer.js';
+import type {ByteScope, PeerMetrics, Procedure} from './peer-metrics.js';
+import type {PeerTimings} from './peer-timings.js';
+import {PeerSessionManager} from './session-manager.js';
+import type {WireMeter} from './wire-meter.js';
+
+/** Largest message between entries, in bytes. */
+export const MAXIMUM_MESSAGE_BYTES = 4 * MEBIBYTE;
+
+/** Connections that an entry opens at most. */
+const MAXIMUM_CONNECTIONS = 128;
+
+/** Calls that an entry has under way at most. */
+const MAXIMUM_CALLS_IN_FLIGHT = 512;
+
+/** Why a call to a peer gave no answer. */
+export interface PeerError {
+  readonly kind: 'unreachable' | 'timeout' | 'refused' | 'busy';
+  readonly message: string;
+}
+
+/** A peer that can be called. */
+export interface PeerTarget {
+  /** IP address and port. */
+  readonly address: string;
+  readonly region: string;
+}
+
+/** The generated client. */
+export type PeerServiceClient = Client<typeof PeerService>;
+
+interface Connection {
+  readonly client: PeerServiceClient;
+  readonly manager: PeerSessionManager;
+  callsInFlight: number;
+  usedAtMs: number;
+}
+
+/** Parts of the clients. */
+export interface PeerClientsOptions {
+  readonly ownRegion: string;
+  readonly dialer: PeerDialer;
+  readonly timings: PeerTimings;
+  readonly clock: Clock;
+  readonly metrics: PeerMetrics;
+  readonly meter: WireMeter;
+}
+
+/** Calls to peers. */
+export class PeerClients {
+  readonly #options: PeerClientsOptions;
+  readonly #connections = new Map<string, Connection>();
+  #callsInFlight = 0;
+
+  constructor(options: PeerClientsOptions) {
+    this.#options = options;
+  }
+
+  /** Makes one call with a deadline. */
+  async call<Answer>(
+    target: PeerTarget,
+    procedure: Procedure,
+    timeoutMs: number,
+    send: (
+      client: PeerServiceClient,
+      options: {timeoutMs: number},
+    ) => Promise<Answer>,
+  ): Promise<Result<Answer, PeerError>> {
+    const {metrics} = this.#options;
+    if (this.#callsInFlight >= MAXIMUM_CALLS_IN_FLIGHT) {
+      metrics.refusals('busy').add();
+      return Err({kind: 'busy', message: 'Too many calls are under way.'});
+    }
+    const connection = this.#connect(target);
+    metrics.callsMade(procedure).add();
+    this.#callsInFlight += 1;
+    connection.callsInFlight += 1;
+    try {
+      const options = {timeoutMs: Math.ceil(timeoutMs)};
+      return Ok(await send(connection.client, options));
+    } catch (error) {
+      metrics.callsFailed(procedure).add();
+      return Err(toPeerError(error));
+    } finally {
+      this.#callsInFlight -= 1;
+      connection.callsInFlight -= 1;
+    }
+  }
+
+  /** Closes the connection to a peer that does not answer, unless other calls use it. */
+  drop(target: PeerTarget): void {
+    const connection = this.#connections.get(target.address);
+    if (connection !== undefined && connection.callsInFlight === 0) {
+      this.#close(target.address, connection);
+    }
+  }
+
+  /** Closes connections that were not used for long. @param nowMs Monotonic. */
+  closeIdle(nowMs: number): void {
+    const {idleConnectionMs} = this.#options.timings;
+    for (const [address, connection] of this.#connections) {
+      const isIdle = nowMs - connection.usedAtMs >= idleConnectionMs;
+      if (isIdle && connection.callsInFlight === 0) {
+        this.#close(address, connection);
+      }
+    }
+  }
+
+  /** Closes all connections. */
+  close(): void {
+    for (const [address, connection] of this.#connections) {
+      this.#close(address, connection);
+    }
+  }
+
+  #connect(target: PeerTarget): Connection {
+    const present = this.#connections.get(target.address);
+    const connection = present ?? this.#open(target);
+    connection.usedAtMs = this.#options.clock.now();
+    this.#connections.delete(target.address);
+    this.#connections.set(target.address, connection);
+    return connection;
+  }
+
+  #open(target: PeerTarget): Connection {
+    this.#makeRoom();
+    const baseUrl = `http://${target.address}`;
+    const manager = new PeerSessionManager(baseUrl, () => this.#dial(target));
+    const transport = createConnectTransport({
+      baseUrl,
+      httpVersion: '2',
+      sessionManager: manager,
+      useBinaryFormat: true,
+      acceptCompression: [compressionGzip],
+      readMaxBytes: MAXIMUM_MESSAGE_BYTES,
+      writeMaxBytes: MAXIMUM_MESSAGE_BYTES,
+    });
+    const client = createClient(PeerService, transport);
+    return {client, manager, callsInFlight: 0, usedAtMs: 0};
+  }
+
+  #dial({address, region}: PeerTarget) {
+    const {dialer, meter, ownRegion} = this.#options;
+    const socket = dialer.dial(address, region);
+    const scope: ByteScope =
+      region === ownRegion ? 'same-region' : 'other-region';
+    meter.add(socket, scope);
+    return socket;
+  }
+
+  /** Closes the connection that was used longest ago. */
+  #makeRoom(): void {
+    if (this.#connections.size < MAXIMUM_CONNECTIONS) {
+      return;
+    }
+    const [oldest] = this.#connections;
+    this.#close(...oldest);
+  }
+
+  #close(address: string, {manager}: Connection): void {
+    this.#connections.delete(address);
+    manager.abort();
+  }
+}
+
+function toPeerError(error: unknown): PeerError {
+  const {code, rawMessage: message} = ConnectError.from(error);
+  switch (code) {
+    case Code.DeadlineExceeded:
+      return {kind: 'timeout', message};
+    case Code.Unavailable:
+    case Code.Aborted:
+    case Code.Canceled:
+    case Code.Internal:
+    case Code.Unknown:
+      return {kind: 'unreachable', message};
+    default:
+      return {kind: 'refused', message};
+  }
+}
--- /dev/null
+++ b/packages/peer/src/peer-service.ts
@@ -0,0 +1,86 @@
+/** Binds the generated service to the task: who calls is checked here, once for all procedures. */
+
+import type {MessageInitShape} from '@bufbuild/protobuf';
+import {
+  Code,
+  ConnectError,
+  type HandlerContext,
+  type ServiceImpl,
+} from '@connectrpc/connect';
+import {z} from 'zod';
+import type {
+  ExchangeRequest,
+  ExchangeResponse,
+  FetchManifestRequest,
+  FetchManifestResponseSchema,
+  HandOverRequest,
+  HandOverResponseSchema,
+  PeerService,
+  PushRequest,
+  PushResponseSchema,
+  Sender,
+} from './gen/wasabidyke/peer/v1/peer_pb.js';
+import type {PeerIdentity} from './peer-handler.js';
+import type {PeerMetrics, Procedure} from './peer-metrics.js';
+import {incarnationSchema} from './rows.js';
+
+const senderSchema = z.object({
+  entry: z.string().min(1).max(128),
+  incarnation: incarnationSchema,
+  region: z.string().min(1).max(128),
+});
+
+/** Takes calls from peers. A rejected promise is answered as that error. */
+export interface PeerInbox {
+  onExchange(
+    request: ExchangeRequest,
+    from: PeerIdentity,
+  ): Promise<ExchangeResponse>;
+  onPush(
+    request: PushRequest,
+    from: PeerIdentity,
+  ): Promise<MessageInitShape<typeof PushResponseSchema>>;
+  onFetchManifest(
+    request: FetchManifestRequest,
+  ): MessageInitShape<typeof FetchManifestResponseSchema>;
+  onHandOver(
+    request: HandOverRequest,
+    from: PeerIdentity,
+  ): MessageInitShape<typeof HandOverResponseSchema>;
+  /** Told of each caller before its call is handled. */
+  onCaller(from: PeerIdentity, context: HandlerContext): void;
+}
+
+/** Creates the service that a listener offers. */
+export function createPeerService(
+  inbox: PeerInbox,
+  metrics: PeerMetrics,
+): ServiceImpl<typeof PeerService> {
+  const identify = (
+    procedure: Procedure,
+    sender: Sender | undefined,
+    context: HandlerContext,
+  ): PeerIdentity => {
+    const parsed = senderSchema.safeParse(sender);
+    if (!parsed.success) {
+      metrics.refusals('malformed').add();
+      const message = 'The sender does not identify itself.';
+      throw new ConnectError(message, Code.InvalidArgument);
+    }
+    metrics.callsAnswered(procedure).add();
+    inbox.onCaller(parsed.data, context);
+    return parsed.data;
+  };
+  return {
+    exchange: async (request, context) =>
+      inbox.onExchange(request, identify('exchange', request.sender, context)),
+    push: async (request, context) =>
+      inbox.onPush(request, identify('push', request.sender, context)),
+    fetchManifest: async (request, context) => {
+      identify('fetch-manifest', request.sender, context);
+      return inbox.onFetchManifest(request);
+    },
+    handOver: async (request, context) =>
+      inbox.onHandOver(request, identify('hand-over', request.sender, context)),
+  };
+}
