fix(peer): suspects name the upstreams that crashed

A count by reporter adds up one crash that two entries saw. Drafts with fractions of a millisecond and loads out of range are refused or rounded here, where they would have failed in the codec.

--- a/packages/peer/src/replica.ts
+++ b/packages/peer/src/replica.ts
@@ -18,6 +18,7 @@
   type RowLimits,
 } from './row-table.js';
 import {
+  memberSchema,
   rowContentSchema,
   toRowId,
   type Member,
@@ -133,8 +134,12 @@
 
   /** Changes what travels with heartbeats, under the same version. */
   updateVolatile(change: Partial<Pick<Member, 'load' | 'revision'>>): void {
-    const value = {...this.#self.value, ...change};
-    this.#self = {...this.#self, value};
+    const parsed = memberSchema.safeParse({...this.self, ...change});
+    if (parsed.success) {
+      this.#self = {...this.#self, value: parsed.data};
+    } else {
+      this.#metrics.refusals('malformed').add();
+    }
   }
 
   /** One period has passed: the own heartbeat rises, silence is judged, rows end. */
@@ -164,7 +169,7 @@
     }
     const nowMs = this.#clock.wallTime();
     const present = this.table.find(draft.kind, toRowId(content.data));
-    const {expiresAtMs} = draft;
+    const expiresAtMs = Math.floor(draft.expiresAtMs);
     if (present !== undefined && isCovered(draft, present, nowMs)) {
       return {row: present, isNew: false};
     }
--- a/packages/peer/src/rows.ts
+++ b/packages/peer/src/rows.ts
@@ -9,6 +9,9 @@
 /** Most homes that one member may have taken over. */
 const MAXIMUM_HOMES = 64;
 
+/** Most crashed upstreams that one reporter names for one request. */
+const MAXIMUM_SUSPECT_UPSTREAMS = 16;
+
 /** Largest value of a counter on the wire. */
 const MAXIMUM_UINT32 = 0xffff_ffff;
 
@@ -83,18 +86,17 @@
 /** An upstream, or everything on a VM, is leaving. */
 export type Departure = z.infer<typeof departureSchema>;
 
-/** A request that was in flight when upstreams crashed, as one reporter counted. */
+/** A request that was in flight when upstreams crashed, as one reporter saw it. */
 export const suspectSchema = z.strictObject({
   service: nameSchema,
   fingerprint: nameSchema,
-  /** Incarnation of the entry that counted; each counts in its own row. */
+  /** Incarnation of the entry that saw them; each writes its own row. */
   reporter: incarnationSchema,
-  /** Crashes that this reporter saw. */
-  crashes: counterSchema,
-  isQuarantined: z.boolean(),
+  /** Addresses of the upstreams that crashed. */
+  upstreams: z.array(nameSchema).min(1).max(MAXIMUM_SUSPECT_UPSTREAMS),
 });
 
-/** A request that was in flight when upstreams crashed, as one reporter counted. */
+/** A request that was in flight when upstreams crashed, as one reporter saw it. */
 export type Suspect = z.infer<typeof suspectSchema>;
 
 /** Who answers for the ledger of a home that has stopped. */
--- a/packages/peer/src/suspect-view.ts
+++ b/packages/peer/src/suspect-view.ts
@@ -6,15 +6,13 @@
 export interface SuspectView {
   readonly service: string;
   readonly fingerprint: string;
-  /** Crashes that all reporters saw, each counted once. */
-  readonly crashes: number;
-  /** Whether any reporter quarantined it. */
-  readonly isQuarantined: boolean;
+  /** Addresses of the upstreams that crashed; one that several reporters saw stands once. */
+  readonly upstreams: ReadonlySet<string>;
   /** When the last of its rows ends, in milliseconds since the Unix epoch. */
   readonly expiresAtMs: number;
 }
 
-/** Adds up the rows of all reporters. */
+/** Joins the rows of all reporters. */
 export function collectSuspects(
   rows: ReadonlyArray<Row<'suspect'>>,
 ): readonly SuspectView[] {
@@ -26,8 +24,7 @@
     views.set(key, {
       service,
       fingerprint,
-      crashes: (before?.crashes ?? 0) + value.crashes,
-      isQuarantined: value.isQuarantined || (before?.isQuarantined ?? false),
+      upstreams: new Set([...(before?.upstreams ?? []), ...value.upstreams]),
       expiresAtMs: Math.max(expiresAtMs, before?.expiresAtMs ?? 0),
     });
   }
