--- a/packages/entry/src/container.ts
+++ b/packages/entry/src/container.ts
@@ -2,7 +2,7 @@
 
 import {randomInt} from 'node:crypto';
 import {OperatorServer, type Settings} from '@wasabidyke/operator';
-const createIncarnation = () => '0123456789abcdef';
+import {createIncarnation} from '@wasabidyke/peer';
 import {EmbeddedStore, EtcdStore, type Store} from '@wasabidyke/platform';
 import {
   CrashGuard,
--- /dev/null
+++ b/packages/entry/src/control/peer-link.ts
@@ -0,0 +1,271 @@
+/** Ties this entry to the others: what it learns from them, and what it tells them. */
+
+import {parseManifestRecord} from '@wasabidyke/manifest';
+import {
+  PeerHandler,
+  type LedgerRecord,
+  type MemberView,
+  type PeerIdentity,
+  type PeerTask,
+  type Row,
+} from '@wasabidyke/peer';
+import type {CrashGuard, SuspectRecord} from '@wasabidyke/policy';
+import {MINUTE_MS, type Clock} from '@wasabidyke/shared';
+import {SuspectNotifier} from '../data-path/dispatcher.js';
+import type {AdoptedLedgers} from '../once/adopted-ledgers.js';
+import {IssueCounter} from '../once/home-token.js';
+import {toRun} from '../once/ledger-transfer.js';
+import type {Departures, DepartureTarget} from './departures.js';
+import type {ManifestKeeper} from './manifest-keeper.js';
+import {
+  MemberDirectory,
+  type EntryMember,
+  type EntryMemberState,
+} from './member-directory.js';
+
+/** How long a departure is believed without being heard of again. */
+export const DEPARTURE_LIFE_MS = 2 * MINUTE_MS;
+
+/** Time for other entries to acknowledge a suspect before a request goes on. */
+const SUSPECT_DEADLINE_MS = 150;
+
+const SUSPECT_LIFE_MS = 10 * MINUTE_MS;
+
+/** Time for a peer to send its manifest. */
+const FETCH_DEADLINE_MS = 2_000;
+
+/** What a link needs. */
+export interface PeerLinkOptions {
+  readonly keeper: ManifestKeeper;
+  readonly adopted: AdoptedLedgers;
+  readonly crashGuard: CrashGuard;
+  readonly departures: Departures;
+  readonly incarnation: string;
+  readonly clock: Clock;
+  /** Called when what is known of leaving upstreams has changed. */
+  readonly onDeparture: () => void;
+  /** Called when another process runs under this entry's name. */
+  readonly onReplaced: () => void;
+}
+
+/** Handles what arrives from other entries, and speaks to them. */
+export class PeerLink extends PeerHandler {
+  readonly #options: PeerLinkOptions;
+  #task: PeerTask | undefined;
+  #isFetching = false;
+
+  constructor(options: PeerLinkOptions) {
+    super();
+    this.#options = options;
+  }
+
+  /** Sets the task that carries messages; it needs this handler first. */
+  connect(task: PeerTask): void {
+    this.#task = task;
+  }
+
+  override onManifestWanted(knownRevision: number): string | undefined {
+    const {record} = this.#options.keeper;
+    const isNewer = record !== undefined && record.revision > knownRevision;
+    return isNewer ? JSON.stringify(record) : undefined;
+  }
+
+  override onLedgerRecords(
+    records: readonly LedgerRecord[],
+    _from: PeerIdentity,
+  ): readonly string[] {
+    const accepted = records.filter(record =>
+      this.#options.adopted.add(
+        record.home,
+        [toRun(record)],
+        record.lapsesInMs,
+      ),
+    );
+    return accepted.map(({key}) => key);
+  }
+
+  override onRow(row: Row): void {
+    switch (row.kind) {
+      case 'departure':
+        return this.#onDeparture(row);
+      case 'suspect':
+        return this.#onSuspect(row);
+      case 'succession':
+        return this.#onSuccession(row);
+      case 'manifest-notice':
+        return this.#onManifestNotice(row.value.revision);
+      case 'member':
+        return undefined;
+    }
+  }
+
+  override onReplaced(): void {
+    this.#options.onReplaced();
+  }
+
+  /** Tells the others of a departure. */
+  publishDeparture(
+    target: DepartureTarget,
+    source: 'manifest' | 'vm-list' | 'upstream',
+  ): void {
+    this.#task?.publish({
+      kind: 'departure',
+      value: {target, source},
+      expiresAtMs: this.#expiresAt(DEPARTURE_LIFE_MS),
+    });
+  }
+
+  /** Asks the others for a newer manifest, if any of them has one. */
+  async fetchManifest(): Promise<void> {
+    const {keeper} = this.#options;
+    const task = this.#task;
+    if (task === undefined || this.#isFetching) {
+      return;
+    }
+    this.#isFetching = true;
+    const text = await task.fetchManifest(keeper.revision, FETCH_DEADLINE_MS);
+    this.#isFetching = false;
+    const record = text === undefined ? undefined : parseManifestRecord(text);
+    if (record !== undefined) {
+      keeper.offer(record, 'another entry');
+    }
+  }
+
+  /** Fetches the manifest when another entry has a newer one. */
+  catchUp(): void {
+    const highest = this.#task?.highestRevision() ?? 0;
+    if (highest > this.#options.keeper.revision) {
+      void this.fetchManifest();
+    }
+  }
+
+  #onDeparture(row: Row<'departure'>): void {
+    const {departures, clock, onDeparture} = this.#options;
+    const leftMs = row.expiresAtMs - clock.wallTime();
+    if (departures.add(row.value.target, leftMs)) {
+      onDeparture();
+    }
+  }
+
+  #onSuspect(row: Row<'suspect'>): void {
+    const {crashGuard, clock, incarnation} = this.#options;
+    const {fingerprint, upstreams, reporter} = row.value;
+    if (reporter !== incarnation) {
+      crashGuard.onRecord({fingerprint, upstreams}, clock.now());
+    }
+  }
+
+  #onSuccession(row: Row<'succession'>): void {
+    const {adopted, incarnation, clock} = this.#options;
+    if (row.value.successorIncarnation === incarnation) {
+      const leftMs = row.expiresAtMs - clock.wallTime();
+      adopted.complete(row.value.home, leftMs);
+    }
+  }
+
+  #onManifestNotice(revision: number): void {
+    if (revision > this.#options.keeper.revision) {
+      void this.fetchManifest();
+    }
+  }
+
+  #expiresAt(lifeMs: number): number {
+    return Math.floor(this.#options.clock.wallTime() + lifeMs);
+  }
+}
+
+/** The entries that the peer task knows. */
+export class PeerDirectory extends MemberDirectory {
+  readonly #task: PeerTask;
+
+  constructor(task: PeerTask) {
+    super();
+    this.#task = task;
+  }
+
+  override members(): readonly EntryMember[] {
+    return this.#task
+      .members()
+      .filter(view => view.isSelf || view.health === 'live')
+      .map(toEntryMember);
+  }
+
+  override findMember(
+    entry: string,
+    incarnation: string,
+  ): EntryMember | undefined {
+    const view = this.#find(candidate => candidate.member.entry === entry);
+    const isThere =
+      view?.member.incarnation === incarnation &&
+      view.member.state !== 'stopped';
+    return isThere ? toEntryMember(view) : undefined;
+  }
+
+  override findSuccessor(incarnation: string): EntryMember | undefined {
+    const succession = this.#task.findSuccession(incarnation);
+    return succession === undefined
+      ? undefined
+      : this.findMember(
+          succession.successorEntry,
+          succession.successorIncarnation,
+        );
+  }
+
+  #find(predicate: (view: MemberView) => boolean): MemberView | undefined {
+    return this.#task.members().find(predicate);
+  }
+}
+
+/** Counts issues by this entry's own heartbeats, so that other entries can name them. */
+export class HeartbeatIssueCounter extends IssueCounter {
+  readonly #task: PeerTask;
+
+  constructor(task: PeerTask) {
+    super();
+    this.#task = task;
+  }
+
+  override get issue(): number {
+    return this.#task.self.heartbeat;
+  }
+}
+
+/** Tells the other entries of suspects. */
+export class PeerSuspectNotifier extends SuspectNotifier {
+  readonly #task: PeerTask;
+  readonly #clock: Clock;
+
+  constructor(task: PeerTask, clock: Clock) {
+    super();
+    this.#task = task;
+    this.#clock = clock;
+  }
+
+  override async notify(service: string, record: SuspectRecord): Promise<void> {
+    const {fingerprint, upstreams} = record;
+    const reporter = this.#task.self.incarnation;
+    const value = {service, fingerprint, reporter, upstreams: [...upstreams]};
+    const expiresAtMs = Math.floor(this.#clock.wallTime() + SUSPECT_LIFE_MS);
+    await this.#task.publishAndWait(
+      {kind: 'suspect', value, expiresAtMs},
+      SUSPECT_DEADLINE_MS,
+    );
+  }
+}
+
+function toEntryMember({member}: MemberView): EntryMember {
+  const {entry, incarnation, region, zone, callerAddress} = member;
+  const state: EntryMemberState = member.state;
+  return {
+    entry,
+    incarnation,
+    state,
+    region,
+    zone,
+    callerAddress,
+    load: member.load,
+    issue: member.heartbeat,
+    revision: member.revision,
+    ageMs: 0,
+  };
+}
