--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,7 +1,11 @@
 /** The entry process: its start, its work and its planned stop. */
 
 import {readFile} from 'node:fs/promises';
-import {createManifestRecord, parseManifest, type Snapshot} from '@wasabidyke/manifest';
+import {
+  createManifestRecord,
+  parseManifest,
+  type Snapshot,
+} from '@wasabidyke/manifest';
 import {formatFinding, SECOND_MS} from '@wasabidyke/shared';
 import type {EntryContainer, EntryCradle} from './container.js';
 
