--- a/features/checks/checks.feature
+++ b/features/checks/checks.feature
@@ -332,7 +332,7 @@
       """
       0 crashed worker=w1
       1 crashed worker=w2
-      2 attempt-ended status=503 outcome=not-run reason=poisonous
+      2 attempt-ended status=503 outcome=not-run reason=quarantined
       """
     When the check "poison" decides
     Then it finds nothing
@@ -350,7 +350,7 @@
   Scenario: poison: a quarantined request that crashed nothing
     Given the history
       """
-      0 attempt-ended status=503 outcome=not-run reason=poisonous
+      0 attempt-ended status=503 outcome=not-run reason=quarantined
       """
     When the check "poison" decides
     Then it finds "crashed nothing"
--- a/packages-private/prove/src/faults/index.ts
+++ b/packages-private/prove/src/faults/index.ts
@@ -9,11 +9,7 @@
   SubmitAct,
 } from './operator-acts.js';
 import {LapseFault, StoreFault, VmListFault} from './platform-faults.js';
-import {
-  FreezeFault,
-  KillFault,
-  StopFault,
-} from './process-faults.js';
+import {FreezeFault, KillFault, StopFault} from './process-faults.js';
 import {LinkFault, WorkerFault} from './worker-faults.js';
 
 export type {Fault, FaultContext, TargetKind} from './fault.js';
@@ -71,11 +67,7 @@
     mode: 'half-open',
   }),
   'slow-link': new LinkFault('slow-link', 'worker', {delayMs: LINK_DELAY_MS}),
-  'store-down': new StoreFault(
-    'store-down',
-    {down: 'refused'},
-    {down: 'no'},
-  ),
+  'store-down': new StoreFault('store-down', {down: 'refused'}, {down: 'no'}),
   'store-held': new StoreFault('store-held', {down: 'held'}, {down: 'no'}),
   'store-slow': new StoreFault(
     'store-slow',
--- a/packages-private/prove/src/faults/process-faults.ts
+++ b/packages-private/prove/src/faults/process-faults.ts
@@ -4,8 +4,7 @@
 import {Fault, type FaultContext} from './fault.js';
 
 function findUnit({site}: FaultContext, target: string) {
-  const unit =
-    site.entries.get(target)?.unit ?? site.workers.get(target)?.unit;
+  const unit = site.entries.get(target)?.unit ?? site.workers.get(target)?.unit;
   if (unit === undefined) {
     throw new Error(`There is no process ${target}`);
   }
--- a/packages-private/prove/src/main.ts
+++ b/packages-private/prove/src/main.ts
@@ -23,7 +23,9 @@
 }
 
 const options = new Command('prove')
-  .description('Runs a site of real processes under faults and checks its history.')
+  .description(
+    'Runs a site of real processes under faults and checks its history.',
+  )
   .option('--seed <number>', 'seed of the schedule', parseSeed, 1)
   .addOption(
     new Option('--promise <name>', 'prove this one alone').choices(PROMISES),
--- a/packages-private/prove/src/schedule/draw.ts
+++ b/packages-private/prove/src/schedule/draw.ts
@@ -10,7 +10,6 @@
 
 const CALLERS = 2;
 const FIRST_FAULT_MS = 500;
-const LAST_FAULT_MARGIN_MS = 2_000;
 const SHORTEST_FAULT_MS = 300;
 const LONGEST_FAULT_MS = 4_000;
 const POISON_ATTEMPTS = 8;
@@ -39,13 +38,13 @@
     faults: drawFaults(profile),
   });
   const [drawn] = fc.sample(fc.noBias(schedule), {seed, numRuns: 1});
-  const faults = drawn.faults.map(fault => aim(fault, layout));
+  const faults = aimAll(drawn.faults, layout);
   return {
     seed,
     promise,
     durationMs: profile.durationMs,
     callers: drawn.callers,
-    faults: keepOneDeparture(faults),
+    faults,
   };
 }
 
@@ -71,40 +70,40 @@
 
 function drawFault(
   name: fc.Arbitrary<FaultName>,
-  {durationMs}: Profile,
+  {faultsUntilMs}: Profile,
 ): fc.Arbitrary<DrawnFault> {
   return fc.record({
     name,
     target: fc.nat(),
-    atMs: fc.integer({
-      min: FIRST_FAULT_MS,
-      max: durationMs - LAST_FAULT_MARGIN_MS,
-    }),
+    atMs: fc.integer({min: FIRST_FAULT_MS, max: faultsUntilMs}),
     lengthMs: fc.integer({min: SHORTEST_FAULT_MS, max: LONGEST_FAULT_MS}),
   });
 }
 
-function aim(fault: DrawnFault, layout: Layout): PlannedFault {
-  const {targetKind} = FAULTS[fault.name];
-  if (targetKind === 'site') {
-    return {...fault, target: 'site'};
-  }
-  const candidates = targetKind === 'entry' ? layout.entries : layout.workers;
-  return {...fault, target: candidates[fault.target % candidates.length].name};
-}
-
-/** A worker that leaves does nothing else, and leaves once. */
-function keepOneDeparture(faults: readonly PlannedFault[]): PlannedFault[] {
-  const leaving = new Map<string, PlannedFault>();
-  for (const fault of faults) {
-    if (DEPARTURES.has(fault.name) && !leaving.has(fault.target)) {
-      leaving.set(fault.target, fault);
-    }
-  }
-  return faults.filter(fault => {
-    const departure = leaving.get(fault.target);
-    return departure === undefined || departure === fault;
-  });
+/** Aims faults. A worker that leaves does nothing else: no other fault may bring it back. */
+function aimAll(faults: readonly DrawnFault[], layout: Layout): PlannedFault[] {
+  const workers = layout.workers.map(({name}) => name);
+  const entries = layout.entries.map(({name}) => name);
+  const isDeparture = ({name}: DrawnFault) => DEPARTURES.has(name);
+  const leaving = faults
+    .filter(isDeparture)
+    .slice(0, workers.length / 2)
+    .map(fault => {
+      const position = fault.target % workers.length;
+      return {...fault, target: workers.splice(position, 1)[0]};
+    });
+  const others = faults
+    .filter(fault => !isDeparture(fault))
+    .map(fault => {
+      const {targetKind} = FAULTS[fault.name];
+      const candidates = targetKind === 'entry' ? entries : workers;
+      const target =
+        targetKind === 'site'
+          ? targetKind
+          : candidates[fault.target % candidates.length];
+      return {...fault, target};
+    });
+  return [...leaving, ...others];
 }
 
 function drawCaller(
--- a/packages-private/prove/src/schedule/profiles.ts
+++ b/packages-private/prove/src/schedule/profiles.ts
@@ -8,6 +8,8 @@
   readonly durationMs: number;
   /** Requests a second of each of the callers. */
   readonly requestsPerSecond: number;
+  /** Time before which all faults begin. */
+  readonly faultsUntilMs: number;
   /** Faults that every schedule has once. */
   readonly always: readonly FaultName[];
   /** Faults that are drawn from. */
@@ -24,6 +26,7 @@
 const BASE = {
   durationMs: 8_000,
   requestsPerSecond: 20,
+  faultsUntilMs: 6_000,
   always: [],
   minimumDrawn: 2,
   maximumDrawn: 4,
@@ -92,6 +95,7 @@
   'leaving-upstream': {
     ...BASE,
     durationMs: 10_000,
+    faultsUntilMs: 4_000,
     always: ['leave-by-manifest', 'leave-by-vm-list', 'leave-by-signal'],
     pool: ['store-down', 'freeze-entry', 'cut-store-from-entry'],
     minimumDrawn: 1,
@@ -99,6 +103,7 @@
   },
   'planned-stop': {
     ...BASE,
+    faultsUntilMs: 3_000,
     always: ['stop-entry', 'stop-worker'],
     pool: ['store-down', 'straggling-worker', 'slow-link', 'vm-list-lags'],
     minimumDrawn: 0,
@@ -116,6 +121,7 @@
   'load-watch': {
     ...BASE,
     durationMs: 12_000,
+    faultsUntilMs: 4_000,
     requestsPerSecond: 5,
     always: ['budget-cut'],
     pool: ['budget-raise', 'freeze-entry', 'kill-entry', 'leases-lapse'],
@@ -124,10 +130,10 @@
   },
   poison: {
     ...BASE,
-    pool: ['freeze-entry', 'slow-link', 'straggling-worker'],
-    minimumDrawn: 0,
-    maximumDrawn: 1,
-    poisonous: 3,
+    pool: ['freeze-entry', 'slow-link', 'kill-worker', 'reset-link'],
+    minimumDrawn: 1,
+    maximumDrawn: 3,
+    poisonous: 1,
   },
 };
 
@@ -135,6 +141,7 @@
 export const PROFILE_OF_ALL: Profile = {
   ...BASE,
   durationMs: 15_000,
+  faultsUntilMs: 12_000,
   pool: [
     ...ENTRY_FAULTS,
     ...WORKER_FAULTS,
--- a/packages-private/prove/src/schedule/schedule.ts
+++ b/packages-private/prove/src/schedule/schedule.ts
@@ -45,7 +45,9 @@
 function formatCaller({name, keepsOldList, requests}: PlannedCaller): string {
   const count = (rule: string) =>
     requests.filter(request => request.rule === rule).length;
-  const list = keepsOldList ? 'keeps its list for all of its age' : 'asks often';
+  const list = keepsOldList
+    ? 'keeps its list for all of its age'
+    : 'asks often';
   return `  ${name}: ${count('idempotent')} lookups, ${count('at-most-once')} orders, ${count('bulk')} uploads, ${list}`;
 }
 
--- a/packages-private/prove/src/site/managed-process.ts
+++ b/packages-private/prove/src/site/managed-process.ts
@@ -34,6 +34,7 @@
   readonly #child: ChildProcess;
   readonly #ended: Promise<number | null>;
   #hasEnded = false;
+  #isKilled = false;
 
   private constructor(name: string, child: ChildProcess) {
     this.name = name;
@@ -104,8 +105,14 @@
     this.#child.kill(signal);
   }
 
+  /** Whether this runner killed it. */
+  get isKilled(): boolean {
+    return this.#isKilled;
+  }
+
   /** Ends it at once. */
   async kill(): Promise<void> {
+    this.#isKilled = true;
     this.signal('SIGKILL');
     await this.#ended;
   }
--- a/packages-private/prove/src/site/programs.ts
+++ b/packages-private/prove/src/site/programs.ts
@@ -19,9 +19,7 @@
   caller: join(STAND_INS, 'caller', 'main.js'),
   entry: join(ENTRY, 'main.js'),
   /** An entry with another part in place of its own. */
-  changedEntry: fileURLToPath(
-    new URL('../weakened/main.js', import.meta.url),
-  ),
+  changedEntry: fileURLToPath(new URL('../weakened/main.js', import.meta.url)),
 } as const;
 
 /** The directory of a run: settings, logs and history. */
--- a/packages-private/prove/src/site/site.ts
+++ b/packages-private/prove/src/site/site.ts
@@ -175,14 +175,20 @@
     });
   }
 
-  /** Changes faults of a worker. A worker that is down is left as it is. */
+  /** Changes faults of a worker. One that is down comes back without any. */
   async changeWorker(name: string, change: object): Promise<void> {
-    const worker = this.workers.get(name);
-    if (worker === undefined || worker.unit.process.hasEnded) {
+    const unit = this.workers.get(name)?.unit;
+    if (unit === undefined || !unit.isReady) {
       return;
     }
-    const {control} = worker.unit.ready;
-    await sendControl('POST', `http://${control}/change`, change);
+    const {control} = unit.ready;
+    try {
+      await sendControl('POST', `http://${control}/change`, change);
+    } catch (error) {
+      if (unit.isReady) {
+        throw error;
+      }
+    }
   }
 
   /** Changes links by their names. */
@@ -203,11 +209,7 @@
 
   /** Lets all leases lapse. */
   async lapseLeases(): Promise<void> {
-    await sendControl(
-      'POST',
-      `http://${this.#store.ready.control}/lapse`,
-      {},
-    );
+    await sendControl('POST', `http://${this.#store.ready.control}/lapse`, {});
   }
 
   /** Sets faults of the VM list. */
--- a/packages-private/prove/src/site/unit.ts
+++ b/packages-private/prove/src/site/unit.ts
@@ -24,6 +24,11 @@
     return this.#process;
   }
 
+  /** Whether a process lives that has become ready. */
+  get isReady(): boolean {
+    return this.#ready !== undefined && this.#process?.hasEnded === false;
+  }
+
   /** What the process said when it became ready. */
   get ready(): z.infer<Schema> {
     if (this.#ready === undefined) {
@@ -49,7 +54,15 @@
     if (this.#process !== undefined && !this.#process.hasEnded) {
       return;
     }
-    this.#process = ManagedProcess.start(this.options);
-    this.#ready = await this.#process.waitUntilReady(this.#readySchema);
+    this.#ready = undefined;
+    const process = ManagedProcess.start(this.options);
+    this.#process = process;
+    try {
+      this.#ready = await process.waitUntilReady(this.#readySchema);
+    } catch (error) {
+      if (!process.isKilled) {
+        throw error;
+      }
+    }
   }
 }
--- a/packages-private/stand-ins/src/checks/leaving-upstream.ts
+++ b/packages-private/stand-ins/src/checks/leaving-upstream.ts
@@ -16,7 +16,11 @@
     const work = received.get(worker) ?? [];
     const knownAtMs =
       way === 'signal' ? findFirstAnswer(history, worker, atMs) : atMs;
-    const late = work.filter(event => event.atMs > knownAtMs + LIMIT_MS);
+    const untilMs =
+      way === 'signal' ? findEndOfProcess(history, worker, atMs) : Infinity;
+    const late = work.filter(
+      event => event.atMs > knownAtMs + LIMIT_MS && event.atMs < untilMs,
+    );
     events += work.length;
     if (late.length > 0) {
       const lastMs = (late.at(-1)?.atMs ?? 0) - knownAtMs;
@@ -44,3 +48,17 @@
     .map(({atMs}) => atMs);
   return Math.min(Infinity, ...times);
 }
+
+/** What a process said of itself does not bind the next one at its address. */
+function findEndOfProcess(
+  history: History,
+  worker: string,
+  fromMs: number,
+): number {
+  const crashes = history.of('crashed').filter(each => each.worker === worker);
+  const kills = history
+    .of('fault')
+    .filter(({fault, target}) => fault === 'kill' && target === worker);
+  const ends = [...crashes, ...kills].map(({atMs}) => atMs);
+  return Math.min(Infinity, ...ends.filter(atMs => atMs > fromMs));
+}
--- a/packages-private/stand-ins/src/checks/poison.ts
+++ b/packages-private/stand-ins/src/checks/poison.ts
@@ -6,8 +6,8 @@
 /** Upstreams of one service that one request may take down. */
 const MAXIMUM_CRASHES = 2;
 
-/** What the reason of an answer to a quarantined request contains. */
-const REASON = 'poison';
+/** The reason of an answer to a quarantined request. */
+const REASON = 'quarantined';
 
 /** Checks the crashes of each request. */
 export function checkPoison(history: History): CheckReport {
@@ -15,7 +15,7 @@
   const crashing = new Set(crashes.map(({request}) => request));
   const refused = history
     .of('attempt-ended')
-    .filter(({reason}) => reason?.includes(REASON));
+    .filter(({reason}) => reason === REASON);
   const violations: string[] = [];
   const toName = (event: {service: string; request: string}) =>
     `${event.service} ${event.request}`;
--- a/packages-private/stand-ins/src/link/link.ts
+++ b/packages-private/stand-ins/src/link/link.ts
@@ -2,11 +2,15 @@
 
 import {once} from 'node:events';
 import {connect, createServer, type Server, type Socket} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
 import type {LinkSettings, LinkState} from './settings.js';
 
 /** Connections of one link; further ones are reset. */
 const MAXIMUM_CONNECTIONS = 1_024;
 
+/** How often a target that refuses connections is tried again, in milliseconds. */
+const VERIFY_PERIOD_MS = 10;
+
 /** Bytes and connections that a link carried. */
 export interface LinkCounts {
   bytesForward: number;
@@ -23,10 +27,13 @@
   readonly #server: Server;
   readonly #pipes = new Set<LinkPipe>();
   #state: LinkState;
+  #address: string;
+  #isVerifying = false;
 
   constructor(settings: LinkSettings) {
     this.settings = settings;
     this.#state = settings;
+    this.#address = settings.listen;
     this.#server = createServer(socket => this.#onConnection(socket));
   }
 
@@ -36,11 +43,13 @@
 
   /** Listens. Returns the address with its actual port. */
   async listen(): Promise<string> {
-    const [host, port] = this.settings.listen.split(':');
+    const [host, port] = this.#address.split(':');
     this.#server.listen(Number(port), host);
     await once(this.#server, 'listening');
     const bound = this.#server.address();
-    return typeof bound === 'object' ? `${host}:${bound?.port}` : host;
+    const actualPort = typeof bound === 'object' ? bound?.port : port;
+    this.#address = `${host}:${actualPort}`;
+    return this.#address;
   }
 
   /** Changes the link, and all its connections with it. */
@@ -60,12 +69,33 @@
       socket.resetAndDestroy();
       return;
     }
-    const [host, port] = this.settings.target.split(':');
-    const target = connect(Number(port), host);
+    const target = this.#connect();
+    target.once('close', () => void this.#verifyTarget());
     this.#pipe('forward', socket, target);
     this.#pipe('back', target, socket);
   }
 
+  #connect(): Socket {
+    const [host, port] = this.settings.target.split(':');
+    return connect(Number(port), host);
+  }
+
+  /** Refuses connections while the target does, as the target itself would. */
+  async #verifyTarget(): Promise<void> {
+    if (this.#isVerifying) {
+      return;
+    }
+    this.#isVerifying = true;
+    while (!(await isOpen(this.#connect()))) {
+      this.#server.close();
+      await sleep(VERIFY_PERIOD_MS);
+    }
+    if (!this.#server.listening) {
+      await this.listen();
+    }
+    this.#isVerifying = false;
+  }
+
   #pipe(direction: Direction, from: Socket, to: Socket): void {
     const pipe = new LinkPipe(this, direction, from, to);
     this.#pipes.add(pipe);
@@ -129,3 +159,14 @@
     setTimeout(action, delayMs);
   }
 }
+
+async function isOpen(socket: Socket): Promise<boolean> {
+  try {
+    await once(socket, 'connect');
+    return true;
+  } catch {
+    return false;
+  } finally {
+    socket.destroy();
+  }
+}
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -5,7 +5,15 @@
   type EntryContainer,
   type EntryCradle,
 } from './container.js';
+export {BudgetSlot} from './control/load-watch.js';
 export {RevisionGuard} from './control/manifest-keeper.js';
+export {AnswerSink, type FlowControl} from './data-path/answer-sink.js';
+export {
+  RequestDispatcher,
+  type Dispatch,
+  type DispatchJob,
+} from './data-path/dispatcher.js';
 export {Entry} from './entry.js';
+export {HomeTokenIssuer} from './once/home-token.js';
 export {Ledger} from './once/run-ledger.js';
 export {runEntry, type ContainerChange} from './run-entry.js';
