--- a/packages/manifest/src/index.ts
+++ b/packages/manifest/src/index.ts
@@ -3,5 +3,6 @@
 export * from './parse.js';
 export * from './record.js';
 export * from './schema.js';
+export * from './succession.js';
 export {toPathPrefix} from './cross-checks.js';
 export * from './snapshot.js';
