--- a/features/steps/platform-store.steps.ts
+++ b/features/steps/platform-store.steps.ts
@@ -4,26 +4,22 @@
 import {After, Given, Then, When} from '@cucumber/cucumber';
 import {
   EmbeddedStore,
-  EtcdStore,
-  type EtcdStoreOptions,
   type Lease,
   type Store,
   type StoreError,
   type StoreValue,
   type SwapAnswer,
 } from '@wasabidyke/platform';
-import {
-  Err,
-  ManualClock,
-  MetricRegistry,
-  SystemClock,
-  type Result,
-} from '@wasabidyke/shared';
+import {Err, ManualClock, type Result} from '@wasabidyke/shared';
 import {eventually} from '../support/eventually.js';
 import {sampleNonsense} from '../support/nonsense.js';
 import {StandInProcess} from '../support/stand-in-process.js';
+import {
+  createClient,
+  useStore,
+  type StoreContext,
+} from '../support/store-context.js';
 
-const CALL_TIMEOUT_MS = 1_000;
 const LEASE_SECONDS = 60;
 
 const ERROR_KINDS = [
@@ -34,10 +30,7 @@
   'rate-limited',
 ];
 
-interface StoreWorld {
-  storeProcess?: StandInProcess;
-  stores: Store[];
-  store: Store;
+interface StoreWorld extends StoreContext {
   clock: ManualClock;
   lease: Lease;
   swap: Result<SwapAnswer, StoreError>;
@@ -47,27 +40,6 @@
   results: Array<Result<unknown, StoreError>>;
 }
 
-function useStore(world: StoreWorld, store: Store): void {
-  world.store = store;
-  world.stores = [...(world.stores ?? []), store];
-}
-
-function createClient(
-  world: StoreWorld,
-  options: Partial<EtcdStoreOptions> = {},
-): EtcdStore {
-  assert.ok(world.storeProcess);
-  return new EtcdStore({
-    endpoints: [world.storeProcess.origin],
-    prefix: '/test/',
-    callTimeoutMs: CALL_TIMEOUT_MS,
-    callsPerSecond: 10_000,
-    metrics: new MetricRegistry(),
-    clock: new SystemClock(),
-    ...options,
-  });
-}
-
 After({tags: '@store'}, async function (this: StoreWorld) {
   await Promise.all((this.stores ?? []).map(store => store.close()));
   await this.storeProcess?.stop();
--- a/packages-private/stand-ins/src/store/faults.ts
+++ b/packages-private/stand-ins/src/store/faults.ts
@@ -21,10 +21,14 @@
   down: z.enum(['no', 'refused', 'held']).default('no'),
   /** Wait before each call takes effect, in milliseconds. */
   delayMs: z.int().min(0).max(600_000).default(0),
+  /** The calls that wait; all unless stated. */
+  delayedCalls: z.array(storeCallSchema).default([...storeCallSchema.options]),
   /** How many next answers are lost after the call took effect; -1 for all. */
   lostAnswers: z.int().min(-1).default(0),
   /** The calls whose answers are lost. */
   lostCalls: z.array(storeCallSchema).default(['transaction']),
+  /** `down` from the moment on at which an answer was lost. */
+  downAfterLostAnswer: z.enum(['no', 'refused', 'held']).default('no'),
   /** Reads are served as of this revision. */
   staleRevision: z.int().min(0).optional(),
   /** Answers every call with this in place of serving it. */
--- a/packages-private/stand-ins/src/store/store-stand-in.ts
+++ b/packages-private/stand-ins/src/store/store-stand-in.ts
@@ -117,6 +117,7 @@
         if (this.#takeLostAnswer(call)) {
           reply.hijack();
           request.raw.socket.destroy();
+          void this.#goDownAfterLostAnswer();
           return;
         }
         void reply.code(status).send(body);
@@ -131,8 +132,9 @@
     run: () => void,
   ): Promise<FastifyReply> {
     this.#counts.set(call, (this.#counts.get(call) ?? 0) + 1);
-    if (this.#faults.delayMs > 0) {
-      await new Promise(done => setTimeout(done, this.#faults.delayMs));
+    const {delayMs, delayedCalls} = this.#faults;
+    if (delayMs > 0 && delayedCalls.includes(call)) {
+      await new Promise(done => setTimeout(done, delayMs));
     }
     const {down, fixedAnswer} = this.#faults;
     if (down !== 'no') {
@@ -155,6 +157,13 @@
     return true;
   }
 
+  async #goDownAfterLostAnswer(): Promise<void> {
+    const {downAfterLostAnswer: down} = this.#faults;
+    if (down !== 'no') {
+      await this.setFaults({...this.#faults, down});
+    }
+  }
+
   #watch(request: FastifyRequest, reply: FastifyReply): void {
     const parsed = watchRequestSchema.safeParse(request.body);
     if (!parsed.success) {
--- a/packages/platform/src/gateway.ts
+++ b/packages/platform/src/gateway.ts
@@ -18,6 +18,9 @@
 /** Connections to each endpoint, besides one for each watch. */
 const CONNECTIONS_PER_ENDPOINT = 8;
 
+/** Streams that stand at a time. */
+const MAXIMUM_STREAMS = 64;
+
 /** How the gateway is called. */
 export interface GatewayOptions {
   /** Origins, such as `http://192.0.2.10:2379`; at least one. */
@@ -58,6 +61,7 @@
   readonly #options: GatewayOptions;
   readonly #pools: readonly Pool[];
   readonly #rate: CallRate;
+  readonly #streams = new Set<LineStream>();
   #current = 0;
 
   /** @throws TypeError when an endpoint is no URL or there is none. */
@@ -92,9 +96,10 @@
     return result;
   }
 
-  /** Opens a stream; undefined when the limit on calls is reached. */
+  /** Opens a stream; undefined when the limit on calls or on streams is reached. */
   openStream(message: object, listener: LineListener): LineStream | undefined {
-    if (!this.#rate.tryTake()) {
+    const isFull = this.#streams.size >= MAXIMUM_STREAMS;
+    if (isFull || !this.#rate.tryTake()) {
       this.#count('watch', 'rate-limited');
       return undefined;
     }
@@ -106,17 +111,21 @@
       body: JSON.stringify(message),
       startTimeoutMs: callTimeoutMs,
     };
-    return new LineStream(request, {
-      onLine: line => listener.onLine(line),
-      onEnd: reason => {
+    const stream = new LineStream(request, listener, isBroken => {
+      this.#streams.delete(stream);
+      if (isBroken) {
         this.#moveOn();
-        listener.onEnd(reason);
-      },
+      }
     });
+    this.#streams.add(stream);
+    return stream;
   }
 
   /** Ends all connections. */
   async close(): Promise<void> {
+    for (const stream of [...this.#streams]) {
+      stream.close();
+    }
     await Promise.all(this.#pools.map(pool => pool.destroy()));
   }
 
--- a/packages/platform/src/line-stream.ts
+++ b/packages/platform/src/line-stream.ts
@@ -25,13 +25,20 @@
 export class LineStream implements Dispatcher.DispatchHandler {
   readonly #client: Client;
   readonly #listener: LineListener;
+  readonly #onRelease: (isBroken: boolean) => void;
   readonly #startTimer: NodeJS.Timeout;
   readonly #decoder = new TextDecoder();
   #rest = '';
   #isEnded = false;
 
-  constructor(request: LineStreamRequest, listener: LineListener) {
+  /** @param onRelease Called once, when the stream has ended by itself (`isBroken`) or was closed. */
+  constructor(
+    request: LineStreamRequest,
+    listener: LineListener,
+    onRelease: (isBroken: boolean) => void,
+  ) {
     this.#listener = listener;
+    this.#onRelease = onRelease;
     const {endpoint, path, body, startTimeoutMs} = request;
     this.#client = new Client(endpoint, {
       bodyTimeout: 0,
@@ -48,7 +55,7 @@
   close(): void {
     if (!this.#isEnded) {
       this.#isEnded = true;
-      this.#release();
+      this.#release(false);
     }
   }
 
@@ -100,13 +107,14 @@
   #end(message: string): void {
     if (!this.#isEnded) {
       this.#isEnded = true;
-      this.#release();
+      this.#release(true);
       this.#listener.onEnd(message);
     }
   }
 
-  #release(): void {
+  #release(isBroken: boolean): void {
     clearTimeout(this.#startTimer);
+    this.#onRelease(isBroken);
     void this.#client.destroy();
   }
 }
