feat(platform): a changing count of slots never lets shares exceed the whole

With a cut at once and a rise when settled, as it stood, a process that had heard of a cut from 19 slots to 10 would have taken a tenth while others still spent nineteenths: the sum exceeded the budget. A process now goes by the lowest count it heard of for the slots it may hold and by the highest for its share, until every process was told the same one; HeldSlot.shares carries the divisor.

--- a/features/platform/numbered-lease.feature
+++ b/features/platform/numbered-lease.feature
@@ -42,12 +42,28 @@
       And "b" steps
       When the slots are cut to 1 for everyone
       Then 1 of the holders holds a slot
-      When the slots are raised to 2 for everyone
+      And one slot is a share of 2
+      When the slots are raised to 4 for everyone
       And everyone steps
       Then 1 of the holders holds a slot
-      When the rise to 2 is settled for everyone
+      And one slot is a share of 4
+      When the rise to 4 is settled for everyone
       And everyone steps
       Then 2 of the holders hold a slot
+      And one slot is a share of 4
+
+    Scenario: A settled count is gone by only after its time to settle
+      Given a count of slots settles in 30 s
+      And holders "a" and "b" for 2 slots
+      When everyone steps
+      Then 0 of the holders hold a slot
+      When 30 s pass
+      And everyone steps
+      Then 2 of the holders hold a slot
+
+    Scenario: However counts change and processes pause, the shares stay within the whole
+      When 300 schedules of counts, steps and pauses are run with seed 15
+      Then in none of them do the shares exceed the whole, and in most they reach half of it
 
     Scenario: More holders than slots
       Given holders "a" to "g" for 4 slots
--- a/features/steps/platform-numbered-lease.steps.ts
+++ b/features/steps/platform-numbered-lease.steps.ts
@@ -10,6 +10,10 @@
 } from '@wasabidyke/platform';
 import {ManualClock, MetricRegistry, type Result} from '@wasabidyke/shared';
 import {eventually} from '../support/eventually.js';
+import {
+  runSlotSchedule,
+  sampleSlotSchedules,
+} from '../support/slot-schedule.js';
 import {SlotProcess} from '../support/slot-process.js';
 import {
   RecordingReporter,
@@ -20,12 +24,17 @@
 const NAME = 'slots';
 const SECOND_MS = 1_000;
 
+/** Sums of shares are sums of fractions. */
+const ROUNDING = 1e-9;
+
 interface LeaseWorld extends StoreContext {
   clock: ManualClock;
   timeToLiveSeconds: number;
   marginMs: number;
   count: number;
+  settleMs?: number;
   holders: Map<string, NumberedLease>;
+  largestSums: number[];
   processes?: Map<string, SlotProcess>;
 }
 
@@ -64,6 +73,7 @@
     timeToLiveSeconds: world.timeToLiveSeconds,
     marginMs: world.marginMs,
     stepMs: SECOND_MS,
+    settleMs: world.settleMs ?? 0,
     metrics: new MetricRegistry(),
     reporter: new RecordingReporter(),
   });
@@ -172,6 +182,43 @@
   },
 );
 
+Given(
+  'a count of slots settles in {int} s',
+  function (this: LeaseWorld, seconds: number) {
+    this.settleMs = seconds * SECOND_MS;
+  },
+);
+
+When(
+  '{int} schedules of counts, steps and pauses are run with seed {int}',
+  {timeout: 120_000},
+  async function (this: LeaseWorld, count: number, seed: number) {
+    this.largestSums = [];
+    for (const schedule of sampleSlotSchedules(count, seed)) {
+      this.largestSums.push(await runSlotSchedule(schedule));
+    }
+  },
+);
+
+Then(
+  'in none of them do the shares exceed the whole, and in most they reach half of it',
+  function (this: LeaseWorld) {
+    const reached = this.largestSums.filter(sum => sum >= 0.5);
+    assert.ok(Math.max(...this.largestSums) <= 1 + ROUNDING);
+    assert.ok(reached.length > this.largestSums.length / 2);
+  },
+);
+
+Then(
+  'one slot is a share of {int}',
+  function (this: LeaseWorld, shares: number) {
+    const nowMs = this.clock.now();
+    for (const holder of listHeld(this)) {
+      assert.equal(holder.held(nowMs)?.shares, shares);
+    }
+  },
+);
+
 When('one holder gives its slot back', async function (this: LeaseWorld) {
   const [first] = listHeld(this);
   await first.release();
@@ -190,7 +237,7 @@
   '{string} holds slot {int} in its term {int}',
   function (this: LeaseWorld, name: string, number: number, term: number) {
     const held = findHolder(this, name).held(this.clock.now());
-    assert.deepEqual(held, {number, term});
+    assert.deepEqual(held, {number, term, shares: this.count});
   },
 );
 
--- a/features/support/slot-holder.ts
+++ b/features/support/slot-holder.ts
@@ -48,6 +48,7 @@
     timeToLiveSeconds,
     marginMs: MARGIN_MS,
     stepMs: STEP_MS,
+    settleMs: 0,
     metrics,
     reporter: new RecordingReporter(),
   });
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -13,5 +13,6 @@
 } from './manifest-submission.js';
 export * from './manifest-watch.js';
 export * from './numbered-lease.js';
+export {type SlotCount} from './slot-count.js';
 export * from './store.js';
 export * from './vm-list.js';
--- a/packages/platform/src/numbered-lease.ts
+++ b/packages/platform/src/numbered-lease.ts
@@ -16,6 +16,7 @@
   type MetricRegistry,
   type Reporter,
 } from '@wasabidyke/shared';
+import {SlotCountTracker, type SlotCount} from './slot-count.js';
 import type {Lease, Store} from './store.js';
 
 /** States of the hold on a slot. */
@@ -46,6 +47,8 @@
   readonly marginMs: number;
   /** Time between renewals, in milliseconds; well below the time to live. */
   readonly stepMs: number;
+  /** How long a count of slots must be told as settled before it is gone by, in milliseconds: long enough for a process that hears of nothing to lose its lease. */
+  readonly settleMs: number;
   /** A random number from 0 up to 1; `Math.random` unless a test supplies one. */
   readonly random?: () => number;
   readonly metrics: MetricRegistry;
@@ -57,13 +60,8 @@
   readonly number: number;
   /** Rises with each acquisition: what was saved up under another term is void. */
   readonly term: number;
-}
-
-/** How many slots there are. */
-export interface SlotCount {
-  readonly count: number;
-  /** Whether every process is known to go by this count: only then may it rise. */
-  readonly isSettled: boolean;
+  /** Of how many equal shares it is; may be more than there are slots while a change of their count is under way. */
+  readonly shares: number;
 }
 
 interface HeldLease {
@@ -77,7 +75,7 @@
   readonly #options: NumberedLeaseOptions;
   readonly #lifeCycle: LifeCycle<NumberedLeaseState, NumberedLeaseTrigger>;
   readonly #terms: Counter;
-  #count = 0;
+  readonly #counts: SlotCountTracker;
   #lease: HeldLease | undefined;
   #number: number | undefined;
   #term = 0;
@@ -91,6 +89,7 @@
     );
     this.#options = options;
     this.#lifeCycle = new LifeCycle(CHART);
+    this.#counts = new SlotCountTracker(options.settleMs);
     this.#terms = options.metrics.counter(
       'wasabidyke_slot_terms_total',
       'Times that a numbered slot was acquired.',
@@ -107,10 +106,12 @@
   held(nowMs: number): HeldSlot | undefined {
     const number = this.#number;
     const standsUntilMs = this.#lease?.standsUntilMs ?? -Infinity;
-    if (number === undefined || number >= this.#count) {
+    if (number === undefined || number >= this.#counts.toUsable(nowMs)) {
       return undefined;
     }
-    return nowMs < standsUntilMs ? {number, term: this.#term} : undefined;
+    const shares = this.#counts.toShares(nowMs);
+    const held = {number, term: this.#term, shares};
+    return nowMs < standsUntilMs ? held : undefined;
   }
 
   /** The number of the slot, under the same condition as `held`. */
@@ -118,9 +119,9 @@
     return this.held(nowMs)?.number;
   }
 
-  /** Sets how many slots there are: a cut counts at once, a rise once it is settled. Before the first settled count there are none. */
-  setCount({count, isSettled}: SlotCount): void {
-    this.#count = isSettled ? count : Math.min(this.#count, count);
+  /** Tells how many slots there are; repeated as often as its caller likes. A slot or a share is cut at once, and given more only when the count has settled. Before the first settled count there are no slots. */
+  setCount(count: SlotCount): void {
+    this.#counts.tell(count, this.#options.clock.now());
   }
 
   /** Begins to step, and goes on until it is released or closed. */
@@ -151,13 +152,13 @@
 
   /** Renews the lease, or tries to acquire a slot. */
   async step(): Promise<void> {
-    if (this.#number !== undefined && this.#number >= this.#count) {
+    if (this.#number !== undefined && this.#number >= this.#usable()) {
       await this.#giveUp();
     }
     if (this.#lease !== undefined) {
       await this.#renew(this.#lease);
     }
-    if (this.#number === undefined && this.#count > 0) {
+    if (this.#number === undefined && this.#usable() > 0) {
       await this.#search();
     }
   }
@@ -234,7 +235,7 @@
 
   #listCandidates(): readonly number[] {
     const {random = Math.random} = this.#options;
-    const count = this.#count;
+    const count = this.#usable();
     const start = Math.floor(random() * count);
     const tries = Math.min(MAXIMUM_TRIES, count);
     const numbers = Array.from(
@@ -247,6 +248,10 @@
       : [candidate, ...numbers];
   }
 
+  #usable(): number {
+    return this.#counts.toUsable(this.#options.clock.now());
+  }
+
   #acquire(number: number): void {
     if (!this.#lifeCycle.trigger('ACQUIRED')) {
       return;
