--- a/features/platform/manifest-repository.feature
+++ b/features/platform/manifest-repository.feature
@@ -9,6 +9,8 @@
     Then the outcome is "accepted" at revision 1
     When manifest "B" is submitted as "s2" based on 1
     Then the outcome is "accepted" at revision 2
+    And the store received 2 calls of kind "range"
+    And the store received 2 calls of kind "transaction"
     And the store's manifest is "B" at revision 2
 
   Scenario: An answer that is lost after the write is settled by reading back
