--- a/packages/peer/src/spreader.ts
+++ b/packages/peer/src/spreader.ts
@@ -103,8 +103,12 @@
     await Promise.all(pushes);
   }
 
-  /** Pushes rows to one peer. @returns Whether it holds them all now. */
-  async push(
+  /** Pushes one row to one peer, which keeps it to itself. @returns Whether the peer holds it now. */
+  deliver(target: PeerTarget, row: Row, timeoutMs: number): Promise<boolean> {
+    return this.#push(target, [row], Reach.RECEIVER, timeoutMs);
+  }
+
+  async #push(
     target: PeerTarget,
     rows: readonly Row[],
     reach: Reach,
@@ -140,8 +144,8 @@
     const near = this.#targetsInRegion(audience);
     const across = this.#targetsAcross(audience, fromRegion);
     return [
-      ...near.map(target => this.push(target, rows, Reach.REGION)),
-      ...across.map(target => this.push(target, rows, Reach.SYSTEM)),
+      ...near.map(target => this.#push(target, rows, Reach.REGION)),
+      ...across.map(target => this.#push(target, rows, Reach.SYSTEM)),
     ];
   }
 
