--- a/packages-private/stand-ins/src/index.ts
+++ b/packages-private/stand-ins/src/index.ts
@@ -4,6 +4,7 @@
 export * from './checks/index.js';
 export * from './history/index.js';
 export * from './link/index.js';
+export * from './peer/index.js';
 export * from './store/index.js';
 export * from './upstream/index.js';
 export * from './vm-list/index.js';
--- a/packages/peer/src/ledger-record.ts
+++ b/packages/peer/src/ledger-record.ts
@@ -42,9 +42,11 @@
       }),
     )
     .max(MAXIMUM_HEADERS),
-  body: z
-    .instanceof(Uint8Array)
-    .refine(body => body.byteLength <= MAXIMUM_RECORD_BODY_BYTES),
+  body: z.custom<Uint8Array>(
+    body =>
+      body instanceof Uint8Array &&
+      body.byteLength <= MAXIMUM_RECORD_BODY_BYTES,
+  ),
   /** Milliseconds until the key lapses, from the moment of sending. */
   lapsesInMs: z.int().min(0).max(MAXIMUM_LAPSE_MS),
 });
