feat(entry): the whole path in separate processes

Two entries, the store, the list of VMs, upstreams and a caller run as processes of their own; one feature sends a request of each kind through it.

--- a/features/support/stand-in-process.ts
+++ b/features/support/stand-in-process.ts
@@ -30,9 +30,18 @@
   /** Starts a stand-in, such as `store`, on free ports of the loopback. */
   static async start(name: string): Promise<StandInProcess> {
     const file = fileURLToPath(new URL(`${name}/main.js`, DIRECTORY));
-    const child = spawn(process.execPath, [file], {
+    return StandInProcess.startProgram(file, []);
+  }
+
+  /** Starts a program that prints a line of JSON when it is ready. */
+  static async startProgram(
+    file: string,
+    programArguments: readonly string[],
+  ): Promise<StandInProcess> {
+    const child = spawn(process.execPath, [file, ...programArguments], {
       stdio: ['ignore', 'pipe', 'inherit'],
     });
+    killAtExit(child);
     assert.ok(child.stdout);
     const [line] = await once(createInterface(child.stdout), 'line');
     return new StandInProcess(child, JSON.parse(String(line)) as ReadyLine);
@@ -67,4 +76,11 @@
   }
 }
 
+/** A step that fails before it has kept its processes must leave none behind. */
+function killAtExit(child: ChildProcess): void {
+  const kill = () => child.kill('SIGKILL');
+  process.once('exit', kill);
+  child.once('exit', () => process.off('exit', kill));
+}
+
 const JSON_HEADERS = {'content-type': 'application/json'};
--- a/packages/entry/src/control/peer-link.ts
+++ b/packages/entry/src/control/peer-link.ts
@@ -15,7 +15,8 @@
 import type {AdoptedLedgers} from '../once/adopted-ledgers.js';
 import {IssueCounter} from '../once/home-token.js';
 import {toRun} from '../once/ledger-transfer.js';
-import type {Departures, DepartureTarget} from './departures.js';
+import type {DeparturePublisher, DepartureSource} from './departure-tracker.js';
+import type {DepartureTarget} from './departures.js';
 import type {ManifestKeeper} from './manifest-keeper.js';
 import {
   MemberDirectory,
@@ -23,8 +24,8 @@
   type EntryMemberState,
 } from './member-directory.js';
 
-/** How long a departure is believed without being heard of again. */
-export const DEPARTURE_LIFE_MS = 2 * MINUTE_MS;
+/** How long a departure is told to entries that join. */
+const DEPARTURE_LIFE_MS = 5 * MINUTE_MS;
 
 /** Time for other entries to acknowledge a suspect before a request goes on. */
 const SUSPECT_DEADLINE_MS = 150;
@@ -39,17 +40,16 @@
   readonly keeper: ManifestKeeper;
   readonly adopted: AdoptedLedgers;
   readonly crashGuard: CrashGuard;
-  readonly departures: Departures;
   readonly incarnation: string;
   readonly clock: Clock;
-  /** Called when what is known of leaving upstreams has changed. */
-  readonly onDeparture: () => void;
+  /** Called when another entry tells of a departure. */
+  readonly onDeparture: (target: DepartureTarget) => void;
   /** Called when another process runs under this entry's name. */
   readonly onReplaced: () => void;
 }
 
 /** Handles what arrives from other entries, and speaks to them. */
-export class PeerLink extends PeerHandler {
+export class PeerLink extends PeerHandler implements DeparturePublisher {
   readonly #options: PeerLinkOptions;
   #task: PeerTask | undefined;
   #isFetching = false;
@@ -87,7 +87,7 @@
   override onRow(row: Row): void {
     switch (row.kind) {
       case 'departure':
-        return this.#onDeparture(row);
+        return this.#options.onDeparture(row.value.target);
       case 'suspect':
         return this.#onSuspect(row);
       case 'succession':
@@ -104,13 +104,11 @@
   }
 
   /** Tells the others of a departure. */
-  publishDeparture(
-    target: DepartureTarget,
-    source: 'manifest' | 'vm-list' | 'upstream',
-  ): void {
+  publishDeparture(target: DepartureTarget, source: DepartureSource): void {
+    const origin = source === 'vm-list' ? 'vm-list' : 'upstream';
     this.#task?.publish({
       kind: 'departure',
-      value: {target, source},
+      value: {target, source: origin},
       expiresAtMs: this.#expiresAt(DEPARTURE_LIFE_MS),
     });
   }
@@ -139,14 +137,6 @@
     }
   }
 
-  #onDeparture(row: Row<'departure'>): void {
-    const {departures, clock, onDeparture} = this.#options;
-    const leftMs = row.expiresAtMs - clock.wallTime();
-    if (departures.add(row.value.target, leftMs)) {
-      onDeparture();
-    }
-  }
-
   #onSuspect(row: Row<'suspect'>): void {
     const {crashGuard, clock, incarnation} = this.#options;
     const {fingerprint, upstreams, reporter} = row.value;
--- a/packages/entry/src/once/home-token.ts
+++ b/packages/entry/src/once/home-token.ts
@@ -93,6 +93,11 @@
     return this.#counter.issue;
   }
 
+  /** How long a token may be used after its issue, in milliseconds. */
+  get lifetimeMs(): number {
+    return this.#lifetimeIssues * MILLISECONDS_PER_ISSUE;
+  }
+
   /** Whether this process issued the token. */
   isOwn(token: HomeToken): boolean {
     return token.entry === this.entry && token.incarnation === this.incarnation;
