feat(command): the operators' command line with documented exit statuses

Operators check, submit and show manifests, see entries, upstreams, the budget for watching load and the merged time line, and check settings, from one binary.

--- a/features/steps/operator-interface.steps.ts
+++ b/features/steps/operator-interface.steps.ts
@@ -25,8 +25,8 @@
 
 interface OperatorWorld {
   service: FixedOperatorService;
-  server?: OperatorServer;
-  silentServer?: Server;
+  operatorServer?: OperatorServer;
+  silentOperatorServer?: Server;
   listening: Result<string, ListenError>;
   address: string;
   errors: Error[];
@@ -40,13 +40,13 @@
 ): Promise<void> {
   world.service ??= new FixedOperatorService();
   world.errors = [];
-  world.server = createOperatorServer({
+  world.operatorServer = createOperatorServer({
     address: ANY_PORT,
     service: world.service,
     onError: error => world.errors.push(error),
     ...options,
   });
-  world.listening = await world.server.listen();
+  world.listening = await world.operatorServer.listen();
   world.address = world.listening.unwrapOr('');
 }
 
@@ -55,7 +55,7 @@
   token: string | undefined,
   use: (client: OperatorClient) => Promise<Value>,
 ): Promise<Value> {
-  const deadlineMs = world.silentServer ? SHORT_DEADLINE_MS : undefined;
+  const deadlineMs = world.silentOperatorServer ? SHORT_DEADLINE_MS : undefined;
   const {address} = world;
   const client = new OperatorClient({address, token, deadlineMs});
   try {
@@ -66,8 +66,8 @@
 }
 
 After(async function (this: OperatorWorld) {
-  await this.server?.close();
-  this.silentServer?.close();
+  await this.operatorServer?.close();
+  this.silentOperatorServer?.close();
 });
 
 Given("an operators' server", async function (this: OperatorWorld) {
@@ -106,16 +106,16 @@
 
 Given("no operators' server", async function (this: OperatorWorld) {
   await serve(this);
-  await this.server?.close();
+  await this.operatorServer?.close();
 });
 
 Given(
   "an operators' server that never answers",
   async function (this: OperatorWorld) {
-    this.silentServer = createServer(socket => socket.unref());
-    this.silentServer.listen(0, '127.0.0.1');
-    await once(this.silentServer, 'listening');
-    const bound = this.silentServer.address();
+    this.silentOperatorServer = createServer(socket => socket.unref());
+    this.silentOperatorServer.listen(0, '127.0.0.1');
+    await once(this.silentOperatorServer, 'listening');
+    const bound = this.silentOperatorServer.address();
     assert(bound !== null && typeof bound === 'object');
     this.address = `127.0.0.1:${bound.port}`;
   },
--- a/packages/command/src/index.ts
+++ b/packages/command/src/index.ts
@@ -1,3 +1,6 @@
-/** Not here yet. */
+/** The operators' command line. */
 
-export {};
+export {ExitStatus} from './exit-status.js';
+export {Output} from './output.js';
+export {runCommand} from './program.js';
+export {mergeTimeLines} from './time-line/merge.js';
