--- /dev/null
+++ b/packages/entry/src/entry.ts
@@ -0,0 +1,130 @@
+/** The entry process: its start, its work and its planned stop. */
+
+import {readFile} from 'node:fs/promises';
+import {
+  createManifestRecord,
+  parseManifest,
+  type Snapshot,
+} from '@wasabidyke/manifest';
+import {formatFinding, SECOND_MS} from '@wasabidyke/shared';
+import type {EntryContainer, EntryCradle} from './container.js';
+
+/** How often lapsed state is forgotten, in milliseconds. */
+const SWEEP_PERIOD_MS = 5 * SECOND_MS;
+
+/** Time for other entries to hear that this one is being stopped. */
+const SPREAD_RESERVE_MS = 2 * SECOND_MS;
+
+/** An entry process. */
+export class Entry {
+  readonly #cradle: EntryCradle;
+  #sweepTimer: NodeJS.Timeout | undefined;
+  #stopping: Promise<void> | undefined;
+  #endWait: (() => void) | undefined;
+
+  constructor(container: EntryContainer) {
+    this.#cradle = container.cradle;
+  }
+
+  /** Opens the listeners and begins to look for a manifest. @throws When an address cannot be had or the first manifest is wrong. */
+  async start(): Promise<void> {
+    const {keeper, source, callerListener, operatorServer, loadWatch} =
+      this.#cradle;
+    keeper.onSnapshot(snapshot => this.#onSnapshot(snapshot));
+    await callerListener.listen();
+    const listening = await operatorServer.listen();
+    if (listening.isErr()) {
+      throw new Error(listening.error.message);
+    }
+    this.#cradle.entryLifeCycle.trigger('LISTEN');
+    await this.#seedEmbeddedStore();
+    source.start();
+    loadWatch.start();
+    this.#sweepTimer = setInterval(() => this.#sweep(), SWEEP_PERIOD_MS);
+    if (keeper.snapshot !== undefined) {
+      this.#cradle.entryLifeCycle.trigger('MANIFEST');
+    }
+  }
+
+  /** Stops without cutting off a request. A second call no longer waits for callers that hold an older list. */
+  stop(): Promise<void> {
+    if (this.#stopping !== undefined) {
+      this.#endWait?.();
+      return this.#stopping;
+    }
+    this.#stopping = this.#stop();
+    return this.#stopping;
+  }
+
+  async #stop(): Promise<void> {
+    const {entryLifeCycle, callerListener} = this.#cradle;
+    const wasServing = entryLifeCycle.state === 'serving';
+    entryLifeCycle.trigger('STOP');
+    if (wasServing) {
+      callerListener.startDraining();
+      await this.#waitForOldLists();
+    }
+    await callerListener.stop();
+    await this.#close();
+    entryLifeCycle.trigger('DRAINED');
+  }
+
+  /** Callers that hold a list which names this entry may come until it has aged. */
+  async #waitForOldLists(): Promise<void> {
+    const {keeper} = this.#cradle;
+    const ageSeconds =
+      keeper.snapshot?.manifest.entries.listMaximumAgeSeconds ?? 0;
+    const waitMs = ageSeconds * SECOND_MS + SPREAD_RESERVE_MS;
+    await new Promise<void>(resolve => {
+      const timer = setTimeout(resolve, waitMs);
+      this.#endWait = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+    });
+  }
+
+  async #close(): Promise<void> {
+    const {source, loadWatch, forwarder, registry, operatorServer} =
+      this.#cradle;
+    clearInterval(this.#sweepTimer);
+    loadWatch.stop();
+    await source.stop();
+    await forwarder.close();
+    await registry.close();
+    await operatorServer.close();
+  }
+
+  #onSnapshot(snapshot: Snapshot): void {
+    const {registry, retryBudget, entryLifeCycle} = this.#cradle;
+    registry.apply(snapshot);
+    retryBudget.applyShare(snapshot.manifest.entries.retryShare);
+    entryLifeCycle.trigger('MANIFEST');
+  }
+
+  #sweep(): void {
+    const {ledger, adopted, departures, registry} = this.#cradle;
+    ledger.sweep();
+    adopted.sweep();
+    if (departures.sweep()) {
+      registry.refreshLeaving();
+    }
+  }
+
+  /** Without a platform, the first manifest comes from a file. */
+  async #seedEmbeddedStore(): Promise<void> {
+    const {settings, store} = this.#cradle;
+    if (settings.platform.kind !== 'embedded') {
+      return;
+    }
+    const file = settings.platform.manifestFile;
+    const body = await readFile(file, 'utf8');
+    const parsed = parseManifest(file, body);
+    if (parsed.isErr()) {
+      throw new Error(parsed.error.map(formatFinding).join('\n'));
+    }
+    const record = createManifestRecord(1, 'manifest-file', body);
+    const value = JSON.stringify(record);
+    await store.compareAndSwap({key: 'manifest', expectedVersion: 0, value});
+  }
+}
