feat(manifest): checks see all that is valid, so that one reading tells every finding

Checks between the parts of a document ran only when its schema had no findings, so a pipeline learnt of a wrong zone only after it had mended a wrong name. A reading now takes out what is invalid, leaves the rest in place, and gives that to the checks; a check that would conclude from what is absent keeps silent where something was taken out. Settings do the same.

Ruled out: dropping a whole service or upstream that has one invalid property, which would hide its other findings and shift the indexes.

The checks are one class a topic; addresses are parsed in one place, in shared.

--- a/features/steps/command-line.steps.ts
+++ b/features/steps/command-line.steps.ts
@@ -9,42 +9,12 @@
 import {After, Before, Given, Then, When} from '@cucumber/cucumber';
 import {createOperatorServer, type OperatorServer} from '@wasabidyke/operator';
 import {runCommandLine, type CommandRun} from '../support/command-line.js';
+import {GOOD_MANIFEST} from '../support/good-manifest.js';
 import {
   FixedOperatorService,
   SUBMISSION_ANSWERS,
 } from '../support/operator-service.js';
 
-const GOOD_MANIFEST = {
-  name: 'small',
-  regions: [{name: 'north', zones: ['north-a']}],
-  entries: {maximum: 1},
-  loadWatch: {
-    preference: 'tail-first',
-    requestsPerSecond: 10,
-    bytesPerSecond: 1_000,
-    crossRegionBytesPerSecond: 0,
-  },
-  services: [
-    {
-      name: 'shop',
-      requests: [
-        {name: 'look', methods: ['GET'], kind: 'idempotent', timeoutMs: 1_000},
-      ],
-      upstreams: [
-        {
-          name: 'shop-1',
-          address: '127.0.0.1:9001',
-          region: 'north',
-          zone: 'north-a',
-          vm: 'vm-2',
-          slots: 4,
-          connections: 200,
-        },
-      ],
-    },
-  ],
-};
-
 const GOOD_SETTINGS = {
   name: 'entry-1',
   vm: 'vm-1',
--- a/packages/command/src/connection.ts
+++ b/packages/command/src/connection.ts
@@ -1,8 +1,14 @@
 /** How commands reach an entry: its address, the token and the timeout. */
 
 import {readFile} from 'node:fs/promises';
-import {Err, Ok, SECOND_MS, type Result} from '@wasabidyke/shared';
-import {OperatorClient, parseSocketAddress} from '@wasabidyke/operator';
+import {OperatorClient} from '@wasabidyke/operator';
+import {
+  Err,
+  Ok,
+  SECOND_MS,
+  parseSocketAddress,
+  type Result,
+} from '@wasabidyke/shared';
 import {InvalidArgumentError, Option, type Command} from 'commander';
 
 /** Address of the operators' interface where none is given. */
--- a/packages/manifest/src/index.ts
+++ b/packages/manifest/src/index.ts
@@ -3,5 +3,5 @@
 export * from './parse.js';
 export * from './record.js';
 export * from './schema.js';
-export {toPathPrefix} from './cross-checks.js';
+export * from './path-prefix.js';
 export * from './snapshot.js';
--- a/packages/manifest/src/parse.ts
+++ b/packages/manifest/src/parse.ts
@@ -1,14 +1,7 @@
 /** Reads a manifest from text, with all of its findings at once. */
 
-import {
-  DocumentSource,
-  Err,
-  FindingCollector,
-  Ok,
-  type Finding,
-  type Result,
-} from '@wasabidyke/shared';
-import {checkManifest} from './cross-checks.js';
+import {DocumentSource, type Finding, type Result} from '@wasabidyke/shared';
+import {checkManifest} from './checks/index.js';
 import {manifestSchema, type Manifest} from './schema.js';
 
 /**
@@ -20,12 +13,5 @@
   source: string,
   text: string,
 ): Result<Manifest, readonly Finding[]> {
-  const document = new DocumentSource(source, text);
-  const parsed = document.parse(manifestSchema);
-  if (parsed.isErr()) {
-    return parsed;
-  }
-  const findings = new FindingCollector();
-  checkManifest(parsed.value, document, findings);
-  return findings.has() ? Err(findings.toSorted()) : Ok(parsed.value);
+  return new DocumentSource(source, text).parse(manifestSchema, checkManifest);
 }
--- a/packages/manifest/src/schema.ts
+++ b/packages/manifest/src/schema.ts
@@ -1,10 +1,14 @@
 /** The manifest as operators write it: JSON with comments, checked by these schemas. */
 
+import {parseSocketAddress} from '@wasabidyke/shared';
 import {z} from 'zod';
 
 /** Longest name of anything, in characters. */
 const MAXIMUM_NAME_LENGTH = 63;
 
+/** Longest path of a rule or prefix of a service, in characters. */
+const MAXIMUM_PATH_LENGTH = 256;
+
 /** Longest timeout a rule may state: ten minutes. */
 const MAXIMUM_TIMEOUT_MS = 600_000;
 
@@ -22,10 +26,17 @@
     error: 'Use lower-case letters, digits and inner hyphens.',
   });
 
-const addressSchema = z
+const addressSchema = z.string().refine(isUpstreamAddress, {
+  error:
+    'Give an IP address of one host and a port from 1 to 65535, as 192.0.2.7:8080.',
+});
+
+const pathSchema = z
   .string()
-  .regex(/^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$|^\[[0-9a-fA-F:]+\]:\d{1,5}$/, {
-    error: 'Give an IP address and a port, such as 192.0.2.7:8080.',
+  .max(MAXIMUM_PATH_LENGTH)
+  .regex(/^(\/(?!\.{0,2}(\/|$))[\w\-.~!$&'()*+,;=:@%]+)*\/?$(?<=.)/, {
+    error:
+      'Begin with "/", use the characters of a URL path, no empty, "." or ".." segments.',
   });
 
 /** One back end of a service. */
@@ -54,7 +65,7 @@
   /** Methods it applies to. */
   methods: z.array(z.string().regex(/^[A-Z]+$/)).min(1),
   /** Path below the service's prefix at which it applies; the longest match wins. */
-  path: z.string().startsWith('/').default('/'),
+  path: pathSchema.default('/'),
   kind: requestKindSchema,
   /** Time from arrival to the end of the answer, in milliseconds. */
   timeoutMs: z.int().min(1).max(MAXIMUM_TIMEOUT_MS),
@@ -80,7 +91,7 @@
 export const serviceSchema = z.strictObject({
   name: nameSchema,
   /** Requests whose path starts with this belong to the service. Default: its name. */
-  pathPrefix: z.string().startsWith('/').optional(),
+  pathPrefix: pathSchema.optional(),
   policy: selectionPolicySchema.default('hot-cold'),
   /** Requests that may wait for an upstream, in one entry. */
   queueLimit: z.int().min(0).max(100_000).default(256),
@@ -141,3 +152,15 @@
 
 /** What watching load may cost. */
 export type LoadWatch = z.infer<typeof loadWatchSchema>;
+
+/** Hosts that name no single machine: unspecified, multicast and broadcast addresses. */
+const NO_SINGLE_HOST = /^(0\.|22[4-9]\.|23\d\.|24\d\.|25[0-5]\.|::$|ff)/i;
+
+function isUpstreamAddress(text: string): boolean {
+  const address = parseSocketAddress(text);
+  return (
+    address !== undefined &&
+    address.port > 0 &&
+    !NO_SINGLE_HOST.test(address.host)
+  );
+}
--- a/packages/manifest/src/snapshot.ts
+++ b/packages/manifest/src/snapshot.ts
@@ -1,6 +1,6 @@
 /** A manifest compiled for look-ups: immutable, and used whole by each request. */
 
-import {toPathPrefix} from './cross-checks.js';
+import {toPathPrefix} from './path-prefix.js';
 import type {Manifest, RequestRule, Service} from './schema.js';
 
 /** Where a request belongs. */
--- a/packages/operator/src/index.ts
+++ b/packages/operator/src/index.ts
@@ -1,6 +1,11 @@
 /** The operators' interface of an entry: its messages, server, client and settings. */
 
-export * from './address.js';
+export {
+  formatSocketAddress,
+  isLoopbackHost,
+  parseSocketAddress,
+  type SocketAddress,
+} from '@wasabidyke/shared';
 export * from './client.js';
 export * from './messages.js';
 export * from './parse-settings.js';
--- a/packages/operator/src/parse-settings.ts
+++ b/packages/operator/src/parse-settings.ts
@@ -5,26 +5,16 @@
 import {
   DocumentSource,
   Err,
-  FindingCollector,
   Ok,
-  type DocumentPath,
   type Finding,
   type Result,
 } from '@wasabidyke/shared';
-import {isLoopbackHost, parseSocketAddress} from './address.js';
+import {SettingsCheck} from './settings-check.js';
 import {settingsSchema, type Settings} from './settings.js';
 
-/** Hosts that mean every address of a machine. */
-const WILDCARD_HOSTS: ReadonlySet<string> = new Set(['0.0.0.0', '::']);
-
 /** Shortest bearer token, in characters. */
 const MINIMUM_TOKEN_LENGTH = 16;
 
-interface Listener {
-  readonly address: string;
-  readonly path: DocumentPath;
-}
-
 /**
  * Parses and checks settings.
  * @param source Name of the input, used in places.
@@ -34,13 +24,11 @@
   source: string,
   text: string,
 ): Result<Settings, readonly Finding[]> {
-  const document = new DocumentSource(source, text);
-  const parsed = document.parse(settingsSchema);
-  if (parsed.isErr()) {
-    return parsed;
-  }
-  const findings = new SettingsCheck(parsed.value, document).run();
-  return findings.length > 0 ? Err(findings) : parsed;
+  return new DocumentSource(source, text).parse(
+    settingsSchema,
+    (draft, document, findings) =>
+      new SettingsCheck(draft, document, findings).run(),
+  );
 }
 
 /** Reads a settings file; file names in the result are absolute. */
@@ -88,91 +76,6 @@
   ]);
 }
 
-class SettingsCheck {
-  readonly #settings: Settings;
-  readonly #document: DocumentSource;
-  readonly #findings = new FindingCollector();
-
-  constructor(settings: Settings, document: DocumentSource) {
-    this.#settings = settings;
-    this.#document = document;
-  }
-
-  run(): readonly Finding[] {
-    this.#checkListeners();
-    this.#checkToken();
-    this.#checkPlatform();
-    return this.#findings.toSorted();
-  }
-
-  #add(code: string, path: DocumentPath, message: string): void {
-    const place = this.#document.toPlace(path);
-    this.#findings.add({code, message, place});
-  }
-
-  #checkListeners(): void {
-    const seen = new Set<string>();
-    for (const {address, path} of listListeners(this.#settings)) {
-      if (seen.has(address)) {
-        const message = `${address} stands twice; give each listener its own.`;
-        this.#add('duplicate-address', path, message);
-      }
-      seen.add(address);
-      if (WILDCARD_HOSTS.has(toHost(address))) {
-        const message = `${address} is no address that others can reach; name one of the VM's own.`;
-        this.#add('wildcard-address', path, message);
-      }
-    }
-  }
-
-  #checkToken(): void {
-    const {address, token} = this.#settings.operators;
-    if (token === undefined && !isLoopbackHost(toHost(address))) {
-      const message = `${address} is not loopback; set "token" to guard it.`;
-      this.#add('token-required', ['operators', 'address'], message);
-    }
-    if (
-      token &&
-      (token.file === undefined) === (token.environment === undefined)
-    ) {
-      const message = 'Set either "file" or "environment".';
-      this.#add('token-source', ['operators', 'token'], message);
-    }
-  }
-
-  #checkPlatform(): void {
-    const {peers, platform} = this.#settings;
-    if (platform.kind === 'embedded') {
-      return;
-    }
-    if (peers === undefined) {
-      const message =
-        'Set "peers": entries on a platform listen for each other.';
-      this.#add('peers-required', [], message);
-    }
-    for (const [index, endpoint] of platform.endpoints.entries()) {
-      if (platform.endpoints.indexOf(endpoint) < index) {
-        const path = ['platform', 'endpoints', index];
-        const message = `${endpoint} stands twice; remove one.`;
-        this.#add('duplicate-endpoint', path, message);
-      }
-    }
-  }
-}
-
-function listListeners({callers, peers, operators}: Settings): Listener[] {
-  const listeners = [{...callers, path: ['callers', 'address']}];
-  if (peers !== undefined) {
-    listeners.push({...peers, path: ['peers', 'address']});
-  }
-  const {address} = operators;
-  return [...listeners, {address, path: ['operators', 'address']}];
-}
-
-function toHost(address: string): string {
-  return parseSocketAddress(address)?.host ?? '';
-}
-
 function resolveFiles(settings: Settings, directory: string): Settings {
   const {operators, platform} = settings;
   const file = operators.token?.file;
--- a/packages/operator/src/server.ts
+++ b/packages/operator/src/server.ts
@@ -3,18 +3,22 @@
 import {once} from 'node:events';
 import type {AddressInfo, Socket} from 'node:net';
 import {MAXIMUM_MANIFEST_BYTES} from '@wasabidyke/manifest';
-import {Err, KIBIBYTE, Ok, SECOND_MS, type Result} from '@wasabidyke/shared';
+import {
+  Err,
+  KIBIBYTE,
+  Ok,
+  SECOND_MS,
+  formatSocketAddress,
+  isLoopbackHost,
+  parseSocketAddress,
+  type Result,
+} from '@wasabidyke/shared';
 import Fastify, {
   type FastifyError,
   type FastifyInstance,
   type FastifyReply,
   type FastifyRequest,
 } from 'fastify';
-import {
-  formatSocketAddress,
-  isLoopbackHost,
-  parseSocketAddress,
-} from './address.js';
 import {
   PROBLEM_MEDIA_TYPE,
   createProblem,
--- a/packages/operator/src/settings.ts
+++ b/packages/operator/src/settings.ts
@@ -1,8 +1,8 @@
 /** The settings of an entry: JSON with comments, checked by this schema. */
 
 import {nameSchema} from '@wasabidyke/manifest';
+import {parseSocketAddress} from '@wasabidyke/shared';
 import {z} from 'zod';
-import {parseSocketAddress} from './address.js';
 
 /** Most endpoints of the store that an entry may be given. */
 const MAXIMUM_ENDPOINTS = 16;
--- a/packages/operator/src/address.ts
+++ b/packages/shared/src/address.ts
@@ -21,7 +21,7 @@
  * @returns undefined when it is no IP address with a port.
  */
 export function parseSocketAddress(text: string): SocketAddress | undefined {
-  const match = /^(?:\[([^\]]+)\]|([^:]+)):(\d{1,5})$/.exec(text);
+  const match = /^(?:\[([^\]]+)\]|([^:]+)):(0|[1-9]\d{0,4})$/.exec(text);
   if (match === null) {
     return undefined;
   }
--- a/packages/shared/src/document.ts
+++ b/packages/shared/src/document.ts
@@ -12,6 +12,7 @@
 } from 'jsonc-parser';
 import {Err, Ok, type Result} from 'ts-results-es';
 import type {z} from 'zod';
+import {takeOut, type Draft} from './draft.js';
 import {FindingCollector, type Finding, type Place} from './finding.js';
 
 /** Deepest nesting that is read; deeper text would exhaust the parser's stack. */
@@ -20,6 +21,13 @@
 /** A path inside a document: property names and array indexes. */
 export type DocumentPath = ReadonlyArray<string | number>;
 
+/** A check beyond the schema; it sees what is valid and adds findings. */
+export type DocumentCheck<Value> = (
+  draft: Draft<Value>,
+  source: DocumentSource,
+  findings: FindingCollector,
+) => void;
+
 /** A parsed document that can tell the place of each of its parts. */
 export class DocumentSource {
   readonly #source: string;
@@ -50,11 +58,14 @@
   }
 
   /**
-   * Parses the document against `schema`.
+   * Parses the document against `schema`, then runs `check` on all that is
+   * valid, so that one reading tells every finding.
+   * @param check Given the parsed document, or what remains of an invalid one.
    * @returns The typed value, or every finding, sorted by place.
    */
   parse<Schema extends z.ZodType>(
     schema: Schema,
+    check?: DocumentCheck<z.infer<Schema>>,
   ): Result<z.infer<Schema>, readonly Finding[]> {
     const findings = new FindingCollector();
     this.#collectSyntax(findings);
@@ -62,10 +73,17 @@
       return Err(this.#orEmptyInput(findings));
     }
     this.#collectDuplicateProperties(this.#root, [], findings);
-    const parsed = schema.safeParse(getNodeValue(this.#root));
+    const content: unknown = getNodeValue(this.#root);
+    const parsed = schema.safeParse(content);
     if (!parsed.success) {
       this.#collectIssues(parsed.error.issues, findings);
     }
+    const rest = parsed.success
+      ? parsed.data
+      : takeOut(content, findInvalid(parsed.error.issues));
+    if (rest !== undefined) {
+      check?.(rest as Draft<z.infer<Schema>>, this, findings);
+    }
     if (findings.has() || !parsed.success) {
       return Err(findings.toSorted());
     }
@@ -210,6 +228,13 @@
   );
 }
 
+function findInvalid(
+  issues: ReadonlyArray<z.core.$ZodIssue>,
+): readonly DocumentPath[] {
+  const invalid = issues.filter(issue => issue.code !== 'unrecognized_keys');
+  return invalid.map(issue => toDocumentPath(issue.path));
+}
+
 function findLineStarts(text: string): readonly number[] {
   const starts = [0];
   for (let index = text.indexOf('\n'); index !== -1;) {
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -1,7 +1,9 @@
 /** What every other package stands on. */
 
+export * from './address.js';
 export * from './clock.js';
 export * from './document.js';
+export type {Draft} from './draft.js';
 export * from './finding.js';
 export * from './life-cycle.js';
 export * from './metrics.js';
