--- a/features/support/command-line.ts
+++ b/features/support/command-line.ts
@@ -8,7 +8,7 @@
 );
 
 /** Time after which a run is ended; far above any expected. */
-const RUN_LIMIT_MS = 60_000;
+const RUN_LIMIT_MS = 50_000;
 
 /** How a run ended. */
 export interface CommandRun {
