--- a/packages-private/prove/src/site/site.ts
+++ b/packages-private/prove/src/site/site.ts
@@ -203,11 +203,7 @@
 
   /** Lets all leases lapse. */
   async lapseLeases(): Promise<void> {
-    await sendControl(
-      'POST',
-      `http://${this.#store.ready.control}/lapse`,
-      {},
-    );
+    await sendControl('POST', `http://${this.#store.ready.control}/lapse`, {});
   }
 
   /** Sets faults of the VM list. */
