--- /dev/null
+++ b/features/path/whole-path.feature
@@ -0,0 +1,18 @@
+Feature: A request goes from a caller to an upstream and back
+
+  Every part is a process of its own: the store, the list of VMs, two entries,
+  two upstreams and a caller.
+
+  Background:
+    Given a site of two entries in two availability zones
+    And an operator has submitted its manifest to the first entry
+    And the manifest is in force at every entry
+
+  Scenario: Each kind of request is answered
+    Then a caller is told of both entries
+    And a look-up through each entry is answered by an upstream
+    And an order that is sent to both entries runs once
+    And an upload through each entry arrives whole
+
+  Scenario: An order without a key is refused as not run
+    Then an order without a key is refused as "not-run" for "key-required"
