--- a/packages-private/prove/src/schedule/profiles.ts
+++ b/packages-private/prove/src/schedule/profiles.ts
@@ -103,7 +103,8 @@
   },
   'planned-stop': {
     ...BASE,
-    faultsUntilMs: 3_000,
+    faultsUntilMs: 2_000,
+    requestsPerSecond: 50,
     always: ['stop-entry', 'stop-worker'],
     pool: ['store-down', 'straggling-worker', 'slow-link', 'vm-list-lags'],
     minimumDrawn: 0,
--- a/packages-private/stand-ins/src/checks/at-most-once.ts
+++ b/packages-private/stand-ins/src/checks/at-most-once.ts
@@ -13,6 +13,7 @@
     .filter(event => keys.has(toKey(event)));
   return {
     events: sent.length + began.length + ended.length,
+    trials: sent.filter(({attempt}) => attempt > 1).length,
     violations: [...findSecondRuns(began), ...findOtherAnswers(ended)],
   };
 }
--- a/packages-private/stand-ins/src/checks/check.ts
+++ b/packages-private/stand-ins/src/checks/check.ts
@@ -21,6 +21,8 @@
 export interface CheckReport {
   /** Events that the check looked at. */
   readonly events: number;
+  /** Those of them that could have broken the promise. */
+  readonly trials: number;
   /** One line for each violation. */
   readonly violations: readonly string[];
 }
--- a/packages-private/stand-ins/src/checks/leaving-upstream.ts
+++ b/packages-private/stand-ins/src/checks/leaving-upstream.ts
@@ -29,7 +29,7 @@
       );
     }
   }
-  return {events, violations};
+  return {events, trials: told.length, violations};
 }
 
 /** A worker's own signal is known once it has answered with it. */
--- a/packages-private/stand-ins/src/checks/load-watch.ts
+++ b/packages-private/stand-ins/src/checks/load-watch.ts
@@ -34,7 +34,11 @@
       violations.push(fault);
     }
   }
-  return {events: reads.length + budgets.length, violations};
+  return {
+    events: reads.length + budgets.length,
+    trials: reads.length,
+    violations,
+  };
 }
 
 function findExcess(
--- a/packages-private/stand-ins/src/checks/manifest.ts
+++ b/packages-private/stand-ins/src/checks/manifest.ts
@@ -18,6 +18,7 @@
   const answered = history.of('submission-answered');
   return {
     events: seen.length + answered.length,
+    trials: answered.length,
     violations: [
       ...findReversions(seen),
       ...findLate(history, seen, answered),
--- a/packages-private/stand-ins/src/checks/not-run.ts
+++ b/packages-private/stand-ins/src/checks/not-run.ts
@@ -33,7 +33,12 @@
     violations.push(...findRunDespite(name, request));
   }
   const answers = history.of('attempt-ended');
-  return {events, violations: [...violations, ...findEndless(answers)]};
+  const trials = answers.filter(({outcome}) => outcome === 'not-run').length;
+  return {
+    events,
+    trials,
+    violations: [...violations, ...findEndless(answers)],
+  };
 }
 
 function findRunDespite(name: string, request: RequestHistory): string[] {
--- a/packages-private/stand-ins/src/checks/planned-stop.ts
+++ b/packages-private/stand-ins/src/checks/planned-stop.ts
@@ -24,9 +24,11 @@
   );
   const violations: string[] = [];
   let events = 0;
+  let trials = 0;
   for (const stop of asked.filter(({target}) => !excused.has(target))) {
     const touched = findTouched(history, stop, sent, excused);
     events += touched.length + 1;
+    trials += touched.length;
     violations.push(...findBadEnd(history, stop));
     for (const ended of touched) {
       const fault = findFault(ended, sent.get(toAttempt(ended)), stop);
@@ -35,7 +37,7 @@
       }
     }
   }
-  return {events, violations};
+  return {events, trials, violations};
 }
 
 /** Attempts that ended after the stop was asked for, at the entry or by the upstream that stops. */
--- a/packages-private/stand-ins/src/checks/poison.ts
+++ b/packages-private/stand-ins/src/checks/poison.ts
@@ -29,5 +29,9 @@
       violations.push(`${service} ${request} was refused but crashed nothing`);
     }
   }
-  return {events: crashes.length + refused.length, violations};
+  return {
+    events: crashes.length + refused.length,
+    trials: crashes.length,
+    violations,
+  };
 }
--- a/packages-private/stand-ins/src/checks/whole-answer.ts
+++ b/packages-private/stand-ins/src/checks/whole-answer.ts
@@ -24,7 +24,7 @@
     const name = `${answer.service} ${answer.request} attempt ${answer.attempt}`;
     return fault === undefined ? [] : [`${name}: ${fault}`];
   });
-  return {events: answers.length, violations};
+  return {events: answers.length, trials: answers.length, violations};
 }
 
 function isRelayed({end, status}: Ended): boolean {
