--- a/packages/entry/src/control/peer-link.ts
+++ b/packages/entry/src/control/peer-link.ts
@@ -5,7 +5,6 @@
   PeerHandler,
   type LedgerRecord,
   type MemberView,
-  type PeerIdentity,
   type PeerTask,
   type Row,
 } from '@wasabidyke/peer';
@@ -72,7 +71,6 @@
 
   override onLedgerRecords(
     records: readonly LedgerRecord[],
-    _from: PeerIdentity,
   ): readonly string[] {
     const accepted = records.filter(record =>
       this.#options.adopted.add(
--- a/packages/manifest/src/succession.ts
+++ b/packages/manifest/src/succession.ts
@@ -3,7 +3,7 @@
 import type {DocumentSource, FindingCollector} from '@wasabidyke/shared';
 import type {Manifest} from './schema.js';
 import {Snapshot} from './snapshot.js';
-import {toPathPrefix} from './cross-checks.js';
+import {toPathPrefix} from './path-prefix.js';
 
 /**
  * Finds the at-most-once requests of `previous` that `next` would let run
