feat(bench): open-loop load and the experiment policy, selections in the load tool

Arms one after the other were ruled out: neighbours are busy at other times for each, and the 99.9th percentile then compares neighbours.

Neighbours of the upstream stand-in draw from a generator of their own, so that their times don't depend on how many requests came. onStart and onEnd without a time no longer drift the age of what is under way.

--- a/packages-private/bench/src/index.ts
+++ b/packages-private/bench/src/index.ts
@@ -1,3 +1,7 @@
-/** Not here yet. */
+/** Open-loop load and experiments. */
 
-export {};
+export * from './arrivals.js';
+export * from './comparison.js';
+export * from './latency-record.js';
+export * from './open-loop.js';
+export * from './target.js';
--- /dev/null
+++ b/packages-private/bench/src/policy-settings.ts
@@ -0,0 +1,106 @@
+/** What the experiment `policy` measures: its arms, its cells and its constants. */
+
+import type {SelectionPolicyName} from '@wasabidyke/manifest';
+import type {ArrivalPattern} from './arrivals.js';
+import type {DeploymentName} from './deployment.js';
+
+/** An arm: a selection, or the oracle that sees true load at no delay and no cost. */
+export type ArmName = SelectionPolicyName | 'oracle';
+
+/** All arms, in the order in which they are told. */
+export const ARMS: readonly ArmName[] = [
+  'random',
+  'round-robin',
+  'least-in-flight',
+  'two-choices',
+  'two-choices-reported',
+  'hot-cold',
+  'oracle',
+];
+
+/** The arm that the others are compared with. */
+export const BASE_ARM: ArmName = 'two-choices';
+
+/** Whether VMs have noisy neighbours. */
+export type Noisiness = 'calm' | 'noisy';
+
+/** One cell: what all arms meet at the same time. */
+export interface Cell {
+  readonly deployment: DeploymentName;
+  /** Load as a percentage of the capacity without neighbours. */
+  readonly loadPercent: number;
+  readonly noisiness: Noisiness;
+  readonly reportLagMs: number;
+}
+
+/** Constants of a run. */
+export interface PolicySettings {
+  readonly seed: number;
+  /** Whether selections run in the load tool, without entry processes. */
+  readonly isDirect: boolean;
+  readonly arrivals: ArrivalPattern;
+  readonly rounds: number;
+  readonly roundMs: number;
+  readonly warmUpMs: number;
+  readonly timeoutMs: number;
+  /** Mean service time without a busy neighbour. */
+  readonly serviceMeanMs: number;
+  /** Standard deviation of the logarithm of the service time. */
+  readonly serviceSigma: number;
+  /** Requests that may wait at a worker, for each of its slots. */
+  readonly queuePerSlot: number;
+  /** What service times are multiplied by while a VM's neighbour is busy. */
+  readonly noiseFactor: number;
+  readonly noiseMeanBusyMs: number;
+  readonly noiseMeanQuietMs: number;
+  readonly cells: readonly Cell[];
+}
+
+/** Settings unless stated otherwise. */
+export const DEFAULT_SETTINGS = {
+  arrivals: 'poisson',
+  rounds: 5,
+  roundMs: 4_000,
+  warmUpMs: 2_000,
+  timeoutMs: 5_000,
+  serviceMeanMs: 80,
+  serviceSigma: 0.5,
+  queuePerSlot: 4,
+  noiseFactor: 5,
+  noiseMeanBusyMs: 1_000,
+  noiseMeanQuietMs: 9_000,
+} as const;
+
+/** Cells of a deployment that are measured unless others are asked for. */
+const DEFAULT_CELLS: ReadonlyArray<[number, Noisiness, number]> = [
+  [50, 'noisy', 50],
+  [75, 'calm', 50],
+  [75, 'noisy', 5],
+  [75, 'noisy', 50],
+  [75, 'noisy', 500],
+  [105, 'noisy', 50],
+];
+
+/** The cells that are measured unless others are asked for. */
+export function createDefaultCells(deployment: DeploymentName): Cell[] {
+  return DEFAULT_CELLS.map(([loadPercent, noisiness, reportLagMs]) => ({
+    deployment,
+    loadPercent,
+    noisiness,
+    reportLagMs,
+  }));
+}
+
+/** Every cell that the experiment knows. */
+export function createAllCells(deployment: DeploymentName): Cell[] {
+  return [50, 75, 90, 105].flatMap(loadPercent =>
+    (['calm', 'noisy'] as const).flatMap(noisiness =>
+      [5, 50, 500].map(reportLagMs => ({
+        deployment,
+        loadPercent,
+        noisiness,
+        reportLagMs,
+      })),
+    ),
+  );
+}
--- a/packages-private/stand-ins/src/upstream/process.ts
+++ b/packages-private/stand-ins/src/upstream/process.ts
@@ -27,8 +27,11 @@
     this.#history = history;
     const random = new SeededRandom(settings.seed);
     const neighbours = new Map<string, Neighbour>();
-    for (const [vm, noise] of Object.entries(settings.noise)) {
-      neighbours.set(vm, new Neighbour(random, noise));
+    for (const [index, [vm, noise]] of Object.entries(
+      settings.noise,
+    ).entries()) {
+      const own = new SeededRandom(settings.seed + index + 1);
+      neighbours.set(vm, new Neighbour(own, noise));
     }
     this.#workers = settings.workers.map(
       worker => new Worker(worker, random, neighbours.get(worker.vm)),
--- a/packages/policy/src/upstream-load.ts
+++ b/packages/policy/src/upstream-load.ts
@@ -22,6 +22,7 @@
   #upstream: Upstream;
   #inFlight = 0;
   #startSumMs = 0;
+  #timed = 0;
   #latencyMs = 0;
   #latencyAtMs = 0;
   #newestMs = 0;
@@ -65,22 +66,28 @@
     this.#share.beginRamp(nowMs);
   }
 
-  /** A request is sent to the upstream. */
-  onStart(nowMs: number = this.#newestMs): void {
-    this.#newestMs = nowMs;
+  /**
+   * A request is sent to the upstream.
+   * @param nowMs This process's monotonic clock; the same is then given to `onEnd`.
+   */
+  onStart(nowMs?: number): void {
     this.#inFlight += 1;
-    this.#startSumMs += nowMs;
+    if (nowMs !== undefined) {
+      this.#newestMs = nowMs;
+      this.#timed += 1;
+      this.#startSumMs += nowMs;
+    }
   }
 
   /** A request to the upstream has ended after `durationMs`. */
-  onEnd(
-    end: AttemptEnd,
-    durationMs: number,
-    nowMs: number = this.#newestMs,
-  ): void {
+  onEnd(end: AttemptEnd, durationMs: number, endMs?: number): void {
+    const nowMs = endMs ?? this.#newestMs;
     this.#newestMs = nowMs;
     this.#inFlight -= 1;
-    this.#startSumMs -= nowMs - durationMs;
+    if (endMs !== undefined) {
+      this.#timed -= 1;
+      this.#startSumMs -= endMs - durationMs;
+    }
     if (end === 'failed') {
       this.#share.onFailure(nowMs);
     } else if (end === 'shed') {
@@ -114,9 +121,9 @@
 
   /** Mean time that the requests in flight have been under way, in milliseconds. */
   meanAgeMs(nowMs: number): number {
-    return this.#inFlight === 0
+    return this.#timed <= 0
       ? 0
-      : Math.max(0, nowMs - this.#startSumMs / this.#inFlight);
+      : Math.max(0, nowMs - this.#startSumMs / this.#timed);
   }
 
   #applyLatency(durationMs: number, nowMs: number): void {
