--- a/packages-private/bench/src/caller-main.ts
+++ b/packages-private/bench/src/caller-main.ts
@@ -34,8 +34,8 @@
   if (target.kind === 'addresses') {
     return new AddressTarget(target.addresses, target.path, timeoutMs);
   }
-  const {policy, upstreams, entryCount} = target;
-  return new DirectTarget(policy, upstreams, entryCount, seed);
+  const {policy, upstreams, entryCount, isHedged} = target;
+  return new DirectTarget(policy, upstreams, entryCount, seed, isHedged);
 }
 
 function toCallerRound(round: RoundRecord): CallerResult['rounds'][number] {
--- a/packages-private/bench/src/caller-settings.ts
+++ b/packages-private/bench/src/caller-settings.ts
@@ -16,6 +16,7 @@
     policy: selectionPolicySchema,
     upstreams: z.array(upstreamSchema).min(1),
     entryCount: z.int().min(1),
+    isHedged: z.boolean(),
   }),
 ]);
 
--- a/packages-private/bench/src/exchange.ts
+++ b/packages-private/bench/src/exchange.ts
@@ -9,34 +9,48 @@
   readonly headers: IncomingHttpHeaders;
 }
 
-/** Sends `GET path` and reads the answer to its end. Never rejects. */
-export function exchange(
-  dispatcher: Dispatcher,
-  path: string,
-  timeoutMs: number,
-): Promise<ExchangeResult> {
-  return new Promise(resolve => {
+/** One request and its answer. */
+export class Exchange implements Dispatcher.DispatchHandler {
+  /** Settles when the exchange has ended; never rejects. */
+  readonly result: Promise<ExchangeResult>;
+  #resolve: (result: ExchangeResult) => void = () => {};
+  #controller: Dispatcher.DispatchController | undefined;
+  #isGivenUp = false;
+  #status = 0;
+  #headers: IncomingHttpHeaders = {};
+
+  /** Sends `GET path` and reads the answer to its end. */
+  constructor(dispatcher: Dispatcher, path: string, timeoutMs: number) {
+    this.result = new Promise(resolve => (this.#resolve = resolve));
     const options = {
       method: 'GET' as const,
       path,
       headersTimeout: timeoutMs,
       bodyTimeout: timeoutMs,
     };
-    dispatcher.dispatch(options, new ExchangeHandler(resolve));
-  });
-}
+    dispatcher.dispatch(options, this);
+  }
 
-class ExchangeHandler implements Dispatcher.DispatchHandler {
-  readonly #resolve: (result: ExchangeResult) => void;
-  #status = 0;
-  #headers: IncomingHttpHeaders = {};
+  /** Whether the exchange was given up. */
+  get isGivenUp(): boolean {
+    return this.#isGivenUp;
+  }
 
-  constructor(resolve: (result: ExchangeResult) => void) {
-    this.#resolve = resolve;
+  /** Gives the exchange up and closes its connection. */
+  giveUp(): void {
+    this.#isGivenUp = true;
+    this.#controller?.abort(new Error('given up'));
   }
 
-  onRequestStart(): void {}
+  /** @internal */
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    this.#controller = controller;
+    if (this.#isGivenUp) {
+      controller.abort(new Error('given up'));
+    }
+  }
 
+  /** @internal */
   onResponseStart(
     _controller: Dispatcher.DispatchController,
     status: number,
@@ -46,12 +60,15 @@
     this.#headers = headers;
   }
 
+  /** @internal */
   onResponseData(): void {}
 
+  /** @internal */
   onResponseEnd(): void {
     this.#resolve({status: this.#status, headers: this.#headers});
   }
 
+  /** @internal */
   onResponseError(): void {
     this.#resolve({status: 0, headers: {}});
   }
--- a/packages-private/bench/src/measure.ts
+++ b/packages-private/bench/src/measure.ts
@@ -8,6 +8,8 @@
 import {PolicyExperiment} from './policy-experiment.js';
 import {checkTargets, type PolicyResult} from './policy-result.js';
 import {
+  ARMS,
+  BASE_ARM,
   createAllCells,
   createDefaultCells,
   DEFAULT_SETTINGS,
@@ -25,6 +27,8 @@
   readonly report?: string;
   readonly direct: boolean;
   readonly deployment?: DeploymentName;
+  readonly arms?: string;
+  readonly hedge: string;
   readonly load?: string;
   readonly noisiness?: string;
   readonly lag?: string;
@@ -71,6 +75,8 @@
         deploymentNameSchema.options,
       ),
     )
+    .option('--arms <names>', 'only these arms, the base and the oracle')
+    .option('--hedge <names>', 'with --direct: arms that hedge', '')
     .option('--load <percents>', 'only these loads, such as 50,75')
     .option('--noisiness <names>', 'only these of calm,noisy')
     .option('--lag <milliseconds>', 'only these ages of reports')
@@ -95,6 +101,10 @@
     ...DEFAULT_SETTINGS,
     seed: Number(given.seed),
     isDirect: given.direct,
+    arms: ARMS.filter(
+      arm => arm === BASE_ARM || arm === 'oracle' || isAmong(given.arms, arm),
+    ),
+    hedgedArms: ARMS.filter(arm => isAmong(given.hedge, arm)),
     arrivals: given.arrivals,
     rounds: Number(given.rounds),
     roundMs: Number(given.roundMs),
--- a/packages-private/bench/src/policy-experiment.ts
+++ b/packages-private/bench/src/policy-experiment.ts
@@ -14,7 +14,6 @@
 import {DEPLOYMENTS, type Deployment} from './deployment.js';
 import {toCellFigures, type CellFigures} from './policy-result.js';
 import {
-  ARMS,
   type ArmName,
   type Cell,
   type Noisiness,
@@ -67,7 +66,7 @@
   ): Promise<readonly CellFigures[]> {
     const children = new ChildGroup();
     try {
-      const groups = createGroups(deployment, cells);
+      const groups = createGroups(deployment, cells, this.#settings.arms);
       await Promise.all(
         groups.map(group => group.start(children, this.#settings)),
       );
@@ -141,6 +140,7 @@
         policy: arm === 'oracle' ? 'random' : arm,
         upstreams: [...group.upstreams],
         entryCount: deployment.entries,
+        isHedged: this.#settings.hedgedArms.includes(arm),
       },
     };
   }
@@ -149,11 +149,12 @@
 function createGroups(
   deployment: Deployment,
   cells: readonly Cell[],
+  arms: readonly ArmName[],
 ): readonly UpstreamGroup[] {
   const noisinesses = new Set(cells.map(cell => cell.noisiness));
   const network = createNetwork();
   const pairs: ReadonlyArray<[Noisiness, ArmName]> = [...noisinesses].flatMap(
-    noisiness => ARMS.map((arm): [Noisiness, ArmName] => [noisiness, arm]),
+    noisiness => arms.map((arm): [Noisiness, ArmName] => [noisiness, arm]),
   );
   return pairs.map(
     ([noisiness, arm], index) =>
--- a/packages-private/bench/src/policy-settings.ts
+++ b/packages-private/bench/src/policy-settings.ts
@@ -38,6 +38,10 @@
   readonly seed: number;
   /** Whether selections run in the load tool, without entry processes. */
   readonly isDirect: boolean;
+  /** Arms that are measured; the base and the oracle always are. */
+  readonly arms: readonly ArmName[];
+  /** Arms that hedge; only for selections in the load tool. */
+  readonly hedgedArms: readonly ArmName[];
   readonly arrivals: ArrivalPattern;
   readonly rounds: number;
   readonly roundMs: number;
--- a/packages-private/bench/src/target.ts
+++ b/packages-private/bench/src/target.ts
@@ -1,7 +1,7 @@
 /** What requests are sent to. */
 
 import {Pool} from 'undici';
-import {exchange} from './exchange.js';
+import {Exchange} from './exchange.js';
 
 /** How a request ended for its caller. */
 export type RequestEnd = 'answered' | 'refused' | 'failed';
@@ -35,7 +35,8 @@
   override async send(): Promise<RequestEnd> {
     this.#next = (this.#next + 1) % this.#pools.length;
     const pool = this.#pools[this.#next];
-    const {status} = await exchange(pool, this.#path, this.#timeoutMs);
+    const exchange = new Exchange(pool, this.#path, this.#timeoutMs);
+    const {status} = await exchange.result;
     return toRequestEnd(status);
   }
 
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,6 +1,7 @@
 /** Decisions: pure, with no I/O and no clock of their own. */
 
 export * from './create-selection.js';
+export * from './hedge-plan.js';
 export * from './hot-cold.js';
 export * from './least-in-flight.js';
 export * from './load-report.js';
