feat(policy): hot/cold judges whole VMs, and latency only tells slow from not slow

Now a VM is slow when its answers or what is under way there take over twice the median; what one upstream shows holds for its VM. Among the others the fewest requests win.

--- a/packages/policy/src/hot-cold.ts
+++ b/packages/policy/src/hot-cold.ts
@@ -3,39 +3,42 @@
  * Source: Wydrowski, Kleinberg, Rumble and Archer, "Load is not what you should
  * balance: Introducing Prequal", NSDI 2024. There the signals come from probes;
  * here they come from reports on answers, and from probes where they are made.
+ * Unlike there, latency tells slow VMs from others and orders nothing further:
+ * with few answers for each upstream, the lowest latency is chance.
  */
 
-import {LatencyEstimate} from './latency-estimate.js';
 import {RequestEstimate} from './request-estimate.js';
 import {Sampler} from './sampler.js';
 import {Selection, type RandomSource} from './selection.js';
 import type {UpstreamLoad} from './upstream-load.js';
+import {VmLatency} from './vm-latency.js';
 
-/** Candidates that are compared for one request. */
-const SAMPLE_SIZE = 5;
+/** Candidates that are compared for one request at most. */
+const SAMPLE_SIZE = 16;
 
 /** Quantile of requests in flight above which a candidate is hot. */
 const HOT_QUANTILE = 0.8;
 
 /** Step by which the threshold follows the quantile, in requests. */
-const THRESHOLD_STEP = 0.1;
+const THRESHOLD_STEP = 0.05;
 
-/** A candidate with what it is compared by. */
-interface RatedCandidate {
-  load: UpstreamLoad;
-  requests: number;
-  latencyMs: number;
+/** What a candidate is compared by. */
+interface Rating {
+  load: UpstreamLoad | undefined;
   isHot: boolean;
+  slowness: number;
+  requests: number;
 }
 
-/** The cold candidate with the lowest latency, or else the least loaded hot one. */
+/** The cold candidate with the fewest requests; else the hot one that is least slow. */
 export class HotColdSelection extends Selection {
   readonly #sampler: Sampler;
   readonly #requests = new RequestEstimate();
-  readonly #latency = new LatencyEstimate();
+  readonly #vms = new VmLatency();
+  readonly #sample: UpstreamLoad[] = [];
   #hotThreshold = 0;
-  #best: RatedCandidate | undefined;
-  #spare: RatedCandidate | undefined;
+  #best: Rating = createRating();
+  #spare: Rating = createRating();
 
   constructor(random: RandomSource) {
     super();
@@ -49,46 +52,52 @@
     if (candidates.length < 2) {
       return candidates[0];
     }
-    let best = this.#draw(candidates, nowMs, this.#best);
-    let spare = this.#spare;
-    const size = Math.min(SAMPLE_SIZE, candidates.length);
-    for (let drawn = 1; drawn < size; drawn += 1) {
-      spare = this.#draw(candidates, nowMs, spare);
-      if (isBetter(spare, best)) {
-        [best, spare] = [spare, best];
+    this.#draw(candidates);
+    for (const candidate of this.#sample) {
+      this.#vms.look(candidate, nowMs);
+    }
+    this.#best.load = undefined;
+    for (const candidate of this.#sample) {
+      this.#rate(candidate, nowMs, this.#spare);
+      if (this.#best.load === undefined || isBetter(this.#spare, this.#best)) {
+        [this.#best, this.#spare] = [this.#spare, this.#best];
       }
     }
-    this.#best = best;
-    this.#spare = spare;
-    return best.load;
+    return this.#best.load;
   }
 
-  /** Draws a candidate and rates it into `reused`, so that a selection allocates nothing. */
-  #draw(
-    candidates: readonly UpstreamLoad[],
-    nowMs: number,
-    reused: RatedCandidate | undefined,
-  ): RatedCandidate {
-    const load = candidates[this.#sampler.draw(candidates, nowMs)];
-    const rated = reused ?? {load, requests: 0, latencyMs: 0, isHot: false};
+  /** Takes candidates from a random place on, so that ties fall at random. */
+  #draw(candidates: readonly UpstreamLoad[]): void {
+    const start = this.#sampler.nextBelow(candidates.length);
+    this.#sample.length = 0;
+    const size = Math.min(SAMPLE_SIZE, candidates.length);
+    for (let drawn = 0; drawn < size; drawn += 1) {
+      this.#sample.push(candidates[(start + drawn) % candidates.length]);
+    }
+  }
+
+  #rate(load: UpstreamLoad, nowMs: number, rating: Rating): void {
     const share = load.shareAt(nowMs);
-    rated.load = load;
-    rated.requests = (this.#requests.at(load, nowMs) + 1) / share;
-    rated.latencyMs = this.#latency.at(load, nowMs) / share;
-    rated.isHot = rated.requests > this.#hotThreshold;
-    this.#hotThreshold += rated.isHot
+    rating.load = load;
+    rating.requests = (this.#requests.at(load, nowMs) + 1) / share;
+    rating.slowness = this.#vms.slownessOf(load, nowMs) / share;
+    const isLoaded = rating.requests > this.#hotThreshold;
+    this.#hotThreshold += isLoaded
       ? THRESHOLD_STEP * HOT_QUANTILE
       : -THRESHOLD_STEP * (1 - HOT_QUANTILE);
-    return rated;
+    rating.isHot = isLoaded || this.#vms.isSlow(load, nowMs);
   }
 }
 
-function isBetter(left: RatedCandidate, right: RatedCandidate): boolean {
+function createRating(): Rating {
+  return {load: undefined, isHot: false, slowness: 0, requests: 0};
+}
+
+function isBetter(left: Rating, right: Rating): boolean {
   if (left.isHot !== right.isHot) {
     return right.isHot;
   }
-  if (left.isHot || left.latencyMs === right.latencyMs) {
-    return left.requests < right.requests;
-  }
-  return left.latencyMs < right.latencyMs;
+  return left.isHot
+    ? left.slowness < right.slowness
+    : left.requests < right.requests;
 }
--- a/packages/policy/src/upstream-load.ts
+++ b/packages/policy/src/upstream-load.ts
@@ -24,7 +24,8 @@
   #startSumMs = 0;
   #timed = 0;
   #latencyMs = 0;
-  #latencyAtMs = 0;
+  #latencyAtMs = -Infinity;
+  #lastDurationMs = 0;
   #newestMs = 0;
 
   constructor(upstream: Upstream, distance: Distance) {
@@ -46,7 +47,12 @@
     return this.#latencyMs;
   }
 
-  /** When the newest latency was seen, in milliseconds. */
+  /** Time to the newest answer, in milliseconds; 0 before the first one. */
+  get lastDurationMs(): number {
+    return this.#lastDurationMs;
+  }
+
+  /** When the newest answer came, in milliseconds; -Infinity before the first one. */
   get latencyAtMs(): number {
     return this.#latencyAtMs;
   }
@@ -130,5 +136,6 @@
     const weight = this.#latencyMs === 0 ? 1 : LATENCY_WEIGHT;
     this.#latencyMs += weight * (durationMs - this.#latencyMs);
     this.#latencyAtMs = nowMs;
+    this.#lastDurationMs = durationMs;
   }
 }
