feat(policy): reports mark what is hot and order nothing

Cause: with reports 500 ms old all entries ran after the same upstreams in step; p50 rose from 90 ms (two random choices) to 259 ms. An answer doesn't tell how old its report is, so age alone can't catch it.

--- a/packages/policy/src/hot-cold.ts
+++ b/packages/policy/src/hot-cold.ts
@@ -28,6 +28,7 @@
   isHot: boolean;
   slowness: number;
   requests: number;
+  own: number;
 }
 
 /** The cold candidate with the fewest requests; else the hot one that is least slow. */
@@ -80,6 +81,7 @@
     const share = load.shareAt(nowMs);
     rating.load = load;
     rating.requests = (this.#requests.at(load, nowMs) + 1) / share;
+    rating.own = (load.inFlight + 1) / share;
     rating.slowness = this.#vms.slownessOf(load, nowMs) / share;
     const isLoaded = rating.requests > this.#hotThreshold;
     this.#hotThreshold += isLoaded
@@ -90,14 +92,12 @@
 }
 
 function createRating(): Rating {
-  return {load: undefined, isHot: false, slowness: 0, requests: 0};
+  return {load: undefined, isHot: false, slowness: 0, requests: 0, own: 0};
 }
 
 function isBetter(left: Rating, right: Rating): boolean {
   if (left.isHot !== right.isHot) {
     return right.isHot;
   }
-  return left.isHot
-    ? left.slowness < right.slowness
-    : left.requests < right.requests;
+  return left.isHot ? left.slowness < right.slowness : left.own < right.own;
 }
