--- a/packages-private/bench/src/measure.ts
+++ b/packages-private/bench/src/measure.ts
@@ -1,10 +1,12 @@
 /** The command `measure`: runs one experiment and prints one JSON document. */
 
+import {writeFileSync} from 'node:fs';
 import {SECOND_MS} from '@wasabidyke/shared';
 import {Command, Option} from 'commander';
 import {arrivalPatternSchema} from './arrivals.js';
 import {deploymentNameSchema, type DeploymentName} from './deployment.js';
 import {readMachine} from './machine.js';
+import {createReportPage} from './report-page.js';
 import {PolicyExperiment} from './policy-experiment.js';
 import {checkTargets, type PolicyResult} from './policy-result.js';
 import {
@@ -58,6 +60,10 @@
   process.stdout.write(`${JSON.stringify(result, null, 1)}\n`);
 }
 
+if (options.report !== undefined) {
+  writeFileSync(options.report, createReportPage(result));
+}
+
 function readOptions(): MeasureOptions {
   return new Command()
     .name('measure')
