--- /dev/null
+++ b/packages/peer/src/peer-task.ts
@@ -0,0 +1,267 @@
+/**
+ * The task by which an entry talks to the other entries: who is there, which
+ * upstreams leave, which requests are suspect, who answers for a stopped home
+ * and which manifest is in force. Views of two entries may disagree at any time
+ * and for any length; nothing that must be safe rests on them.
+ */
+
+import {Task, type Result} from '@wasabidyke/shared';
+import {handOverRecords, type HandOverAnswer} from './hand-over.js';
+import type {LedgerRecord} from './ledger-record.js';
+import {MailboxInbox, type PeerMessage} from './mailbox-inbox.js';
+import type {PeerError} from './peer-clients.js';
+import type {PeerTaskOptions} from './peer-options.js';
+import {createPeerParts, type PeerParts} from './peer-parts.js';
+import {toTarget} from './peer-selection.js';
+import {PeerServer} from './peer-server.js';
+import {createPeerService} from './peer-service.js';
+import type {MemberView} from './replica.js';
+import {ReplicaReports} from './replica-reports.js';
+import {Rounds} from './rounds.js';
+import type {
+  Member,
+  MemberState,
+  Row,
+  RowDraft,
+  RowKind,
+  RowValue,
+} from './rows.js';
+import {collectSuspects, type SuspectView} from './suspect-view.js';
+
+/** Which live members hold a published row. */
+export interface PublishAnswer {
+  /** Names of the members that acknowledged it. */
+  readonly acknowledged: readonly string[];
+  /** Names of the members that did not, in time. */
+  readonly missing: readonly string[];
+}
+
+/** Messages that may wait. */
+const MAILBOX_CAPACITY = 1_024;
+
+/** How long a manifest notice stands after its publisher put the manifest in force. */
+const NOTICE_LIFE_MS = 3_600_000;
+
+/** Talks to the other entries. */
+export class PeerTask extends Task<PeerMessage> {
+  readonly #options: PeerTaskOptions;
+  readonly #parts: PeerParts;
+  readonly #server: PeerServer;
+  readonly #rounds: Rounds;
+
+  constructor(options: PeerTaskOptions) {
+    super('peer', MAILBOX_CAPACITY, (task, error) =>
+      options.reporter.report({
+        level: 'error',
+        code: 'peer.failed',
+        subject: task,
+        message: `A message could not be handled; report this as a fault: ${String(error)}`,
+      }),
+    );
+    this.#options = options;
+    const {member, handler, reporter} = options;
+    const reports = new ReplicaReports(member.entry, handler, reporter);
+    this.#parts = createPeerParts(options, reports);
+    this.#rounds = new Rounds(options, this.#parts);
+    this.#server = this.#createServer();
+    this.#registerGauges();
+  }
+
+  /** Opens the listener and joins the other entries. @throws When the address cannot be listened on. */
+  async start(): Promise<void> {
+    const listening = await this.#server.listen(this.#options.listen);
+    const peerAddress = this.#options.member.peerAddress ?? listening;
+    this.#parts.replica.updateSelf({peerAddress});
+    this.#rounds.start(() => this.post({kind: 'period'}));
+    await this.#rounds.join();
+  }
+
+  /** Tells the others that this process has stopped, and ends all talk. */
+  async stop(): Promise<void> {
+    this.#rounds.stop();
+    if (!this.#parts.replica.isReplaced) {
+      this.setState('stopped');
+      await this.#parts.spreader.flush();
+    }
+    this.close();
+    this.#parts.spreader.stop();
+    this.#parts.clients.close();
+    await this.#server.close();
+    this.#parts.meter.read();
+  }
+
+  /** This process's own facts. */
+  get self(): Member {
+    return this.#parts.replica.self;
+  }
+
+  /** All members known, this process among them, ordered by name. */
+  members(): readonly MemberView[] {
+    return this.#parts.replica.members();
+  }
+
+  /** All rows of a kind. */
+  rows<Kind extends RowKind>(kind: Kind): ReadonlyArray<Row<Kind>> {
+    return this.#parts.replica.table.rows(kind);
+  }
+
+  /** All suspect requests, with the crashes that any reporter saw. */
+  suspects(): readonly SuspectView[] {
+    return collectSuspects(this.rows('suspect'));
+  }
+
+  /** The successor of a stopped home, where one is known. */
+  findSuccession(home: string): RowValue<'succession'> | undefined {
+    const rows = this.rows('succession');
+    return rows.find(({value}) => value.home === home)?.value;
+  }
+
+  /** Whether this entry is one of the few of its region that watch and talk across for the others. */
+  isGateway(): boolean {
+    return this.#parts.selection.isGateway();
+  }
+
+  /**
+   * Publishes a row to all entries.
+   * @returns Whether it stands in the table now.
+   */
+  publish(draft: RowDraft): boolean {
+    const published = this.#parts.replica.publish(draft);
+    if (published?.isNew) {
+      this.#spread(published.row);
+    }
+    return published !== undefined;
+  }
+
+  /** Publishes a row and waits for every live member to acknowledge it, up to a deadline. */
+  async publishAndWait(
+    draft: RowDraft,
+    deadlineMs: number,
+  ): Promise<PublishAnswer> {
+    const {replica, spreader} = this.#parts;
+    const published = replica.publish(draft);
+    const acknowledged: string[] = [];
+    const missing: string[] = [];
+    const push = async (member: Member) => {
+      const isHeld =
+        published !== undefined &&
+        (await spreader.deliver(toTarget(member), published.row, deadlineMs));
+      (isHeld ? acknowledged : missing).push(member.entry);
+    };
+    await Promise.all(replica.reachable().map(push));
+    return {acknowledged, missing};
+  }
+
+  /** Changes what this entry says of itself. */
+  setState(state: MemberState): void {
+    if (state !== this.self.state) {
+      this.#spread(this.#parts.replica.updateSelf({state}));
+    }
+  }
+
+  /** This entry answers for another home from now on. */
+  addHome(home: string): void {
+    if (!this.self.homes.includes(home)) {
+      const homes = [...this.self.homes, home];
+      this.#spread(this.#parts.replica.updateSelf({homes}));
+    }
+  }
+
+  /** Requests in flight; told with the next heartbeat. */
+  setLoad(load: number): void {
+    this.#parts.replica.updateVolatile({load});
+  }
+
+  /** A manifest came into force here; the first of a region to have it tells the others at once. */
+  setRevision(revision: number, digest: string): void {
+    this.#parts.replica.updateVolatile({revision});
+    if (!this.#isNoticedInRegion(revision)) {
+      const publisher = this.self.entry;
+      const expiresAtMs = this.#options.clock.wallTime() + NOTICE_LIFE_MS;
+      const value = {publisher, revision, digest};
+      this.publish({kind: 'manifest-notice', value, expiresAtMs});
+    }
+  }
+
+  /** The highest revision that a reachable entry has in force, by heartbeat or notice; 0 when none is known. */
+  highestRevision(): number {
+    const notices = this.rows('manifest-notice');
+    return Math.max(
+      0,
+      ...this.#parts.replica.reachable().map(({revision}) => revision),
+      ...notices.map(({value}) => value.revision),
+    );
+  }
+
+  /** Asks peers for a manifest record newer than `knownRevision`. @returns Its text, unchecked; undefined when none was had in time. */
+  fetchManifest(
+    knownRevision: number,
+    deadlineMs: number,
+  ): Promise<string | undefined> {
+    return this.#parts.fetcher.fetch(knownRevision, deadlineMs);
+  }
+
+  /** Hands ledger records over to another entry. */
+  handOver(
+    target: Member,
+    records: readonly LedgerRecord[],
+  ): Promise<Result<HandOverAnswer, PeerError>> {
+    return handOverRecords(records, {
+      clients: this.#parts.clients,
+      sender: this.#parts.reconciler.sender(),
+      target: toTarget(target),
+      timeoutMs: this.#parts.timings.transferTimeoutMs,
+    });
+  }
+
+  protected override handle(message: PeerMessage): void {
+    const {exchanger} = this.#parts;
+    switch (message.kind) {
+      case 'period':
+        return this.#rounds.run();
+      case 'exchange': {
+        const {request, from, answer} = message;
+        return answer(exchanger.answer(request, from.region));
+      }
+      case 'push': {
+        const {request, from, answer} = message;
+        return answer(exchanger.receivePush(request, from.region));
+      }
+    }
+  }
+
+  #spread(row: Row): void {
+    this.#parts.spreader.spread([row], 'system', this.self.region);
+  }
+
+  #isNoticedInRegion(revision: number): boolean {
+    const regions = new Map(
+      this.members().map(({member}) => [member.entry, member.region]),
+    );
+    return this.rows('manifest-notice').some(
+      ({value}) =>
+        value.revision >= revision &&
+        regions.get(value.publisher) === this.self.region,
+    );
+  }
+
+  #createServer(): PeerServer {
+    const {metrics, meter} = this.#parts;
+    const inbox = new MailboxInbox({
+      post: message => this.post(message),
+      handler: this.#options.handler,
+      metrics,
+      onCaller: (from, context) =>
+        this.#server.assignRegion(context, from.region === this.self.region),
+    });
+    return new PeerServer(createPeerService(inbox, metrics), meter, metrics);
+  }
+
+  #registerGauges(): void {
+    const {metrics, replica, meter} = this.#parts;
+    const members = () => replica.reachable().length;
+    metrics.gauge('members', 'Other entries that can be called.', members);
+    const open = () => meter.open;
+    metrics.gauge('connections', 'Connections to and from entries.', open);
+  }
+}
--- a/packages/shared/src/document.ts
+++ b/packages/shared/src/document.ts
@@ -1,20 +1,33 @@
 /** Reading JSON with comments against a schema, with every finding placed. */
 
 import {
+  createScanner,
   findNodeAtLocation,
   getNodeValue,
   parseTree,
   printParseErrorCode,
+  SyntaxKind,
   type Node,
   type ParseError,
 } from 'jsonc-parser';
 import {Err, Ok, type Result} from 'ts-results-es';
 import type {z} from 'zod';
+import {takeOut, type Draft} from './draft.js';
 import {FindingCollector, type Finding, type Place} from './finding.js';
 
+/** Deepest nesting that is read; deeper text would exhaust the parser's stack. */
+const MAXIMUM_DEPTH = 100;
+
 /** A path inside a document: property names and array indexes. */
 export type DocumentPath = ReadonlyArray<string | number>;
 
+/** A check beyond the schema; it sees what is valid and adds findings. */
+export type DocumentCheck<Value> = (
+  draft: Draft<Value>,
+  source: DocumentSource,
+  findings: FindingCollector,
+) => void;
+
 /** A parsed document that can tell the place of each of its parts. */
 export class DocumentSource {
   readonly #source: string;
@@ -22,16 +35,20 @@
   readonly #root: Node | undefined;
   readonly #lineStarts: readonly number[];
   readonly #syntaxErrors: ParseError[] = [];
+  readonly #tooDeepAt: number | undefined;
 
   /** @param source Name of the input, used in places. */
   constructor(source: string, text: string) {
     this.#source = source;
     this.#text = text;
     this.#lineStarts = findLineStarts(text);
-    this.#root = parseTree(text, this.#syntaxErrors, {
-      allowTrailingComma: true,
-      disallowComments: false,
-    });
+    this.#tooDeepAt = findTooDeep(text);
+    if (this.#tooDeepAt === undefined) {
+      this.#root = parseTree(text, this.#syntaxErrors, {
+        allowTrailingComma: true,
+        disallowComments: false,
+      });
+    }
   }
 
   /** The place of the value at `path`, or of its nearest existing ancestor. */
@@ -41,11 +58,14 @@
   }
 
   /**
-   * Parses the document against `schema`.
+   * Parses the document against `schema`, then runs `check` on all that is
+   * valid, so that one reading tells every finding.
+   * @param check Given the parsed document, or what remains of an invalid one.
    * @returns The typed value, or every finding, sorted by place.
    */
   parse<Schema extends z.ZodType>(
     schema: Schema,
+    check?: DocumentCheck<z.infer<Schema>>,
   ): Result<z.infer<Schema>, readonly Finding[]> {
     const findings = new FindingCollector();
     this.#collectSyntax(findings);
@@ -53,10 +73,17 @@
       return Err(this.#orEmptyInput(findings));
     }
     this.#collectDuplicateProperties(this.#root, [], findings);
-    const parsed = schema.safeParse(getNodeValue(this.#root));
+    const content: unknown = getNodeValue(this.#root);
+    const parsed = schema.safeParse(content);
     if (!parsed.success) {
       this.#collectIssues(parsed.error.issues, findings);
     }
+    const rest = parsed.success
+      ? parsed.data
+      : takeOut(content, findInvalid(parsed.error.issues));
+    if (rest !== undefined) {
+      check?.(rest as Draft<z.infer<Schema>>, this, findings);
+    }
     if (findings.has() || !parsed.success) {
       return Err(findings.toSorted());
     }
@@ -64,6 +91,11 @@
   }
 
   #collectSyntax(findings: FindingCollector): void {
+    if (this.#tooDeepAt !== undefined) {
+      const message = `Nested deeper than ${MAXIMUM_DEPTH} levels; flatten it.`;
+      const place = this.#placeAt(this.#tooDeepAt, '');
+      findings.add({code: 'too-deep', message, place});
+    }
     for (const error of this.#syntaxErrors) {
       const message = `Syntax error: ${printParseErrorCode(error.error)}.`;
       const place = this.#placeAt(error.offset, '');
@@ -165,6 +197,44 @@
   return path.map(part => (typeof part === 'number' ? part : String(part)));
 }
 
+function findTooDeep(text: string): number | undefined {
+  const scanner = createScanner(text, true);
+  let depth = 0;
+  let token = scanner.scan();
+  while (token !== SyntaxKind.EOF) {
+    if (isOpening(token)) {
+      depth += 1;
+    } else if (isClosing(token)) {
+      depth -= 1;
+    }
+    if (depth > MAXIMUM_DEPTH) {
+      return scanner.getTokenOffset();
+    }
+    token = scanner.scan();
+  }
+  return undefined;
+}
+
+function isOpening(token: SyntaxKind): boolean {
+  return (
+    token === SyntaxKind.OpenBraceToken || token === SyntaxKind.OpenBracketToken
+  );
+}
+
+function isClosing(token: SyntaxKind): boolean {
+  return (
+    token === SyntaxKind.CloseBraceToken ||
+    token === SyntaxKind.CloseBracketToken
+  );
+}
+
+function findInvalid(
+  issues: ReadonlyArray<z.core.$ZodIssue>,
+): readonly DocumentPath[] {
+  const invalid = issues.filter(issue => issue.code !== 'unrecognized_keys');
+  return invalid.map(issue => toDocumentPath(issue.path));
+}
+
 function findLineStarts(text: string): readonly number[] {
   const starts = [0];
   for (let index = text.indexOf('\n'); index !== -1;) {
