fix(platform): a stale reading never makes an accepted submission look refused

A submission whose first run ended unknown was told rejected, unknown-base, when its second run read a stale record older than its base, although the first run had been accepted.

Where the record that was read is older than the base, a swap that cannot succeed now shows what stands, which is never stale. Retrying the reading was ruled out: a stale replica may answer for as long as it likes.

--- a/features/platform/manifest-repository.feature
+++ b/features/platform/manifest-repository.feature
@@ -32,6 +32,18 @@
     Then the outcome is "already-accepted" at revision 1
     And the store's manifest is "B" at revision 2
 
+  Scenario: A stale reading never makes an accepted submission look refused
+    Given manifest "A" is submitted as "s1" based on 0
+    And manifest "B" is submitted as "s2" based on 1
+    And the store is at fault by {"lostAnswers": 1, "downAfterLostAnswer": "refused"}
+    And the submitter gives up after 1 s
+    When manifest "C" is submitted as "s3" based on 2
+    Then the outcome is "unknown" after a write was sent
+    Given the store is at fault by {"staleRevision": 1}
+    And the submitter gives up after 10 s
+    When manifest "C" is submitted as "s3" based on 2
+    Then the outcome is "already-accepted" at revision 3
+
   Scenario: A write that takes effect after its deadline is settled later
     Given the store is at fault by {"delayMs": 1500, "delayedCalls": ["transaction"]}
     And the submitter gives up after 1 s
--- a/packages/platform/src/manifest-repository.ts
+++ b/packages/platform/src/manifest-repository.ts
@@ -24,6 +24,9 @@
 /** Key of the manifest, below the store's prefix. */
 export const MANIFEST_KEY = 'manifest';
 
+/** A version that no key ever has. */
+const IMPOSSIBLE_VERSION = Number.MAX_SAFE_INTEGER;
+
 const MINIMUM_RETRY_MS = 50;
 const MAXIMUM_RETRY_MS = 1_000;
 
@@ -112,19 +115,24 @@
     submission: ManifestSubmission,
     progress: Progress,
   ): Promise<SubmissionOutcome | undefined> {
-    const present = progress.shown ?? (await this.#take(progress));
+    const {shown, wasSent} = progress;
+    const present = shown ?? (await this.#take(progress));
     progress.shown = undefined;
     if (present === undefined) {
       return undefined;
     }
     const base = toNewer(present.record, this.#options.newestKnown?.());
-    const judgement = judgeSubmission(submission, base, progress.wasSent);
+    const state = {wasSent, isFresh: shown !== undefined};
+    const judgement = judgeSubmission(submission, base, state);
     if (judgement.kind === 'outcome') {
       return judgement.outcome;
     }
     if (judgement.kind === 'retry') {
       return undefined;
     }
+    if (judgement.kind === 'confirm') {
+      return this.#confirm(progress);
+    }
     const revision = submission.basedOn + 1;
     const {submission: identity, body} = submission;
     const record = createManifestRecord(revision, identity, body, base);
@@ -150,6 +158,21 @@
     return undefined;
   }
 
+  /** Learns what stands from a swap that cannot succeed: unlike a reading, it is never stale. */
+  async #confirm(progress: Progress): Promise<undefined> {
+    const swap = await this.#options.store.compareAndSwap({
+      key: MANIFEST_KEY,
+      expectedVersion: IMPOSSIBLE_VERSION,
+      value: '',
+    });
+    if (swap.isErr()) {
+      progress.error = swap.error;
+      return;
+    }
+    const shown = toPresent(swap.value.present);
+    progress.shown = shown.isOk() ? shown.value : undefined;
+  }
+
   async #take(progress: Progress): Promise<Present | undefined> {
     const present = await this.#readPresent();
     if (present.isErr()) {
--- a/packages/platform/src/manifest-submission.ts
+++ b/packages/platform/src/manifest-submission.ts
@@ -56,6 +56,8 @@
 export type Judgement =
   | {readonly kind: 'swap'}
   | {readonly kind: 'retry'}
+  /** What was read may be stale; a swap must show what stands. */
+  | {readonly kind: 'confirm'}
   | {readonly kind: 'outcome'; readonly outcome: SubmissionOutcome};
 
 /** Checks a submission by itself. */
@@ -77,16 +79,24 @@
   return parsed;
 }
 
+/** What a run of a submission knows besides the record. */
+export interface SubmissionState {
+  /** Whether this run has sent a write that may have taken effect. */
+  readonly wasSent: boolean;
+  /** Whether the record was shown by a swap, so that it cannot be stale. */
+  readonly isFresh: boolean;
+}
+
 /**
  * Judges a checked submission against the newest accepted record. A
  * submission based on revision r can only ever become revision r + 1, so the
- * submission remembered there decides.
- * @param wasSent Whether this run has sent a write that may have taken effect.
+ * submission remembered there decides. A stale reading can show less than what
+ * stands, so it may not refuse a base that it does not know.
  */
 export function judgeSubmission(
   submission: ManifestSubmission,
   base: ManifestRecord | undefined,
-  wasSent: boolean,
+  {wasSent, isFresh}: SubmissionState,
 ): Judgement {
   const accepted = base === undefined ? [] : listSubmissions(base);
   const known = accepted.find(
@@ -96,11 +106,19 @@
     return judgeKnown(submission, known, wasSent);
   }
   const presentRevision = base?.revision ?? 0;
+  if (submission.basedOn > presentRevision && !isFresh) {
+    return {kind: 'confirm'};
+  }
   if (submission.basedOn > presentRevision) {
     return wasSent ? {kind: 'retry'} : refuseBase(submission, presentRevision);
   }
   if (submission.basedOn < presentRevision) {
-    return judgeLate(submission, accepted[0].revision, presentRevision);
+    return judgeLate(
+      submission,
+      accepted[0].revision,
+      presentRevision,
+      wasSent,
+    );
   }
   return judgeSuccession(submission, base);
 }
@@ -131,6 +149,7 @@
   submission: ManifestSubmission,
   oldestRemembered: number,
   presentRevision: number,
+  wasSent: boolean,
 ): Judgement {
   if (submission.basedOn + 1 >= oldestRemembered) {
     return {kind: 'outcome', outcome: {outcome: 'superseded', presentRevision}};
@@ -138,7 +157,7 @@
   const message = `Revision ${presentRevision} stands, and submissions before revision ${oldestRemembered} are no longer remembered; whether this one was accepted cannot be told.`;
   return {
     kind: 'outcome',
-    outcome: {outcome: 'unknown', wasSent: false, message},
+    outcome: {outcome: 'unknown', wasSent, message},
   };
 }
 
