--- a/features/support/store-context.ts
+++ b/features/support/store-context.ts
@@ -1,6 +1,5 @@
 /** The store that the steps of a scenario share. */
 
-import assert from 'node:assert/strict';
 import {
   EtcdStore,
   type EtcdStoreOptions,
@@ -38,15 +37,15 @@
   context: StoreContext,
   options: Partial<EtcdStoreOptions> = {},
 ): EtcdStore {
-  assert.ok(context.storeProcess);
+  const endpoints = options.endpoints ?? [context.storeProcess?.origin ?? ''];
   return new EtcdStore({
-    endpoints: [context.storeProcess.origin],
     prefix: KEY_PREFIX,
     callTimeoutMs: CALL_TIMEOUT_MS,
     callsPerSecond: 10_000,
     metrics: new MetricRegistry(),
     clock: new SystemClock(),
     ...options,
+    endpoints,
   });
 }
 
