fix(platform): never write a record that its readers would refuse

The size check counted bytes alone: a manifest of 750,000 ASCII characters passed it and would have stood in the store as a record that no entry can read, which also blocks every later submission. The same held for a submission identity of more than 128 characters. The record is now read by its own schema before it is sent.

Along with it: a scenario with the store's process frozen by SIGSTOP.

--- a/features/platform/manifest-repository.feature
+++ b/features/platform/manifest-repository.feature
@@ -86,6 +86,13 @@
     When manifest "A" with 600000 quotation marks of comment is submitted as "s1" based on 0
     Then the outcome is "rejected" with "manifest-too-large"
 
+  Scenario: A record that its readers would refuse is never written
+    When manifest "A" with 750000 letters of comment is submitted as "s1" based on 0
+    Then the outcome is "rejected" with "manifest-too-large"
+    When manifest "A" is submitted as an identity of 129 letters based on 0
+    Then the outcome is "rejected" with "bad-submission"
+    And the store's history has 0 writes
+
   Scenario: A submission that is no longer remembered has an unknown outcome
     When 130 manifests are submitted one after another
     And the first of them is submitted again
--- a/features/platform/manifest-watch.feature
+++ b/features/platform/manifest-watch.feature
@@ -23,6 +23,13 @@
     And manifest "B" is submitted as "s2" based on 1
     Then the watch has handed on revision 2
 
+  Scenario: A frozen store counts as down, and the watch goes on when it wakes
+    When the store's process is frozen
+    Then the manifest watch is "waiting"
+    When the store's process is resumed
+    And manifest "B" is submitted as "s2" based on 1
+    Then the watch has handed on revision 2
+
   Scenario: A stale reading is refused and reported once
     Given manifest "B" is submitted as "s2" based on 1
     And the watch has handed on revision 2
--- a/features/steps/platform-manifest-repository.steps.ts
+++ b/features/steps/platform-manifest-repository.steps.ts
@@ -69,10 +69,19 @@
 );
 
 When(
-  'manifest {string} with {int} quotation marks of comment is submitted as {string} based on {int}',
-  async function (this: RepositoryWorld, name, count, identity, basedOn) {
-    const options = {comment: '"'.repeat(Number(count))};
-    await submit(this, toSubmission(name, identity, basedOn, options));
+  /^manifest "(.*)" with (\d+) (letters|quotation marks) of comment is submitted as "(.*)" based on 0$/,
+  async function (this: RepositoryWorld, name, count, what, identity) {
+    const character = what === 'letters' ? 'x' : '"';
+    const options = {comment: character.repeat(Number(count))};
+    await submit(this, toSubmission(name, identity, 0, options));
+  },
+);
+
+When(
+  'manifest {string} is submitted as an identity of {int} letters based on {int}',
+  async function (this: RepositoryWorld, name, length, basedOn) {
+    const identity = 'x'.repeat(Number(length));
+    await submit(this, toSubmission(name, identity, basedOn));
   },
 );
 
--- a/features/steps/platform-manifest-watch.steps.ts
+++ b/features/steps/platform-manifest-watch.steps.ts
@@ -50,6 +50,14 @@
   this.watch.start();
 });
 
+When("the store's process is frozen", function (this: WatchWorld) {
+  this.storeProcess?.child.kill('SIGSTOP');
+});
+
+When("the store's process is resumed", function (this: WatchWorld) {
+  this.storeProcess?.child.kill('SIGCONT');
+});
+
 When('the store is restored to revision 1', async function (this: WatchWorld) {
   await writePast(this, JSON.stringify(this.handedOn[0]));
 });
--- a/packages/platform/src/manifest-intake.ts
+++ b/packages/platform/src/manifest-intake.ts
@@ -104,7 +104,8 @@
 }
 
 const MESSAGES: Readonly<Record<Complaint, string>> = {
-  unreadable: 'The store holds no readable record; submit a manifest again.',
+  unreadable:
+    'The store holds something that is no record of this version; check what wrote it.',
   older:
     'The store shows an older revision; check whether it was restored from a copy.',
   missing: 'The store holds no manifest; check whether it lost its data.',
--- a/packages/platform/src/manifest-submission.ts
+++ b/packages/platform/src/manifest-submission.ts
@@ -1,9 +1,11 @@
 /** The decisions about a submitted manifest, apart from the store. */
 
 import {
+  MAXIMUM_MANIFEST_BYTES,
   checkSuccession,
   createManifestRecord,
   listSubmissions,
+  manifestRecordSchema,
   parseManifest,
   toDigest,
   type Manifest,
@@ -70,13 +72,8 @@
   }
   const {basedOn, submission: identity, body} = submission;
   const record = createManifestRecord(basedOn + 1, identity, body);
-  const bytes = Buffer.byteLength(JSON.stringify(record));
-  const limit = MAXIMUM_VALUE_BYTES - EARLIER_SUBMISSIONS_BYTES;
-  if (bytes > limit) {
-    const message = `The manifest takes ${bytes} bytes in the store, more than ${limit}; shorten it.`;
-    return Err([toFinding('manifest-too-large', message)]);
-  }
-  return parsed;
+  const finding = checkSize(record) ?? checkReadable(record);
+  return finding === undefined ? parsed : Err([finding]);
 }
 
 /** What a run of a submission knows besides the record. */
@@ -131,6 +128,26 @@
   return (left?.revision ?? 0) >= (right?.revision ?? 0) ? left : right;
 }
 
+function checkSize(record: ManifestRecord): Finding | undefined {
+  const bytes = Buffer.byteLength(JSON.stringify(record));
+  const limit = MAXIMUM_VALUE_BYTES - EARLIER_SUBMISSIONS_BYTES;
+  if (bytes <= limit && record.body.length <= MAXIMUM_MANIFEST_BYTES) {
+    return undefined;
+  }
+  const message = `The manifest takes ${record.body.length} characters and ${bytes} bytes in the store; ${MAXIMUM_MANIFEST_BYTES} and ${limit} are allowed.`;
+  return toFinding('manifest-too-large', message);
+}
+
+/** A record that its readers would refuse must never be written. */
+function checkReadable(record: ManifestRecord): Finding | undefined {
+  const parsed = manifestRecordSchema.safeParse(record);
+  if (parsed.success) {
+    return undefined;
+  }
+  const [{path, message}] = parsed.error.issues;
+  return toFinding('bad-submission', `"${path.join('.')}": ${message}`);
+}
+
 function judgeKnown(
   submission: ManifestSubmission,
   known: {readonly revision: number; readonly digest: string},
