--- /dev/null
+++ b/features/operator/documents.feature
@@ -0,0 +1,10 @@
+Feature: The operators' page tells what is there
+
+  Scenario: Every metric is described, and no other
+    Then the metrics of the operators' page are those of the code
+
+  Scenario: Every log line is described, and no other
+    Then the log lines of the operators' page are those of the code
+
+  Scenario: Every setting is described, and no other
+    Then the settings of the operators' page are those of the schema
