--- a/packages/entry/src/container.ts
+++ b/packages/entry/src/container.ts
@@ -25,7 +25,13 @@
   InjectionMode,
   type AwilixContainer,
 } from 'awilix';
+import {
+  DeparturePublisher,
+  DepartureTracker,
+} from './control/departure-tracker.js';
 import {Departures} from './control/departures.js';
+import {LoneGroup, type EntryGroup} from './control/entry-group.js';
+import {registerPeers, type PeerCradle} from './peer-container.js';
 import {EntryList} from './control/entry-list.js';
 import {EntryLifeCycle} from './control/entry-state.js';
 import {BudgetSlot, LoadWatch} from './control/load-watch.js';
@@ -54,7 +60,7 @@
 import {UpstreamRegistry} from './upstreams/upstream-registry.js';
 
 /** Everything that an entry is made of. */
-export interface EntryCradle {
+export interface EntryCradle extends PeerCradle {
   settings: Settings;
   operatorToken: string | undefined;
   incarnation: string;
@@ -70,6 +76,9 @@
   store: Store;
   source: ManifestSource;
   departures: Departures;
+  departurePublisher: DeparturePublisher;
+  departureTracker: DepartureTracker;
+  group: EntryGroup;
   registry: UpstreamRegistry;
   retryBudget: RetryBudget;
   crashGuard: CrashGuard;
@@ -141,6 +150,9 @@
   registerControl(container);
   registerDataPath(container);
   registerOperators(container);
+  if (settings.peers !== undefined) {
+    registerPeers(container);
+  }
   return container;
 }
 
@@ -172,9 +184,20 @@
     source: asFunction(
       ({store, keeper}: EntryCradle) => new StoreManifestSource(store, keeper),
     ).singleton(),
-    departures: asFunction(
-      ({clock}: EntryCradle) => new Departures(clock),
+    departures: asFunction(() => new Departures()).singleton(),
+    departurePublisher: asFunction(
+      () => new NoDeparturePublisher(),
+    ).singleton(),
+    departureTracker: asFunction(
+      ({departures, registry, departurePublisher, reporter}: EntryCradle) =>
+        new DepartureTracker({
+          departures,
+          registry,
+          publisher: departurePublisher,
+          reporter,
+        }),
     ).singleton(),
+    group: asFunction(() => new LoneGroup()).singleton(),
     registry: asFunction(
       ({settings, clock, random, reporter, departures}: EntryCradle) =>
         new UpstreamRegistry({
@@ -199,7 +222,7 @@
           clock: cradle.clock,
           random: cradle.random,
           metrics: cradle.metrics,
-          onLeavingSignal: () => {},
+          onLeavingSignal: handle => cradle.departureTracker.onSignal(handle),
         }),
     ).singleton(),
   });
@@ -220,7 +243,7 @@
           retryBudget: cradle.retryBudget,
           crashGuard: cradle.crashGuard,
           suspectNotifier: cradle.suspectNotifier,
-          onLeavingSignal: () => {},
+          onLeavingSignal: handle => cradle.departureTracker.onSignal(handle),
         }),
     ).singleton(),
     issueCounter: asFunction(
@@ -354,6 +377,11 @@
   }
 }
 
+/** There are no other entries to tell. */
+class NoDeparturePublisher extends DeparturePublisher {
+  override publishDeparture(): void {}
+}
+
 /** There are no other entries to tell. */
 class NoSuspectNotifier extends SuspectNotifier {
   override async notify(): Promise<void> {}
--- a/packages/entry/src/control/departures.ts
+++ b/packages/entry/src/control/departures.ts
@@ -1,7 +1,6 @@
 /** What is known of upstreams that are leaving, from every source. */
 
 import type {Upstream} from '@wasabidyke/manifest';
-import type {Clock} from '@wasabidyke/shared';
 import type {LeavingPredicate} from '../upstreams/upstream-registry.js';
 
 /** An upstream, or everything on a VM, that is leaving. */
@@ -19,62 +18,40 @@
 
 /** What is known of upstreams that are leaving. */
 export class Departures implements LeavingPredicate {
-  readonly #clock: Clock;
-  readonly #lapses = new Map<string, number>();
+  readonly #targets = new Map<string, DepartureTarget>();
 
-  constructor(clock: Clock) {
-    this.#clock = clock;
+  /** Every departure known. */
+  get targets(): readonly DepartureTarget[] {
+    return [...this.#targets.values()];
   }
 
-  /**
-   * Learns of a departure.
-   * @param lapsesInMs How long it is believed without being heard of again.
-   * @returns Whether it was not known before.
-   */
-  add(target: DepartureTarget, lapsesInMs: number): boolean {
+  /** Learns of a departure. Returns whether it was not known before. */
+  add(target: DepartureTarget): boolean {
     const key = toKey(target);
-    const isNew = !this.#isKnown(key);
-    const lapsesAtMs = this.#clock.now() + lapsesInMs;
-    const known = this.#lapses.get(key) ?? 0;
-    this.#lapses.delete(key);
-    this.#lapses.set(key, Math.max(known, lapsesAtMs));
-    this.#forgetOldest();
-    return isNew;
+    if (this.#targets.has(key)) {
+      return false;
+    }
+    this.#targets.set(key, target);
+    if (this.#targets.size > MAXIMUM_DEPARTURES) {
+      const [oldest] = this.#targets.keys();
+      this.#targets.delete(oldest);
+    }
+    return true;
   }
 
-  /** Forgets what has lapsed. Returns whether there was any. */
-  sweep(): boolean {
-    const nowMs = this.#clock.now();
-    let hasLapsed = false;
-    for (const [key, lapsesAtMs] of this.#lapses) {
-      if (lapsesAtMs <= nowMs) {
-        this.#lapses.delete(key);
-        hasLapsed = true;
-      }
-    }
-    return hasLapsed;
+  /** Learns that a departure is over. Returns whether it was known. */
+  remove(target: DepartureTarget): boolean {
+    return this.#targets.delete(toKey(target));
   }
 
   isLeaving(service: string, upstream: Upstream): boolean {
     const {name, address, vm} = upstream;
     return (
       upstream.leaving ||
-      this.#isKnown(toKey({kind: 'upstream', service, name, address})) ||
-      this.#isKnown(toKey({kind: 'vm', name: vm}))
+      this.#targets.has(toKey({kind: 'upstream', service, name, address})) ||
+      this.#targets.has(toKey({kind: 'vm', name: vm}))
     );
   }
-
-  #isKnown(key: string): boolean {
-    const lapsesAtMs = this.#lapses.get(key);
-    return lapsesAtMs !== undefined && lapsesAtMs > this.#clock.now();
-  }
-
-  #forgetOldest(): void {
-    if (this.#lapses.size > MAXIMUM_DEPARTURES) {
-      const [oldest] = this.#lapses.keys();
-      this.#lapses.delete(oldest);
-    }
-  }
 }
 
 function toKey(target: DepartureTarget): string {
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -9,8 +9,8 @@
 import {formatFinding, SECOND_MS} from '@wasabidyke/shared';
 import type {EntryContainer, EntryCradle} from './container.js';
 
-/** How often lapsed state is forgotten, in milliseconds. */
-const SWEEP_PERIOD_MS = 5 * SECOND_MS;
+/** How often lapsed state is forgotten and other entries are told of the load, in milliseconds. */
+const PERIOD_MS = SECOND_MS;
 
 /** Time for other entries to hear that this one is being stopped. */
 const SPREAD_RESERVE_MS = 2 * SECOND_MS;
@@ -18,7 +18,7 @@
 /** An entry process. */
 export class Entry {
   readonly #cradle: EntryCradle;
-  #sweepTimer: NodeJS.Timeout | undefined;
+  #periodTimer: NodeJS.Timeout | undefined;
   #stopping: Promise<void> | undefined;
   #endWait: (() => void) | undefined;
 
@@ -28,9 +28,14 @@
 
   /** Opens the listeners and begins to look for a manifest. @throws When an address cannot be had or the first manifest is wrong. */
   async start(): Promise<void> {
-    const {keeper, source, callerListener, operatorServer, loadWatch} =
+    const {keeper, source, callerListener, operatorServer, loadWatch, group} =
       this.#cradle;
     keeper.onSnapshot(snapshot => this.#onSnapshot(snapshot));
+    this.#cradle.entryLifeCycle.onState(state => {
+      if (state !== 'starting' && state !== 'stopped') {
+        group.setState(state);
+      }
+    });
     await callerListener.listen();
     const listening = await operatorServer.listen();
     if (listening.isErr()) {
@@ -38,12 +43,10 @@
     }
     this.#cradle.entryLifeCycle.trigger('LISTEN');
     await this.#seedEmbeddedStore();
+    await group.start();
     source.start();
     loadWatch.start();
-    this.#sweepTimer = setInterval(() => this.#sweep(), SWEEP_PERIOD_MS);
-    if (keeper.snapshot !== undefined) {
-      this.#cradle.entryLifeCycle.trigger('MANIFEST');
-    }
+    this.#periodTimer = setInterval(() => this.#onPeriod(), PERIOD_MS);
   }
 
   /** Stops without cutting off a request. A second call no longer waits for callers that hold an older list. */
@@ -57,7 +60,7 @@
   }
 
   async #stop(): Promise<void> {
-    const {entryLifeCycle, callerListener} = this.#cradle;
+    const {entryLifeCycle, callerListener, group} = this.#cradle;
     const wasServing = entryLifeCycle.state === 'serving';
     entryLifeCycle.trigger('STOP');
     if (wasServing) {
@@ -65,6 +68,7 @@
       await this.#waitForOldLists();
     }
     await callerListener.stop();
+    await group.handOver();
     await this.#close();
     entryLifeCycle.trigger('DRAINED');
   }
@@ -85,10 +89,11 @@
   }
 
   async #close(): Promise<void> {
-    const {source, loadWatch, forwarder, registry, operatorServer} =
+    const {source, loadWatch, forwarder, registry, operatorServer, group} =
       this.#cradle;
-    clearInterval(this.#sweepTimer);
+    clearInterval(this.#periodTimer);
     loadWatch.stop();
+    await group.stop();
     await source.stop();
     await forwarder.close();
     await registry.close();
@@ -96,19 +101,18 @@
   }
 
   #onSnapshot(snapshot: Snapshot): void {
-    const {registry, retryBudget, entryLifeCycle} = this.#cradle;
+    const {registry, retryBudget, entryLifeCycle, group} = this.#cradle;
     registry.apply(snapshot);
+    group.onSnapshot(snapshot);
     retryBudget.applyShare(snapshot.manifest.entries.retryShare);
     entryLifeCycle.trigger('MANIFEST');
   }
 
-  #sweep(): void {
-    const {ledger, adopted, departures, registry} = this.#cradle;
+  #onPeriod(): void {
+    const {ledger, adopted, group, callerListener} = this.#cradle;
     ledger.sweep();
     adopted.sweep();
-    if (departures.sweep()) {
-      registry.refreshLeaving();
-    }
+    group.onPeriod(callerListener.inFlight);
   }
 
   /** Without a platform, the first manifest comes from a file. */
--- a/packages/entry/src/once/ledger-transfer.ts
+++ b/packages/entry/src/once/ledger-transfer.ts
@@ -33,7 +33,7 @@
     state: end?.kind === 'done' ? 'done' : 'unknown',
     status: answer?.status ?? 0,
     headers: toHeaderList(answer?.headers ?? {}),
-    body: answer?.body ?? Buffer.alloc(0),
+    body: Uint8Array.from(answer?.body ?? []),
     lapsesInMs,
   };
 }
