--- a/packages-private/prove/src/weakened/naive-parts.ts
+++ b/packages-private/prove/src/weakened/naive-parts.ts
@@ -10,6 +10,7 @@
   type Dispatch,
   type DispatchJob,
   type FlowControl,
+  type HeldShare,
 } from '@wasabidyke/entry';
 import {CrashGuard} from '@wasabidyke/policy';
 
@@ -119,13 +120,15 @@
 
 /** Takes the whole budget for this entry's own. */
 export class WholeBudgetSlot extends BudgetSlot {
-  override heldNumber(): number {
-    return 0;
+  override held(): HeldShare {
+    return {term: 1, shares: 1};
   }
 
-  override get slots(): number {
-    return 1;
-  }
+  override start(): void {}
+
+  override onPeriod(): void {}
+
+  override async stop(): Promise<void> {}
 }
 
 /** Takes no request for a suspect. */
--- a/packages/entry/src/container.ts
+++ b/packages/entry/src/container.ts
@@ -3,7 +3,12 @@
 import {randomInt} from 'node:crypto';
 import {OperatorServer, type Settings} from '@wasabidyke/operator';
 import {createIncarnation} from '@wasabidyke/peer';
-import {EmbeddedStore, EtcdStore, type Store} from '@wasabidyke/platform';
+import {
+  EmbeddedStore,
+  EtcdStore,
+  NumberedLease,
+  type Store,
+} from '@wasabidyke/platform';
 import {
   CrashGuard,
   RetryBudget,
@@ -34,7 +39,8 @@
 import {registerPeers, type PeerCradle} from './peer-container.js';
 import {EntryList} from './control/entry-list.js';
 import {EntryLifeCycle} from './control/entry-state.js';
-import {BudgetSlot, LoadWatch} from './control/load-watch.js';
+import {LeasedBudgetSlot, type BudgetSlot} from './control/budget-slot.js';
+import {LoadWatch} from './control/load-watch.js';
 import {LoneDirectory} from './control/lone-directory.js';
 import {
   ManifestKeeper,
@@ -94,6 +100,8 @@
   onceHandler: OnceHandler;
   entryList: EntryList;
   callerListener: CallerListener;
+  /** Whether this entry watches the platform for its region. */
+  isWatcher: () => boolean;
   budgetSlot: BudgetSlot;
   loadWatch: LoadWatch;
   operatorFacade: OperatorFacade;
@@ -124,6 +132,17 @@
 /** Calls to the store that one entry may make. */
 const STORE_CALLS_PER_SECOND = 10;
 
+/** How long a part of the load-watch budget outlives its holder. */
+const SLOT_TIME_TO_LIVE_SECONDS = 30;
+
+/** Taken off the lease, for clocks that run at different rates. */
+const SLOT_MARGIN_MS = 1_000;
+
+const SLOT_STEP_MS = 8_000;
+
+/** An entry that hears of nothing has read the store or lost its lease by then. */
+const SLOT_SETTLE_MS = 45_000;
+
 const SEED_BOUND = 2 ** 31;
 
 /** Wires an entry. */
@@ -182,7 +201,15 @@
     ).singleton(),
     store: asFunction(createStore).singleton(),
     source: asFunction(
-      ({store, keeper}: EntryCradle) => new StoreManifestSource(store, keeper),
+      ({store, keeper, isWatcher, clock, metrics, reporter}: EntryCradle) =>
+        new StoreManifestSource({
+          store,
+          keeper,
+          isWatcher,
+          clock,
+          metrics,
+          reporter,
+        }),
     ).singleton(),
     departures: asFunction(() => new Departures()).singleton(),
     departurePublisher: asFunction(
@@ -212,7 +239,8 @@
     entryList: asFunction(
       ({directory, random}: EntryCradle) => new EntryList(directory, random),
     ).singleton(),
-    budgetSlot: asFunction(() => new NoBudgetSlot()).singleton(),
+    isWatcher: asValue(() => true),
+    budgetSlot: asFunction(createBudgetSlot).singleton(),
     loadWatch: asFunction(
       (cradle: EntryCradle) =>
         new LoadWatch({
@@ -223,6 +251,7 @@
           random: cradle.random,
           metrics: cradle.metrics,
           onLeavingSignal: handle => cradle.departureTracker.onSignal(handle),
+          onReturn: handle => cradle.departureTracker.onReturn(handle),
         }),
     ).singleton(),
   });
@@ -353,6 +382,23 @@
   });
 }
 
+function createBudgetSlot(cradle: EntryCradle): BudgetSlot {
+  const {store, clock, metrics, reporter, settings, incarnation} = cradle;
+  const lease = new NumberedLease({
+    store,
+    clock,
+    name: 'load-watch',
+    holder: `${settings.name}.${incarnation}`,
+    timeToLiveSeconds: SLOT_TIME_TO_LIVE_SECONDS,
+    marginMs: SLOT_MARGIN_MS,
+    stepMs: SLOT_STEP_MS,
+    settleMs: SLOT_SETTLE_MS,
+    metrics,
+    reporter,
+  });
+  return new LeasedBudgetSlot(lease, cradle.keeper, cradle.directory);
+}
+
 function createLoneDirectory(cradle: EntryCradle): MemberDirectory {
   return new LoneDirectory({
     entry: cradle.settings.name,
@@ -366,17 +412,6 @@
   });
 }
 
-/** Holds no part of the budget: only what answers report is watched. */
-class NoBudgetSlot extends BudgetSlot {
-  override heldNumber(): undefined {
-    return undefined;
-  }
-
-  override get slots(): number {
-    return 1;
-  }
-}
-
 /** There are no other entries to tell. */
 class NoDeparturePublisher extends DeparturePublisher {
   override publishDeparture(): void {}
--- a/packages/entry/src/control/load-watch.ts
+++ b/packages/entry/src/control/load-watch.ts
@@ -18,18 +18,10 @@
 import {UPSTREAM_STATE_HEADER} from '../data-path/headers.js';
 import type {UpstreamHandle} from '../upstreams/upstream-handle.js';
 import type {UpstreamRegistry} from '../upstreams/upstream-registry.js';
+import type {BudgetSlot} from './budget-slot.js';
 import type {ManifestKeeper} from './manifest-keeper.js';
 
-/** Tells whether this entry holds a part of the budget. */
-export abstract class BudgetSlot {
-  /** The number of the slot held for certain at `nowMs`; undefined without one. */
-  abstract heldNumber(nowMs: number): number | undefined;
-
-  /** Of how many slots the held one is. */
-  abstract get slots(): number;
-}
-
-/** Told that an upstream said that it is leaving. */
+/** Told what an upstream says of its leaving. */
 export type LeavingListener = (handle: UpstreamHandle) => void;
 
 /** What watching needs. */
@@ -41,6 +33,8 @@
   readonly random: RandomSource;
   readonly metrics: MetricRegistry;
   readonly onLeavingSignal: LeavingListener;
+  /** Told when an upstream that had said so answers without saying so. */
+  readonly onReturn: LeavingListener;
 }
 
 /** How often gaps are looked for, in milliseconds. */
@@ -52,6 +46,9 @@
 /** A report older than this leaves a gap when cost weighs more, in milliseconds. */
 const COST_FIRST_AGE_MS = 10_000;
 
+/** An upstream that said that it is leaving is asked again after this time, in milliseconds. */
+const LEAVING_AGE_MS = 10_000;
+
 /** Tokens of how many milliseconds may be saved up. */
 const SAVED_MS = 1_000;
 
@@ -78,7 +75,7 @@
   #spentBytes = 0;
   #spentCrossRegionBytes = 0;
   #underWay = 0;
-  #heldNumber: number | undefined;
+  #term: number | undefined;
   #timer: NodeJS.Timeout | undefined;
 
   constructor(options: LoadWatchOptions) {
@@ -132,8 +129,8 @@
 
   #toShare(budget: LoadWatchRates): LoadWatchRates {
     const {slot, clock} = this.#options;
-    const isHeld = slot.heldNumber(clock.now()) !== undefined;
-    const part = isHeld ? 1 / slot.slots : 0;
+    const held = slot.held(clock.now());
+    const part = held === undefined ? 0 : 1 / held.shares;
     return {
       requestsPerSecond: budget.requestsPerSecond * part,
       bytesPerSecond: budget.bytesPerSecond * part,
@@ -166,9 +163,9 @@
     this.#requests.applyRate(share.requestsPerSecond, nowMs);
     this.#bytes.applyRate(share.bytesPerSecond, nowMs);
     this.#crossRegionBytes.applyRate(share.crossRegionBytesPerSecond, nowMs);
-    const held = slot.heldNumber(nowMs);
-    if (held !== this.#heldNumber) {
-      this.#heldNumber = held;
+    const term = slot.held(nowMs)?.term;
+    if (term !== this.#term) {
+      this.#term = term;
       this.#requests.clear(nowMs);
       this.#bytes.clear(nowMs);
       this.#crossRegionBytes.clear(nowMs);
@@ -176,12 +173,14 @@
   }
 
   #hasGap(handle: UpstreamHandle, ageMs: number): boolean {
-    if (handle.state !== 'live') {
+    const isDraining = handle.state === 'draining';
+    if (handle.state !== 'live' && !isDraining) {
       return false;
     }
     const {report} = handle.load;
     const nowMs = this.#options.clock.now();
-    return report === undefined || nowMs - report.madeAtMs > ageMs;
+    const limitMs = isDraining ? LEAVING_AGE_MS : ageMs;
+    return report === undefined || nowMs - report.madeAtMs > limitMs;
   }
 
   #probeWithinBudget(handle: UpstreamHandle, isCostFirst: boolean): void {
@@ -198,7 +197,7 @@
 
   #charge(isRemote: boolean): boolean {
     const nowMs = this.#options.clock.now();
-    if (this.#options.slot.heldNumber(nowMs) === undefined) {
+    if (this.#options.slot.held(nowMs) === undefined) {
       return false;
     }
     const hasRoom =
@@ -237,6 +236,8 @@
       }
       if (answer.headers[UPSTREAM_STATE_HEADER] === 'leaving') {
         this.#options.onLeavingSignal(handle);
+      } else if (answer.statusCode === 200) {
+        this.#options.onReturn(handle);
       }
     } catch {
       // A probe that fails says nothing that requests don't say better.
--- a/packages/entry/src/control/store-manifest-source.ts
+++ b/packages/entry/src/control/store-manifest-source.ts
@@ -1,106 +1,139 @@
 /** The manifest in the platform's store. */
 
-import {
-  createManifestRecord,
-  parseManifest,
-  parseManifestRecord,
-} from '@wasabidyke/manifest';
+import type {ManifestRecord} from '@wasabidyke/manifest';
 import type {ManifestSubmission, SubmissionAnswer} from '@wasabidyke/operator';
-import type {Store, StoreValue, Watch} from '@wasabidyke/platform';
+import {
+  ManifestRepository,
+  ManifestWatch,
+  type Store,
+} from '@wasabidyke/platform';
+import {
+  SECOND_MS,
+  type Clock,
+  type MetricRegistry,
+  type Reporter,
+} from '@wasabidyke/shared';
 import type {ManifestKeeper} from './manifest-keeper.js';
 import {ManifestSource} from './manifest-source.js';
 
-const MANIFEST_KEY = 'manifest';
-const RETRY_MS = 500;
+/** What the source needs. */
+export interface StoreManifestSourceOptions {
+  readonly store: Store;
+  readonly keeper: ManifestKeeper;
+  /** Whether this entry watches the store for its region; the others hear from it. */
+  readonly isWatcher: () => boolean;
+  readonly clock: Clock;
+  readonly metrics: MetricRegistry;
+  readonly reporter: Reporter;
+}
+
+/** How long a submission tries to learn its outcome, in milliseconds. */
+const SETTLE_TIMEOUT_MS = 8_000;
+
+/** Time between readings while a watch stands, in milliseconds. */
+const POLL_MS = 30 * SECOND_MS;
+
+/** An entry that doesn't watch reads once in this many seconds, should no other tell it. */
+const SELDOM_SECONDS = 30;
+
+const SHORTEST_BACK_OFF_MS = 250;
+const LONGEST_BACK_OFF_MS = 4 * SECOND_MS;
 
 /** Brings the manifest from the store. */
 export class StoreManifestSource extends ManifestSource {
-  readonly #store: Store;
-  readonly #keeper: ManifestKeeper;
-  #watch: Watch | undefined;
-  #timer: NodeJS.Timeout | undefined;
+  readonly #options: StoreManifestSourceOptions;
+  readonly #repository: ManifestRepository;
+  #watch: ManifestWatch | undefined;
+  #seconds = 0;
 
-  constructor(store: Store, keeper: ManifestKeeper) {
+  constructor(options: StoreManifestSourceOptions) {
     super();
-    this.#store = store;
-    this.#keeper = keeper;
+    this.#options = options;
+    this.#repository = new ManifestRepository({
+      store: options.store,
+      clock: options.clock,
+      settleTimeoutMs: SETTLE_TIMEOUT_MS,
+      newestKnown: () => options.keeper.record,
+    });
   }
 
   override start(): void {
-    this.#watch = this.#store.watch(MANIFEST_KEY, {
-      onStart: () => void this.#read(),
-      onValue: value => void this.#offer(value),
-      onEnd: () => this.#scheduleStart(),
-    });
-    void this.#read();
+    this.#startWatch();
+  }
+
+  override onPeriod(): void {
+    this.#seconds += 1;
+    const isNeeded =
+      this.#options.isWatcher() || this.#options.keeper.revision === 0;
+    if (isNeeded && this.#watch === undefined) {
+      this.#startWatch();
+    } else if (!isNeeded) {
+      this.#endWatch();
+      if (this.#seconds % SELDOM_SECONDS === 0) {
+        void this.#read();
+      }
+    }
   }
 
   override async submit(
     submission: ManifestSubmission,
   ): Promise<SubmissionAnswer> {
-    const parsed = parseManifest('manifest', submission.body);
-    if (parsed.isErr()) {
-      return {outcome: 'rejected', findings: [...parsed.error]};
+    const outcome = await this.#repository.submit(submission);
+    const isAccepted =
+      outcome.outcome === 'accepted' || outcome.outcome === 'already-accepted';
+    if (isAccepted) {
+      await this.#read();
     }
-    const present = await this.#store.read(MANIFEST_KEY);
-    if (present.isErr()) {
-      return {outcome: 'unknown', message: present.error.message};
-    }
-    const presentRevision = this.#offer(present.value);
-    if (presentRevision !== submission.basedOn) {
-      return {outcome: 'superseded', presentRevision};
-    }
-    const revision = presentRevision + 1;
-    const record = createManifestRecord(
-      revision,
-      submission.submission,
-      submission.body,
-    );
-    const swapped = await this.#store.compareAndSwap({
-      key: MANIFEST_KEY,
-      expectedVersion: present.value?.version ?? 0,
-      value: JSON.stringify(record),
-    });
-    if (swapped.isErr()) {
-      return {outcome: 'unknown', message: swapped.error.message};
-    }
-    if (!swapped.value.isSwapped) {
-      return {outcome: 'superseded', presentRevision: revision};
-    }
-    this.#keeper.offer(record, 'an operator');
-    return {outcome: 'accepted', revision};
+    return outcome;
   }
 
   override async stop(): Promise<void> {
-    clearTimeout(this.#timer);
+    this.#endWatch();
+    await this.#options.store.close();
+  }
+
+  #startWatch(): void {
+    const {store, keeper, metrics, reporter} = this.#options;
+    this.#watch = new ManifestWatch({
+      store,
+      listener: {
+        onRecord: record => void keeper.offer(record, 'the store'),
+        onOlder: newest => void this.#restore(newest),
+      },
+      newestKnown: () => keeper.record,
+      pollMs: POLL_MS,
+      backoff: {
+        minimumMs: SHORTEST_BACK_OFF_MS,
+        maximumMs: LONGEST_BACK_OFF_MS,
+      },
+      metrics,
+      reporter,
+    });
+    this.#watch.start();
+  }
+
+  #endWatch(): void {
     this.#watch?.close();
-    await this.#store.close();
+    this.#watch = undefined;
   }
 
   async #read(): Promise<void> {
-    const value = await this.#store.read(MANIFEST_KEY);
-    if (value.isOk()) {
-      this.#offer(value.value);
-    } else {
-      this.#scheduleStart();
+    const read = await this.#repository.read();
+    if (read.isOk() && read.value !== undefined) {
+      this.#options.keeper.offer(read.value, 'the store');
     }
   }
 
-  #scheduleStart(): void {
-    clearTimeout(this.#timer);
-    this.#timer = setTimeout(() => {
-      this.#watch?.close();
-      this.start();
-    }, RETRY_MS);
-  }
-
-  /** Returns the revision that stands in the store; 0 for none. */
-  #offer(value: StoreValue | undefined): number {
-    const record = value && parseManifestRecord(value.value);
-    if (record === undefined) {
-      return 0;
+  /** A store that lost an accepted manifest gets it back, so that entries that start later find it. */
+  async #restore(newest: ManifestRecord): Promise<void> {
+    const restored = await this.#repository.restore(newest);
+    if (restored.isOk() && restored.value) {
+      this.#options.reporter.report({
+        level: 'warn',
+        code: 'manifest.restored',
+        subject: `revision ${newest.revision}`,
+        message: 'The store had lost it and was given it back.',
+      });
     }
-    this.#keeper.offer(record, 'the store');
-    return record.revision;
   }
 }
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -46,6 +46,7 @@
     await group.start();
     source.start();
     loadWatch.start();
+    this.#cradle.budgetSlot.start();
     this.#periodTimer = setInterval(() => this.#onPeriod(), PERIOD_MS);
   }
 
@@ -93,6 +94,7 @@
       this.#cradle;
     clearInterval(this.#periodTimer);
     loadWatch.stop();
+    await this.#cradle.budgetSlot.stop();
     await group.stop();
     await source.stop();
     await forwarder.close();
@@ -109,10 +111,13 @@
   }
 
   #onPeriod(): void {
-    const {ledger, adopted, group, callerListener} = this.#cradle;
+    const {ledger, adopted, group, callerListener, source, budgetSlot} =
+      this.#cradle;
     ledger.sweep();
     adopted.sweep();
     group.onPeriod(callerListener.inFlight);
+    source.onPeriod();
+    budgetSlot.onPeriod();
   }
 
   /** Without a platform, the first manifest comes from a file. */
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -5,7 +5,7 @@
   type EntryContainer,
   type EntryCradle,
 } from './container.js';
-export {BudgetSlot} from './control/load-watch.js';
+export {BudgetSlot, type HeldShare} from './control/budget-slot.js';
 export {RevisionGuard} from './control/manifest-keeper.js';
 export {AnswerSink, type FlowControl} from './data-path/answer-sink.js';
 export {
--- a/packages/entry/src/peer-container.ts
+++ b/packages/entry/src/peer-container.ts
@@ -31,6 +31,11 @@
 export function registerPeers(container: EntryContainer): void {
   registerTalk(container);
   container.register({
+    isWatcher: asFunction(
+      ({peerTask}: EntryCradle) =>
+        () =>
+          peerTask.isGateway(),
+    ).singleton(),
     directory: asFunction(
       ({peerTask}: EntryCradle) => new PeerDirectory(peerTask),
     ).singleton(),
