--- a/packages/entry/src/data-path/dispatcher.ts
+++ b/packages/entry/src/data-path/dispatcher.ts
@@ -13,8 +13,8 @@
 } from '@wasabidyke/policy';
 import type {Clock, Outcome} from '@wasabidyke/shared';
 import type {
-  AcquireRefusal,
   AcquireRequest,
+  AcquireResult,
   ServicePool,
 } from '../upstreams/service-pool.js';
 import type {UpstreamHandle} from '../upstreams/upstream-handle.js';
@@ -170,39 +170,40 @@
       return this.#fail('no-upstream', 'The service has just been removed.');
     }
     const acquired = await this.#acquire(pool);
-    if (typeof acquired === 'string') {
-      return acquired === 'cancelled'
+    if (acquired.kind === 'refused') {
+      return acquired.reason === 'cancelled'
         ? {kind: 'broken-off'}
-        : this.#fail(acquired, 'No upstream had room in time.');
+        : this.#fail(acquired.reason, 'No upstream had room in time.');
     }
-    return this.#runAt(pool, acquired);
+    return this.#runAt(pool, acquired.handle, acquired.startedAtMs);
   }
 
-  async #acquire(pool: ServicePool): Promise<UpstreamHandle | AcquireRefusal> {
+  async #acquire(pool: ServicePool): Promise<AcquireResult> {
     if (this.#isCancelled) {
-      return 'cancelled';
+      return {kind: 'refused', reason: 'cancelled'};
     }
     const {rule, deadlineMs} = this.#job;
     const excluded = this.#excluded;
     const request: AcquireRequest = {rule, deadlineMs, excluded};
     const handle = pool.waiting === 0 ? pool.tryAcquire(request) : undefined;
     if (handle !== undefined) {
-      handle.onStart();
-      return handle;
+      const startedAtMs = this.#options.clock.now();
+      handle.onStart(startedAtMs);
+      return {kind: 'acquired', handle, startedAtMs};
     }
     const ticket = pool.wait(request);
     this.#cancelWait = ticket.cancel;
     const result = await ticket.result;
     this.#cancelWait = undefined;
-    return result.kind === 'acquired' ? result.handle : result.reason;
+    return result;
   }
 
   async #runAt(
     pool: ServicePool,
     handle: UpstreamHandle,
+    startedAtMs: number,
   ): Promise<DispatchResult | undefined> {
     const {clock} = this.#options;
-    const startedAtMs = clock.now();
     const attempt = new Attempt({
       dispatcher: handle.pool,
       request: this.#job.request,
@@ -211,7 +212,7 @@
     });
     this.#attempt = attempt;
     attempt.start();
-    if (this.#isCancelled || startedAtMs >= this.#job.deadlineMs) {
+    if (this.#isOver()) {
       attempt.giveUp();
     }
     const result = await attempt.result;
--- a/packages/entry/src/upstreams/service-pool.ts
+++ b/packages/entry/src/upstreams/service-pool.ts
@@ -3,6 +3,7 @@
 import type {RequestRule, Service} from '@wasabidyke/manifest';
 import {
   AdmissionQueue,
+  type LocalityFilter,
   type Selection,
   type UpstreamLoad,
   type Waiting,
@@ -16,7 +17,12 @@
 
 /** The upstream to use, or why there is none. */
 export type AcquireResult =
-  | {readonly kind: 'acquired'; readonly handle: UpstreamHandle}
+  | {
+      readonly kind: 'acquired';
+      readonly handle: UpstreamHandle;
+      /** When the request was counted as under way there. */
+      readonly startedAtMs: number;
+    }
   | {readonly kind: 'refused'; readonly reason: AcquireRefusal};
 
 /** A request that looks for an upstream. */
@@ -33,6 +39,14 @@
   cancel(): void;
 }
 
+/** What a pool is made of. */
+export interface ServicePoolOptions {
+  readonly service: Service;
+  readonly selection: Selection;
+  readonly locality: LocalityFilter;
+  readonly clock: Clock;
+}
+
 /** Weight of the newest interval between two ends of requests. */
 const INTERVAL_WEIGHT = 0.05;
 
@@ -47,15 +61,18 @@
   readonly #clock: Clock;
   readonly #queue: AdmissionQueue<Waiter>;
   readonly #handlesByLoad = new Map<UpstreamLoad, UpstreamHandle>();
+  readonly #locality: LocalityFilter;
   #selection: Selection;
   #handles: readonly UpstreamHandle[] = [];
   #lastEndMs: number | undefined;
   #endIntervalMs = 0;
   #latencyMs = 0;
 
-  constructor(service: Service, selection: Selection, clock: Clock) {
+  constructor(options: ServicePoolOptions) {
+    const {service, selection, locality, clock} = options;
     this.#clock = clock;
     this.#selection = selection;
+    this.#locality = locality;
     this.#queue = new AdmissionQueue(service.queueLimit);
   }
 
@@ -86,19 +103,18 @@
 
   /** Finds an upstream with room now. */
   tryAcquire(request: AcquireRequest): UpstreamHandle | undefined {
-    const nearby: UpstreamLoad[] = [];
-    const remote: UpstreamLoad[] = [];
+    const mayLeaveRegion = request.rule.regions !== 'local-only';
+    const candidates: UpstreamLoad[] = [];
     for (const handle of this.#handles) {
-      if (!handle.isEligible || request.excluded.has(handle)) {
-        continue;
+      const isInReach =
+        mayLeaveRegion || handle.load.distance !== 'other-region';
+      if (isInReach && handle.isEligible && !request.excluded.has(handle)) {
+        candidates.push(handle.load);
       }
-      const isRemote = handle.load.distance === 'other-region';
-      (isRemote ? remote : nearby).push(handle.load);
     }
     const nowMs = this.#clock.now();
-    const mayLeaveRegion = request.rule.regions !== 'local-only';
-    const candidates = nearby.length > 0 || !mayLeaveRegion ? nearby : remote;
-    const load = this.#selection.select(candidates, nowMs);
+    const near = this.#locality.filter(candidates, nowMs);
+    const load = this.#selection.select(near, nowMs);
     return load === undefined ? undefined : this.#handlesByLoad.get(load);
   }
 
@@ -136,8 +152,9 @@
         continue;
       }
       // The settled request starts in a later microtask: take its place now.
-      this.#settle(waiter, {kind: 'acquired', handle});
-      handle.onStart();
+      const startedAtMs = this.#clock.now();
+      this.#settle(waiter, {kind: 'acquired', handle, startedAtMs});
+      handle.onStart(startedAtMs);
     }
   }
 
--- a/packages/entry/src/upstreams/upstream-handle.ts
+++ b/packages/entry/src/upstreams/upstream-handle.ts
@@ -121,14 +121,14 @@
     }
   }
 
-  /** A request is about to be sent. */
-  onStart(): void {
-    this.load.onStart();
+  /** A request is about to be sent. @param nowMs Its start; `onEnd` counts from there. */
+  onStart(nowMs: number): void {
+    this.load.onStart(nowMs);
   }
 
   /** A request has ended after `durationMs`. */
   onEnd(end: AttemptEnd, durationMs: number): void {
-    this.load.onEnd(end, durationMs);
+    this.load.onEnd(end, durationMs, this.#options.clock.now());
     if (end === 'failed') {
       this.#onFailure(FAILURE_LIMIT);
     } else if (end !== 'cancelled') {
@@ -138,13 +138,13 @@
 
   /** The upstream answered with an error of its own: it counts against selecting it, but doesn't eject it. */
   onErrorAnswer(durationMs: number): void {
-    this.load.onEnd('failed', durationMs);
+    this.load.onEnd('failed', durationMs, this.#options.clock.now());
     this.#onSuccess();
   }
 
   /** A connection could not be opened: the upstream is not there. */
   onUnreachable(durationMs: number): void {
-    this.load.onEnd('failed', durationMs);
+    this.load.onEnd('failed', durationMs, this.#options.clock.now());
     this.#onFailure(1);
   }
 
@@ -169,7 +169,9 @@
   #onSuccess(): void {
     this.#failures = 0;
     this.#backOffMs = SHORTEST_BACK_OFF_MS;
-    this.#lifeCycle.trigger('SUCCEED');
+    if (this.#lifeCycle.trigger('SUCCEED')) {
+      this.load.beginRamp(this.#options.clock.now());
+    }
   }
 
   #onFailure(limit: number): void {
--- a/packages/entry/src/upstreams/upstream-registry.ts
+++ b/packages/entry/src/upstreams/upstream-registry.ts
@@ -3,8 +3,10 @@
 import type {Service, Snapshot, Upstream} from '@wasabidyke/manifest';
 import {
   createSelection,
+  LocalityFilter,
   type Distance,
   type RandomSource,
+  type Selection,
 } from '@wasabidyke/policy';
 import type {Clock, Reporter} from '@wasabidyke/shared';
 import {ServicePool} from './service-pool.js';
@@ -86,8 +88,7 @@
     const pool = this.#pools.get(service.name);
     const isSamePolicy = this.#policies.get(service.name) === service.policy;
     const selection = createSelection(service.policy, this.#options.random);
-    const present =
-      pool ?? new ServicePool(service, selection, this.#options.clock);
+    const present = pool ?? this.#createPool(service, selection);
     const handles = this.#reconcile(service, present, snapshot);
     present.apply(service, isSamePolicy ? undefined : selection, handles);
     this.#pools.set(service.name, present);
@@ -110,7 +111,7 @@
       const handle = known.get(toIdentity(upstream));
       known.delete(toIdentity(upstream));
       handle?.applyUpstream(upstream, limit);
-      return handle ?? this.#createHandle(service, upstream, limit);
+      return handle ?? this.#addHandle(service, upstream, limit, pool);
     });
     for (const removed of known.values()) {
       void removed.remove();
@@ -118,6 +119,26 @@
     return handles;
   }
 
+  #createPool(service: Service, selection: Selection): ServicePool {
+    const {random, clock} = this.#options;
+    const locality = new LocalityFilter(random);
+    return new ServicePool({service, selection, locality, clock});
+  }
+
+  /** An upstream that joins others may be cold: its share of the work rises. */
+  #addHandle(
+    service: Service,
+    upstream: Upstream,
+    connectionLimit: number,
+    pool: ServicePool,
+  ): UpstreamHandle {
+    const handle = this.#createHandle(service, upstream, connectionLimit);
+    if (pool.handles.length > 0) {
+      handle.load.beginRamp(this.#options.clock.now());
+    }
+    return handle;
+  }
+
   #createHandle(
     service: Service,
     upstream: Upstream,
