test(platform): judge the frozen holder by the times of its readings

The reading may have been taken before the freeze and written after it, or the machine may have been so busy that the second process lost its lease and the first won it back; the old check allowed neither and could not tell them from a fault.

Readings now carry the time at which they were taken, on the monotonic clock that all processes share, and the spans in which each process held the slot, one for each term, must not overlap. That is stricter: it looks at the whole run, not at 50 readings.

--- a/features/platform/numbered-lease.feature
+++ b/features/platform/numbered-lease.feature
@@ -119,4 +119,5 @@
       When process "p" is frozen
       Then process "q" holds the slot
       When process "p" is resumed
-      Then none of the next 50 readings of process "p" shows a slot
+      And process "p" gives 50 further readings
+      Then at no time did both hold the slot
--- a/features/support/slot-holder.ts
+++ b/features/support/slot-holder.ts
@@ -1,10 +1,11 @@
 /** A process that holds a numbered slot and prints readings of it as JSON lines. */
 
 import {fileURLToPath} from 'node:url';
-import {EtcdStore, NumberedLease} from '@wasabidyke/platform';
+import {EtcdStore, NumberedLease, type HeldSlot} from '@wasabidyke/platform';
 import {MetricRegistry, SystemClock} from '@wasabidyke/shared';
 import {KEY_PREFIX, RecordingReporter} from './store-context.js';
 
+const NANOSECONDS_PER_MILLISECOND = 1e6;
 const READING_MS = 20;
 const STEP_MS = 200;
 const MARGIN_MS = 200;
@@ -12,8 +13,10 @@
 
 /** One reading of a slot. */
 export interface SlotReading {
+  /** Taken just before the reading, on the machine's monotonic clock, which all processes share. */
+  readonly atMs: number;
   /** The slot that is held; null for none. */
-  readonly number: number | null;
+  readonly slot: HeldSlot | null;
 }
 
 /** File of this process's program. */
@@ -55,7 +58,8 @@
   lease.setCount({count, isSettled: true});
   lease.start();
   setInterval(() => {
-    const number = lease.heldNumber(clock.now()) ?? null;
-    process.stdout.write(`${JSON.stringify({number})}\n`);
+    const atMs = Number(process.hrtime.bigint()) / NANOSECONDS_PER_MILLISECOND;
+    const reading = {atMs, slot: lease.held(clock.now()) ?? null};
+    process.stdout.write(`${JSON.stringify(reading)}\n`);
   }, READING_MS);
 }
--- a/features/support/slot-process.ts
+++ b/features/support/slot-process.ts
@@ -7,14 +7,24 @@
 import {eventually} from './eventually.js';
 import {SLOT_HOLDER_FILE, type SlotReading} from './slot-holder.js';
 
+/** A time during which a process held a slot in one term. */
+export interface HeldSpan {
+  readonly holder: string;
+  readonly number: number;
+  readonly firstMs: number;
+  readonly lastMs: number;
+}
+
 /** A process that holds a slot or searches for one. */
 export class SlotProcess {
   readonly #child: ChildProcess;
-  #latest: SlotReading = {number: null};
+  readonly #name: string;
+  readonly #spans = new Map<number, HeldSpan>();
+  #latest: SlotReading = {atMs: 0, slot: null};
   #count = 0;
-  #heldCount = 0;
 
-  constructor(options: readonly string[]) {
+  constructor(name: string, options: readonly string[]) {
+    this.#name = name;
     this.#child = spawn(process.execPath, [SLOT_HOLDER_FILE, ...options], {
       stdio: ['ignore', 'pipe', 'inherit'],
     });
@@ -23,8 +33,13 @@
   }
 
   /** The slot of the latest reading. */
-  get number(): number | null {
-    return this.#latest.number;
+  get number(): number | undefined {
+    return this.#latest.slot?.number;
+  }
+
+  /** The spans in which it held a slot, one for each term. */
+  get spans(): readonly HeldSpan[] {
+    return [...this.#spans.values()];
   }
 
   /** Sends a signal to the process. */
@@ -32,12 +47,10 @@
     assert.ok(this.#child.kill(name));
   }
 
-  /** Waits for `count` further readings and returns how many of them showed a slot. */
-  async countHeld(count: number): Promise<number> {
+  /** Waits for `count` further readings. */
+  async read(count: number): Promise<void> {
     const end = this.#count + count;
-    const heldBefore = this.#heldCount;
     await eventually(`${count} readings`, () => this.#count >= end);
-    return this.#heldCount - heldBefore;
   }
 
   /** Ends the process and waits until it is gone. */
@@ -51,6 +64,11 @@
   #take(line: string): void {
     this.#latest = JSON.parse(line) as SlotReading;
     this.#count += 1;
-    this.#heldCount += this.#latest.number === null ? 0 : 1;
+    const {atMs, slot} = this.#latest;
+    if (slot !== null) {
+      const firstMs = this.#spans.get(slot.term)?.firstMs ?? atMs;
+      const span = {holder: this.#name, number: slot.number, firstMs};
+      this.#spans.set(slot.term, {...span, lastMs: atMs});
+    }
   }
 }
