--- a/cucumber.mjs
+++ b/cucumber.mjs
@@ -6,4 +6,5 @@
   format: ['progress', 'json:.runs/features.json'],
   parallel: 3,
   strict: true,
+  forceExit: true,
 };
