--- a/packages/platform/src/manifest-submission.ts
+++ b/packages/platform/src/manifest-submission.ts
@@ -1,9 +1,11 @@
 /** The decisions about a submitted manifest, apart from the store. */
 
 import {
+  MAXIMUM_MANIFEST_BYTES,
   checkSuccession,
   createManifestRecord,
   listSubmissions,
+  manifestRecordSchema,
   parseManifest,
   toDigest,
   type Manifest,
@@ -56,6 +58,8 @@
 export type Judgement =
   | {readonly kind: 'swap'}
   | {readonly kind: 'retry'}
+  /** What was read may be stale; a swap must show what stands. */
+  | {readonly kind: 'confirm'}
   | {readonly kind: 'outcome'; readonly outcome: SubmissionOutcome};
 
 /** Checks a submission by itself. */
@@ -68,25 +72,28 @@
   }
   const {basedOn, submission: identity, body} = submission;
   const record = createManifestRecord(basedOn + 1, identity, body);
-  const bytes = Buffer.byteLength(JSON.stringify(record));
-  const limit = MAXIMUM_VALUE_BYTES - EARLIER_SUBMISSIONS_BYTES;
-  if (bytes > limit) {
-    const message = `The manifest takes ${bytes} bytes in the store, more than ${limit}; shorten it.`;
-    return Err([toFinding('manifest-too-large', message)]);
-  }
-  return parsed;
+  const finding = checkSize(record) ?? checkReadable(record);
+  return finding === undefined ? parsed : Err([finding]);
+}
+
+/** What a run of a submission knows besides the record. */
+export interface SubmissionState {
+  /** Whether this run has sent a write that may have taken effect. */
+  readonly wasSent: boolean;
+  /** Whether the record was shown by a swap, so that it cannot be stale. */
+  readonly isFresh: boolean;
 }
 
 /**
  * Judges a checked submission against the newest accepted record. A
  * submission based on revision r can only ever become revision r + 1, so the
- * submission remembered there decides.
- * @param wasSent Whether this run has sent a write that may have taken effect.
+ * submission remembered there decides. A stale reading can show less than what
+ * stands, so it may not refuse a base that it does not know.
  */
 export function judgeSubmission(
   submission: ManifestSubmission,
   base: ManifestRecord | undefined,
-  wasSent: boolean,
+  {wasSent, isFresh}: SubmissionState,
 ): Judgement {
   const accepted = base === undefined ? [] : listSubmissions(base);
   const known = accepted.find(
@@ -96,11 +103,19 @@
     return judgeKnown(submission, known, wasSent);
   }
   const presentRevision = base?.revision ?? 0;
+  if (submission.basedOn > presentRevision && !isFresh) {
+    return {kind: 'confirm'};
+  }
   if (submission.basedOn > presentRevision) {
     return wasSent ? {kind: 'retry'} : refuseBase(submission, presentRevision);
   }
   if (submission.basedOn < presentRevision) {
-    return judgeLate(submission, accepted[0].revision, presentRevision);
+    return judgeLate(
+      submission,
+      accepted[0].revision,
+      presentRevision,
+      wasSent,
+    );
   }
   return judgeSuccession(submission, base);
 }
@@ -113,6 +128,26 @@
   return (left?.revision ?? 0) >= (right?.revision ?? 0) ? left : right;
 }
 
+function checkSize(record: ManifestRecord): Finding | undefined {
+  const bytes = Buffer.byteLength(JSON.stringify(record));
+  const limit = MAXIMUM_VALUE_BYTES - EARLIER_SUBMISSIONS_BYTES;
+  if (bytes <= limit && record.body.length <= MAXIMUM_MANIFEST_BYTES) {
+    return undefined;
+  }
+  const message = `The manifest takes ${record.body.length} characters and ${bytes} bytes in the store; ${MAXIMUM_MANIFEST_BYTES} and ${limit} are allowed.`;
+  return toFinding('manifest-too-large', message);
+}
+
+/** A record that its readers would refuse must never be written. */
+function checkReadable(record: ManifestRecord): Finding | undefined {
+  const parsed = manifestRecordSchema.safeParse(record);
+  if (parsed.success) {
+    return undefined;
+  }
+  const [{path, message}] = parsed.error.issues;
+  return toFinding('bad-submission', `"${path.join('.')}": ${message}`);
+}
+
 function judgeKnown(
   submission: ManifestSubmission,
   known: {readonly revision: number; readonly digest: string},
@@ -131,6 +166,7 @@
   submission: ManifestSubmission,
   oldestRemembered: number,
   presentRevision: number,
+  wasSent: boolean,
 ): Judgement {
   if (submission.basedOn + 1 >= oldestRemembered) {
     return {kind: 'outcome', outcome: {outcome: 'superseded', presentRevision}};
@@ -138,7 +174,7 @@
   const message = `Revision ${presentRevision} stands, and submissions before revision ${oldestRemembered} are no longer remembered; whether this one was accepted cannot be told.`;
   return {
     kind: 'outcome',
-    outcome: {outcome: 'unknown', wasSent: false, message},
+    outcome: {outcome: 'unknown', wasSent, message},
   };
 }
 
--- a/packages/policy/src/upstream-load.ts
+++ b/packages/policy/src/upstream-load.ts
@@ -22,8 +22,10 @@
   #upstream: Upstream;
   #inFlight = 0;
   #startSumMs = 0;
+  #timed = 0;
   #latencyMs = 0;
-  #latencyAtMs = 0;
+  #latencyAtMs = -Infinity;
+  #lastDurationMs = 0;
   #newestMs = 0;
 
   constructor(upstream: Upstream, distance: Distance) {
@@ -45,7 +47,12 @@
     return this.#latencyMs;
   }
 
-  /** When the newest latency was seen, in milliseconds. */
+  /** Time to the newest answer, in milliseconds; 0 before the first one. */
+  get lastDurationMs(): number {
+    return this.#lastDurationMs;
+  }
+
+  /** When the newest answer came, in milliseconds; -Infinity before the first one. */
   get latencyAtMs(): number {
     return this.#latencyAtMs;
   }
@@ -65,22 +72,28 @@
     this.#share.beginRamp(nowMs);
   }
 
-  /** A request is sent to the upstream. */
-  onStart(nowMs: number = this.#newestMs): void {
-    this.#newestMs = nowMs;
+  /**
+   * A request is sent to the upstream.
+   * @param nowMs This process's monotonic clock; the same is then given to `onEnd`.
+   */
+  onStart(nowMs?: number): void {
     this.#inFlight += 1;
-    this.#startSumMs += nowMs;
+    if (nowMs !== undefined) {
+      this.#newestMs = nowMs;
+      this.#timed += 1;
+      this.#startSumMs += nowMs;
+    }
   }
 
   /** A request to the upstream has ended after `durationMs`. */
-  onEnd(
-    end: AttemptEnd,
-    durationMs: number,
-    nowMs: number = this.#newestMs,
-  ): void {
+  onEnd(end: AttemptEnd, durationMs: number, endMs?: number): void {
+    const nowMs = endMs ?? this.#newestMs;
     this.#newestMs = nowMs;
     this.#inFlight -= 1;
-    this.#startSumMs -= nowMs - durationMs;
+    if (endMs !== undefined) {
+      this.#timed -= 1;
+      this.#startSumMs -= endMs - durationMs;
+    }
     if (end === 'failed') {
       this.#share.onFailure(nowMs);
     } else if (end === 'shed') {
@@ -114,14 +127,15 @@
 
   /** Mean time that the requests in flight have been under way, in milliseconds. */
   meanAgeMs(nowMs: number): number {
-    return this.#inFlight === 0
+    return this.#timed <= 0
       ? 0
-      : Math.max(0, nowMs - this.#startSumMs / this.#inFlight);
+      : Math.max(0, nowMs - this.#startSumMs / this.#timed);
   }
 
   #applyLatency(durationMs: number, nowMs: number): void {
     const weight = this.#latencyMs === 0 ? 1 : LATENCY_WEIGHT;
     this.#latencyMs += weight * (durationMs - this.#latencyMs);
     this.#latencyAtMs = nowMs;
+    this.#lastDurationMs = durationMs;
   }
 }
