--- a/packages/entry/src/data-path/caller-listener.ts
+++ b/packages/entry/src/data-path/caller-listener.ts
@@ -88,11 +88,11 @@
   /** From now on, connections are closed after their answers. */
   startDraining(): void {
     this.#isDraining = true;
-    this.#options.onceHandler.startDraining();
   }
 
   /** Takes no new connections, and resolves once every request under way has ended. */
   async stop(): Promise<void> {
+    this.#options.onceHandler.startDraining();
     const {server} = this.#fastify;
     server.close();
     server.closeIdleConnections();
