--- a/packages/entry/src/data-path/caller-listener.ts
+++ b/packages/entry/src/data-path/caller-listener.ts
@@ -15,6 +15,7 @@
 import type {ManifestKeeper} from '../control/manifest-keeper.js';
 import type {OnceHandler} from '../once/once-handler.js';
 import {createCallerRequest} from './caller-request.js';
+import {ATTEMPT_HEADER, IDEMPOTENCY_KEY_HEADER} from './headers.js';
 import {sendProblem, toProblemBody, toStatus, type Problem} from './problem.js';
 import type {RelayHandler} from './relay-handler.js';
 
@@ -39,7 +40,8 @@
 /** Time for the headers of a request to arrive, in milliseconds. */
 const HEADERS_TIMEOUT_MS = 10_000;
 
-const RETRY_AFTER_SECONDS = 1;
+/** Age of a list of entries before the first manifest, in seconds. */
+const FIRST_LIST_AGE_SECONDS = 1;
 
 const HEADERS_TOO_LARGE_CODE = 'HPE_HEADER_OVERFLOW';
 
@@ -159,13 +161,13 @@
     const {snapshot} = this.#options.keeper;
     if (snapshot === undefined) {
       const detail = 'It waits for its first manifest.';
-      refuse(response, 'not-ready', detail, RETRY_AFTER_SECONDS);
+      refuse(request, response, 'not-ready', detail);
       return;
     }
     const path = toPath(request.url ?? '/');
     const route = snapshot.findRoute(request.method ?? 'GET', path);
     if (typeof route === 'string') {
-      refuse(response, route, MISS_DETAILS[route]);
+      refuse(request, response, route, MISS_DETAILS[route]);
       return;
     }
     const call = createCallerRequest(request, response, snapshot, route, nowMs);
@@ -182,7 +184,7 @@
     const zone = query.get('zone') ?? undefined;
     const maximumAgeSeconds =
       keeper.snapshot?.manifest.entries.listMaximumAgeSeconds ??
-      RETRY_AFTER_SECONDS;
+      FIRST_LIST_AGE_SECONDS;
     const entries = entryList.list({region, zone});
     const body = JSON.stringify({entries, maximumAgeSeconds});
     response.writeHead(200, {
@@ -200,18 +202,20 @@
   'wrong-method': 'Its service has no rule for this method at this path.',
 };
 
+/**
+ * Refuses what has no route here. Another entry may have run an earlier send
+ * of a request with a key, so only its first send was certainly not run.
+ */
 function refuse(
+  request: IncomingMessage,
   response: ServerResponse,
   reason: Problem['reason'],
   detail: string,
-  retryAfterSeconds?: number,
 ): void {
-  sendProblem(response, {
-    reason,
-    outcome: 'not-run',
-    detail,
-    retryAfterSeconds,
-  });
+  const hasKey = request.headers[IDEMPOTENCY_KEY_HEADER] !== undefined;
+  const isFirst = request.headers[ATTEMPT_HEADER] === '1';
+  const outcome = hasKey && !isFirst ? 'unknown' : 'not-run';
+  sendProblem(response, {reason, outcome, detail});
 }
 
 function toPath(url: string): string {
--- a/packages/entry/src/data-path/dispatcher.ts
+++ b/packages/entry/src/data-path/dispatcher.ts
@@ -68,8 +68,6 @@
 /** Attempts that may fail before any byte was sent; they cost upstreams nothing. */
 const MAXIMUM_UNSENT_ATTEMPTS = 4;
 
-const RETRY_AFTER_SECONDS = 1;
-
 /** Sends requests to upstreams. */
 export class RequestDispatcher {
   readonly #options: DispatcherOptions;
@@ -379,9 +377,7 @@
 
   #createProblem(reason: ProblemReason, detail: string): Problem {
     const outcome: Outcome = this.#hasRun ? 'unknown' : 'not-run';
-    const helps = reason !== 'quarantined';
-    const retryAfterSeconds = helps ? RETRY_AFTER_SECONDS : undefined;
-    return {reason, outcome, detail, retryAfterSeconds};
+    return {reason, outcome, detail};
   }
 }
 
--- a/packages/entry/src/data-path/problem.ts
+++ b/packages/entry/src/data-path/problem.ts
@@ -71,7 +71,7 @@
   readonly reason: ProblemReason;
   readonly outcome: Outcome;
   readonly detail: string;
-  /** When coming back helps: after how many seconds. */
+  /** When to come back, in seconds; by default soon for what passes by itself. */
   readonly retryAfterSeconds?: number;
 }
 
@@ -93,6 +93,12 @@
   });
 }
 
+/** After how many seconds to come back where a problem passes by itself. */
+const RETRY_AFTER_SECONDS = 1;
+
+/** Statuses of problems that pass by themselves. */
+const PASSING_STATUSES: ReadonlySet<number> = new Set([503, 504]);
+
 /** Answers with a problem document. The answer must not have begun. */
 export function sendProblem(response: ServerResponse, problem: Problem): void {
   const body = toProblemBody(problem);
@@ -100,8 +106,11 @@
   response.setHeader('content-type', 'application/problem+json');
   response.setHeader('content-length', Buffer.byteLength(body));
   response.setHeader(OUTCOME_HEADER, problem.outcome);
-  if (problem.retryAfterSeconds !== undefined) {
-    response.setHeader('retry-after', problem.retryAfterSeconds);
+  const passes = PASSING_STATUSES.has(response.statusCode);
+  const retryAfterSeconds =
+    problem.retryAfterSeconds ?? (passes ? RETRY_AFTER_SECONDS : undefined);
+  if (retryAfterSeconds !== undefined) {
+    response.setHeader('retry-after', retryAfterSeconds);
   }
   response.end(body);
 }
--- a/packages/entry/src/once/home-forwarder.ts
+++ b/packages/entry/src/once/home-forwarder.ts
@@ -34,8 +34,6 @@
 /** Whole answers up to this size are held, so that a cut one is told as a problem. */
 const HOLD_LIMIT_BYTES = 1_310_720;
 
-const RETRY_AFTER_SECONDS = 1;
-
 /** What the forwarder needs. */
 export interface HomeForwarderOptions {
   readonly entry: string;
@@ -122,7 +120,6 @@
       detail: isNotRun
         ? 'Take a new key with another home.'
         : 'It may have run; ask again later with the same key.',
-      retryAfterSeconds: RETRY_AFTER_SECONDS,
     });
   }
 
--- a/packages/entry/src/once/once-handler.ts
+++ b/packages/entry/src/once/once-handler.ts
@@ -44,8 +44,6 @@
 /** A run may go on for this many times the caller's timeout: its answer is kept for a resend. */
 const RUN_TIMEOUT_FACTOR = 2;
 
-const RETRY_AFTER_SECONDS = 1;
-
 /** What the handler needs. */
 export interface OnceHandlerOptions {
   readonly issuer: HomeTokenIssuer;
@@ -274,12 +272,8 @@
   outcome: Problem['outcome'],
   detail: string,
 ): void {
-  const helps = reason === 'draining' || reason === 'ledger-full';
-  const isRunning = reason === 'deadline-exceeded';
-  const retryAfterSeconds =
-    helps || isRunning ? RETRY_AFTER_SECONDS : undefined;
   if (!call.response.headersSent) {
-    sendProblem(call.response, {reason, outcome, detail, retryAfterSeconds});
+    sendProblem(call.response, {reason, outcome, detail});
   }
 }
 
