--- a/packages/entry/src/upstreams/upstream-handle.ts
+++ b/packages/entry/src/upstreams/upstream-handle.ts
@@ -123,12 +123,12 @@
 
   /** A request is about to be sent. */
   onStart(): void {
-    this.load.onStart();
+    this.load.onStart(this.#options.clock.now());
   }
 
   /** A request has ended after `durationMs`. */
   onEnd(end: AttemptEnd, durationMs: number): void {
-    this.load.onEnd(end, durationMs);
+    this.load.onEnd(end, durationMs, this.#options.clock.now());
     if (end === 'failed') {
       this.#onFailure(FAILURE_LIMIT);
     } else if (end !== 'cancelled') {
@@ -138,13 +138,13 @@
 
   /** The upstream answered with an error of its own: it counts against selecting it, but doesn't eject it. */
   onErrorAnswer(durationMs: number): void {
-    this.load.onEnd('failed', durationMs);
+    this.load.onEnd('failed', durationMs, this.#options.clock.now());
     this.#onSuccess();
   }
 
   /** A connection could not be opened: the upstream is not there. */
   onUnreachable(durationMs: number): void {
-    this.load.onEnd('failed', durationMs);
+    this.load.onEnd('failed', durationMs, this.#options.clock.now());
     this.#onFailure(1);
   }
 
