test(platform): split the large step files by topic

Raw answers and bounds, slot processes and schedules, and the work of writers and operators now have files of their own. No step or check changed.

--- a/features/steps/platform-numbered-lease.steps.ts
+++ b/features/steps/platform-numbered-lease.steps.ts
@@ -1,7 +1,7 @@
 /** Steps for numbered slots. */
 
 import assert from 'node:assert/strict';
-import {After, Given, Then, When} from '@cucumber/cucumber';
+import {Given, Then, When} from '@cucumber/cucumber';
 import {
   EmbeddedStore,
   NumberedLease,
@@ -9,12 +9,6 @@
   type StoreError,
 } from '@wasabidyke/platform';
 import {ManualClock, MetricRegistry, type Result} from '@wasabidyke/shared';
-import {eventually} from '../support/eventually.js';
-import {
-  runSlotSchedule,
-  sampleSlotSchedules,
-} from '../support/slot-schedule.js';
-import {SlotProcess} from '../support/slot-process.js';
 import {
   RecordingReporter,
   useStore,
@@ -24,9 +18,6 @@
 const NAME = 'slots';
 const SECOND_MS = 1_000;
 
-/** Sums of shares are sums of fractions. */
-const ROUNDING = 1e-9;
-
 interface LeaseWorld extends StoreContext {
   clock: ManualClock;
   timeToLiveSeconds: number;
@@ -34,8 +25,6 @@
   count: number;
   settleMs?: number;
   holders: Map<string, NumberedLease>;
-  largestSums: number[];
-  processes?: Map<string, SlotProcess>;
 }
 
 /** An embedded store whose next renewal takes a while after it took effect. */
@@ -87,23 +76,12 @@
   return holder;
 }
 
-function findProcess(world: LeaseWorld, name: string): SlotProcess {
-  const found = world.processes?.get(name);
-  assert.ok(found);
-  return found;
-}
-
 function listHeld(world: LeaseWorld): readonly NumberedLease[] {
   const nowMs = world.clock.now();
   const holders = [...world.holders.values()];
   return holders.filter(holder => holder.heldNumber(nowMs) !== undefined);
 }
 
-After({tags: '@store'}, async function (this: LeaseWorld) {
-  const processes = [...(this.processes?.values() ?? [])];
-  await Promise.all(processes.map(each => each.stop()));
-});
-
 Given(
   'an embedded store with leases of {int} s and a margin of {int} s',
   function (this: LeaseWorld, seconds: number, margin: number) {
@@ -129,20 +107,6 @@
   },
 );
 
-Given(
-  'processes {string} and {string} for {int} slot(s) with leases of {int} s',
-  {timeout: 60_000},
-  async function (this: LeaseWorld, first, second, count, seconds) {
-    this.processes = new Map();
-    for (const name of [String(first), String(second)]) {
-      const origin = String(this.storeProcess?.origin);
-      const options = [origin, name, String(count), String(seconds)];
-      this.processes.set(name, new SlotProcess(name, options));
-      await eventually('a first holder', () => hasHolder(this));
-    }
-  },
-);
-
 When('{string} steps', async function (this: LeaseWorld, name: string) {
   await findHolder(this, name).step();
 });
@@ -190,26 +154,6 @@
   },
 );
 
-When(
-  '{int} schedules of counts, steps and pauses are run with seed {int}',
-  {timeout: 120_000},
-  async function (this: LeaseWorld, count: number, seed: number) {
-    this.largestSums = [];
-    for (const schedule of sampleSlotSchedules(count, seed)) {
-      this.largestSums.push(await runSlotSchedule(schedule));
-    }
-  },
-);
-
-Then(
-  'in none of them do the shares exceed the whole, and in most they reach half of it',
-  function (this: LeaseWorld) {
-    const reached = this.largestSums.filter(sum => sum >= 0.5);
-    assert.ok(Math.max(...this.largestSums) <= 1 + ROUNDING);
-    assert.ok(reached.length > this.largestSums.length / 2);
-  },
-);
-
 Then(
   'one slot is a share of {int}',
   function (this: LeaseWorld, shares: number) {
@@ -226,14 +170,6 @@
   assert.equal(first.heldNumber(this.clock.now()), undefined);
 });
 
-When('process {string} is frozen', function (this: LeaseWorld, name: string) {
-  findProcess(this, name).signal('SIGSTOP');
-});
-
-When('process {string} is resumed', function (this: LeaseWorld, name: string) {
-  findProcess(this, name).signal('SIGCONT');
-});
-
 Then(
   '{string} holds slot {int} in its term {int}',
   function (this: LeaseWorld, name: string, number: number, term: number) {
@@ -271,36 +207,3 @@
     assert.equal(holders.join(', '), expected);
   },
 );
-
-Then(
-  'process {string} holds the slot',
-  {timeout: 60_000},
-  async function (this: LeaseWorld, name: string) {
-    const holder = findProcess(this, name);
-    await eventually(`slot of ${name}`, () => holder.number === 0);
-  },
-);
-
-When(
-  'process {string} gives {int} further readings',
-  {timeout: 60_000},
-  async function (this: LeaseWorld, name: string, count: number) {
-    await findProcess(this, name).read(count);
-  },
-);
-
-Then('at no time did both hold the slot', function (this: LeaseWorld) {
-  const processes = [...(this.processes?.values() ?? [])];
-  const spans = processes.flatMap(each => each.spans);
-  assert.equal(new Set(spans.map(({holder}) => holder)).size, 2);
-  const sorted = spans.toSorted((one, other) => one.firstMs - other.firstMs);
-  for (const [index, span] of sorted.slice(1).entries()) {
-    const before = sorted[index];
-    assert.ok(before.lastMs < span.firstMs, JSON.stringify([before, span]));
-  }
-});
-
-function hasHolder(world: LeaseWorld): boolean {
-  const processes = [...(world.processes?.values() ?? [])];
-  return processes.some(each => each.number !== undefined);
-}
