--- a/features/steps/start.steps.ts
+++ b/features/steps/start.steps.ts
@@ -6,11 +6,12 @@
 import {After, Given, Then, When, type DataTable} from '@cucumber/cucumber';
 import {request} from 'undici';
 import {eventually} from '../support/eventually.js';
+import {run, type CommandWorld} from './command-line.steps.js';
 
 /** Tells which upstreams have requests in flight. */
 const UPSTREAMS_PATH = '/v1/upstreams';
 
-interface StartWorld {
+interface StartWorld extends CommandWorld {
   startScript?: ChildProcess;
   printed: string;
   answer: Promise<number>;
@@ -123,3 +124,11 @@
     }
   },
 );
+
+When(
+  'the operator runs {string} against it',
+  async function (this: StartWorld, words: string) {
+    this.entryAddress = new URL(findAddress(this, 'Operators')).host;
+    await run(this, words);
+  },
+);
--- a/packages/command/src/commands/submit.ts
+++ b/packages/command/src/commands/submit.ts
@@ -86,12 +86,11 @@
   if (options.json) {
     output.writeJson({submission: identity, ...answer.value});
   }
-  return reportAnswer(file, options.basedOn, answer.value, output);
+  return reportAnswer(file, answer.value, output);
 }
 
 function reportAnswer(
   file: string,
-  basedOn: number,
   answer: SubmissionAnswer,
   output: Output,
 ): ExitStatus {
@@ -103,7 +102,9 @@
       output.success(`Accepted earlier as revision ${answer.revision}.`);
       return ExitStatus.DONE;
     case 'superseded':
-      reportSuperseded(answer.presentRevision, basedOn, output);
+      output.error(
+        `Refused: revision ${answer.presentRevision} is in force; base the manifest on it.`,
+      );
       return ExitStatus.REFUSED;
     case 'rejected': {
       const findings = answer.findings.map(finding => ({
@@ -121,23 +122,6 @@
   }
 }
 
-// Only the newest submission's identity is kept, so a later revision hides
-// whether an earlier run of this one was accepted.
-function reportSuperseded(
-  present: number,
-  basedOn: number,
-  output: Output,
-): void {
-  output.error(
-    `Refused: revision ${present} is in force; base the manifest on it.`,
-  );
-  if (present > basedOn + 1) {
-    output.error(
-      `If an earlier run of this submission had no answer, it may have been revision ${basedOn + 1} until replaced.`,
-    );
-  }
-}
-
 async function readSubmission(
   file: string,
   {basedOn, submission}: SubmitOptions,
@@ -177,6 +161,6 @@
 
 function tellToRunAgain(output: Output): void {
   output.error(
-    'The outcome is unknown. Run the same command again: it settles the outcome and never submits twice.',
+    'The outcome is unknown. Run the same command again: it never submits twice, and tells what became of the first run.',
   );
 }
--- a/packages/manifest/src/index.ts
+++ b/packages/manifest/src/index.ts
@@ -6,4 +6,3 @@
 export * from './schema.js';
 export * from './snapshot.js';
 export * from './succession.js';
-export {toPathPrefix} from './cross-checks.js';
--- a/packages/manifest/src/succession.ts
+++ b/packages/manifest/src/succession.ts
@@ -1,9 +1,9 @@
 /** Checks of a manifest against the one that it follows. */
 
 import type {DocumentSource, FindingCollector} from '@wasabidyke/shared';
+import {toPathPrefix} from './path-prefix.js';
 import type {Manifest} from './schema.js';
 import {Snapshot} from './snapshot.js';
-import {toPathPrefix} from './cross-checks.js';
 
 /**
  * Finds the at-most-once requests of `previous` that `next` would let run
--- a/packages/shared/src/metrics.ts
+++ b/packages/shared/src/metrics.ts
@@ -1,6 +1,7 @@
 /** Counters, gauges and latency histograms, rendered in the Prometheus text format. */
 
 import {build, type Histogram} from 'hdr-histogram-js';
+import {SECOND_MS} from './units.js';
 
 /** Label names and values of one series. */
 export type Labels = Readonly<Record<string, string>>;
@@ -24,7 +25,8 @@
 
 const MICROSECONDS_PER_MILLISECOND = 1_000;
 const MICROSECONDS_PER_SECOND = 1_000_000;
-const QUANTILES = [50, 90, 99, 99.9] as const;
+const QUANTILES = [0.5, 0.9, 0.99, 0.999] as const;
+const PERCENTILES_PER_QUANTILE = 100;
 
 /** Durations, kept to two significant digits so that one histogram stays small. */
 export class DurationHistogram {
@@ -146,11 +148,10 @@
   lines: string[],
 ): void {
   const prefix = labels === '' ? '' : `${labels},`;
-  for (const percentile of QUANTILES) {
-    const seconds =
-      histogram.valueAt(percentile) / MICROSECONDS_PER_MILLISECOND;
-    const quantile = `quantile="${percentile / 100}"`;
-    lines.push(`${name}{${prefix}${quantile}} ${seconds}`);
+  for (const quantile of QUANTILES) {
+    const milliseconds = histogram.valueAt(quantile * PERCENTILES_PER_QUANTILE);
+    const seconds = milliseconds / SECOND_MS;
+    lines.push(`${name}{${prefix}quantile="${quantile}"} ${seconds}`);
   }
   lines.push(`${name}_sum${wrapLabels(labels)} ${histogram.sumSeconds}`);
   lines.push(`${name}_count${wrapLabels(labels)} ${histogram.count}`);
