--- a/packages-private/bench/src/child-process.ts
+++ b/packages-private/bench/src/child-process.ts
@@ -34,6 +34,11 @@
     this.#firstLine.catch(() => {});
   }
 
+  /** Its process id. */
+  get pid(): number | undefined {
+    return this.#process.pid;
+  }
+
   /** The first line of its output. Rejects when it ends without one. */
   firstLine(timeoutMs = READY_TIMEOUT_MS): Promise<string> {
     return new Promise((resolve, reject) => {
--- a/packages-private/bench/src/report-page.ts
+++ b/packages-private/bench/src/report-page.ts
@@ -1,26 +1,13 @@
 /** The page with plots: one file that opens with no network. */
 
+import {createPage, toHead, toRow} from './page-parts.js';
 import {plotCurves} from './plot.js';
 import type {ArmFigures, CellFigures, PolicyResult} from './policy-result.js';
 
-const STYLE =
-  'body{font:14px sans-serif;margin:2em}svg text{font:11px sans-serif}' +
-  'table{border-collapse:collapse}td,th{padding:2px 8px;text-align:right;border-bottom:1px solid #ddd}' +
-  'td:first-child,th:first-child{text-align:left}';
-
 /** Creates the page of a result. */
 export function createReportPage(result: PolicyResult): string {
-  const {machine, settings} = result;
-  return [
-    '<!doctype html><html lang="en"><head><meta charset="utf-8">',
-    `<title>Experiment ${result.experiment}</title><style>${STYLE}</style></head><body>`,
-    `<h1>Experiment ${result.experiment}</h1>`,
-    `<p><code>${escapeText(result.command)}</code></p>`,
-    `<p>${escapeText(result.startedAt)}, ${machine.processors} processors, Node.js ${machine.node}, seed ${settings.seed}.</p>`,
-    createTargetTable(result),
-    ...result.cells.map(createCellSection),
-    '</body></html>',
-  ].join('\n');
+  const sections = result.cells.map(createCellSection);
+  return createPage(result, [createTargetTable(result), ...sections]);
 }
 
 function createTargetTable({targets}: PolicyResult): string {
@@ -77,15 +64,3 @@
   const {deployment, loadPercent, noisiness, reportLagMs} = cell;
   return `${deployment}, ${loadPercent} %, ${noisiness}, reports ${reportLagMs} ms old`;
 }
-
-function toRow(cells: readonly string[]): string {
-  return `<tr>${cells.map(cell => `<td>${escapeText(cell)}</td>`).join('')}</tr>`;
-}
-
-function toHead(cells: readonly string[]): string {
-  return `<tr>${cells.map(cell => `<th>${escapeText(cell)}</th>`).join('')}</tr>`;
-}
-
-function escapeText(text: string): string {
-  return text.replaceAll('&', '&amp;').replaceAll('<', '&lt;');
-}
