--- a/packages/entry/src/control/peer-link.ts
+++ b/packages/entry/src/control/peer-link.ts
@@ -10,7 +10,7 @@
 } from '@wasabidyke/peer';
 import type {CrashGuard, SuspectRecord} from '@wasabidyke/policy';
 import {MINUTE_MS, type Clock} from '@wasabidyke/shared';
-import {SuspectNotifier} from '../data-path/dispatcher.js';
+import {SuspectNotifier} from '../data-path/dispatch-job.js';
 import type {AdoptedLedgers} from '../once/adopted-ledgers.js';
 import {IssueCounter} from '../once/home-token.js';
 import {toRun} from '../once/ledger-transfer.js';
--- /dev/null
+++ b/packages/entry/src/data-path-container.ts
@@ -0,0 +1,106 @@
+/** Wires what requests go through. */
+
+import {MINUTE_MS} from '@wasabidyke/shared';
+import {CrashGuard, RetryBudget} from '@wasabidyke/policy';
+import {asFunction} from 'awilix';
+import type {EntryContainer, EntryCradle} from './container.js';
+import {CallerListener} from './data-path/caller-listener.js';
+import {SuspectNotifier} from './data-path/dispatch-job.js';
+import {RequestDispatcher} from './data-path/dispatcher.js';
+import {RelayHandler} from './data-path/relay-handler.js';
+import {AdoptedLedgers} from './once/adopted-ledgers.js';
+import {HomeForwarder} from './once/home-forwarder.js';
+import {ClockIssueCounter, HomeTokenIssuer} from './once/home-token.js';
+import {OnceHandler} from './once/once-handler.js';
+import {RunLedger} from './once/run-ledger.js';
+
+/** How long an idempotency key may be used after its token was issued. */
+const KEY_LIFETIME_MS = 10 * MINUTE_MS;
+
+/** Keys that one ledger holds at most. */
+const MAXIMUM_RUNS = 100_000;
+
+/** Bytes of answers that one ledger keeps at most. */
+const MAXIMUM_LEDGER_BYTES = 67_108_864;
+
+/** Share of requests that may be retried before a manifest says. */
+const DEFAULT_RETRY_SHARE = 0.1;
+
+/** Registers the parts that requests go through. */
+export function registerDataPath(container: EntryContainer): void {
+  container.register({
+    retryBudget: asFunction(
+      () => new RetryBudget(DEFAULT_RETRY_SHARE),
+    ).singleton(),
+    crashGuard: asFunction(() => new CrashGuard()).singleton(),
+    suspectNotifier: asFunction(() => new NoSuspectNotifier()).singleton(),
+    dispatcher: asFunction(
+      (cradle: EntryCradle) =>
+        new RequestDispatcher({
+          clock: cradle.clock,
+          registry: cradle.registry,
+          retryBudget: cradle.retryBudget,
+          crashGuard: cradle.crashGuard,
+          suspectNotifier: cradle.suspectNotifier,
+          onLeavingSignal: handle => cradle.departureTracker.onSignal(handle),
+        }),
+    ).singleton(),
+    issueCounter: asFunction(
+      ({clock}: EntryCradle) => new ClockIssueCounter(clock),
+    ).singleton(),
+    issuer: asFunction(
+      ({settings, incarnation, issueCounter}: EntryCradle) =>
+        new HomeTokenIssuer(
+          settings.name,
+          incarnation,
+          KEY_LIFETIME_MS,
+          issueCounter,
+        ),
+    ).singleton(),
+    ledger: asFunction(
+      ({issuer}: EntryCradle) =>
+        new RunLedger(issuer, {
+          maximumRuns: MAXIMUM_RUNS,
+          maximumBytes: MAXIMUM_LEDGER_BYTES,
+        }),
+    ).singleton(),
+    adopted: asFunction(
+      ({clock}: EntryCradle) => new AdoptedLedgers(clock),
+    ).singleton(),
+    forwarder: asFunction(
+      ({settings, directory, clock}: EntryCradle) =>
+        new HomeForwarder({entry: settings.name, directory, clock}),
+    ).singleton(),
+    relayHandler: asFunction(
+      ({dispatcher, clock}: EntryCradle) => new RelayHandler(dispatcher, clock),
+    ).singleton(),
+    onceHandler: asFunction(
+      ({issuer, ledger, adopted, forwarder, dispatcher, clock}: EntryCradle) =>
+        new OnceHandler({
+          issuer,
+          ledger,
+          adopted,
+          forwarder,
+          dispatcher,
+          clock,
+        }),
+    ).singleton(),
+    callerListener: asFunction(
+      (cradle: EntryCradle) =>
+        new CallerListener({
+          address: cradle.settings.callers.address,
+          keeper: cradle.keeper,
+          entryList: cradle.entryList,
+          relayHandler: cradle.relayHandler,
+          onceHandler: cradle.onceHandler,
+          clock: cradle.clock,
+          metrics: cradle.metrics,
+        }),
+    ).singleton(),
+  });
+}
+
+/** There are no other entries to tell. */
+class NoSuspectNotifier extends SuspectNotifier {
+  override async notify(): Promise<void> {}
+}
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -8,11 +8,9 @@
 export {BudgetSlot, type HeldShare} from './control/budget-slot.js';
 export {RevisionGuard} from './control/manifest-keeper.js';
 export {AnswerSink, type FlowControl} from './data-path/answer-sink.js';
-export {
-  RequestDispatcher,
-  type Dispatch,
-  type DispatchJob,
-} from './data-path/dispatcher.js';
+export {Dispatch} from './data-path/dispatch.js';
+export type {DispatchJob} from './data-path/dispatch-job.js';
+export {RequestDispatcher} from './data-path/dispatcher.js';
 export {Entry} from './entry.js';
 export {HomeTokenIssuer} from './once/home-token.js';
 export {Ledger} from './once/run-ledger.js';
--- a/packages/entry/src/once/once-handler.ts
+++ b/packages/entry/src/once/once-handler.ts
@@ -10,10 +10,8 @@
   createUpstreamHeaders,
   type CallerRequest,
 } from '../data-path/caller-request.js';
-import type {
-  DispatchResult,
-  RequestDispatcher,
-} from '../data-path/dispatcher.js';
+import type {DispatchResult} from '../data-path/dispatch-job.js';
+import type {RequestDispatcher} from '../data-path/dispatcher.js';
 import {
   FORWARDED_HEADER,
   IDEMPOTENCY_KEY_HEADER,
