feat(bench): no verdict from a disturbed cell, and features for the load tool

Cause: with every round late the cell was shown as undisturbed and judged. Now fewer than five undisturbed pairs give 'not judged'.

--- a/packages-private/bench/src/policy-experiment.ts
+++ b/packages-private/bench/src/policy-experiment.ts
@@ -239,9 +239,14 @@
   return (capacity * cell.loadPercent) / 100;
 }
 
-function describe({cell, arms, disturbedRounds}: CellFigures): string {
+function describe({
+  cell,
+  arms,
+  disturbedRounds,
+  isDisturbed,
+}: CellFigures): string {
   const {deployment, loadPercent, noisiness, reportLagMs} = cell;
-  const head = `${deployment} ${loadPercent} % ${noisiness}, reports ${reportLagMs} ms old, disturbed rounds: ${disturbedRounds.length}`;
+  const head = `${deployment} ${loadPercent} % ${noisiness}, reports ${reportLagMs} ms old, disturbed rounds: ${disturbedRounds.length}${isDisturbed ? ', not judged' : ''}`;
   const lines = arms.map(
     ({arm, latency, refused, failed, p999ToBase, p999ToOracle, lateness}) =>
       `  ${arm.padEnd(21)} p50 ${latency.p50Ms} p99 ${latency.p99Ms} p99.9 ${latency.p999Ms} ms` +
--- a/packages-private/bench/src/policy-result.ts
+++ b/packages-private/bench/src/policy-result.ts
@@ -21,6 +21,9 @@
 /** Target: tail against the oracle at 75 % with noisy neighbours. */
 const GREATEST_RATIO_TO_ORACLE = 1.2;
 
+/** Fewest undisturbed pairs for a verdict. */
+const FEWEST_PAIRS = 5;
+
 /** Load at which the two targets hold, in percent. */
 const TARGET_LOAD_PERCENT = 75;
 
@@ -58,9 +61,14 @@
   readonly ratePerSecond: number;
   /** Numbers of the rounds that are left out for all arms: the machine made the load tool late. */
   readonly disturbedRounds: readonly number[];
+  /** Whether too few undisturbed rounds are left for a verdict; figures then are over all rounds. */
+  readonly isDisturbed: boolean;
   readonly arms: readonly ArmFigures[];
 }
 
+/** Whether a target is met; not judged when the machine disturbed the cell. */
+export type Verdict = 'met' | 'not met' | 'not judged';
+
 /** Whether an arm met a target in a cell. */
 export interface TargetFigures {
   readonly arm: ArmName;
@@ -68,7 +76,7 @@
   readonly target: string;
   readonly greatest: number;
   readonly ratio: number;
-  readonly isMet: boolean;
+  readonly verdict: Verdict;
 }
 
 /** The whole document. */
@@ -99,13 +107,17 @@
   disturbedLatenessMs: number,
 ): CellFigures {
   const disturbed = findDisturbedRounds(results, disturbedLatenessMs);
-  const arms = results.map(each => toUncomparedFigures(each, disturbed));
+  const {rounds} = results[0].result;
+  const isDisturbed = rounds.length - disturbed.size < FEWEST_PAIRS;
+  const leftOut = isDisturbed ? new Set<number>() : disturbed;
+  const arms = results.map(each => toUncomparedFigures(each, leftOut));
   const base = findArm(arms, BASE_ARM);
   const oracle = findArm(arms, 'oracle');
   return {
     cell,
     ratePerSecond,
-    disturbedRounds: [...disturbed],
+    disturbedRounds: [...disturbed].toSorted((left, right) => left - right),
+    isDisturbed,
     arms: arms.map(arm => ({
       ...arm,
       p999ToBase: compareTails(arm, base),
@@ -119,43 +131,35 @@
   cells: readonly CellFigures[],
   arm: ArmName,
 ): readonly TargetFigures[] {
-  return cells.flatMap(({cell, arms}) => {
-    const {p999ToBase, p999ToOracle} = findArm(arms, arm);
+  return cells.flatMap(figures => {
+    const {cell} = figures;
+    const {p999ToBase, p999ToOracle} = findArm(figures.arms, arm);
     const isTargetCell =
       cell.loadPercent === TARGET_LOAD_PERCENT && cell.noisiness === 'noisy';
-    if (!isTargetCell) {
-      return [toTarget(arm, cell, 'to-two-choices', 1, p999ToBase.whole)];
+    const greatest = isTargetCell ? GREATEST_RATIO_TO_BASE : 1;
+    const toBase = judge(figures, p999ToBase.whole, greatest);
+    const targets = [{arm, cell, target: 'to-two-choices', ...toBase}];
+    if (isTargetCell) {
+      const ratio = p999ToOracle.whole;
+      const toOracle = judge(figures, ratio, GREATEST_RATIO_TO_ORACLE);
+      targets.push({arm, cell, target: 'to-oracle', ...toOracle});
     }
-    return [
-      toTarget(
-        arm,
-        cell,
-        'to-two-choices',
-        GREATEST_RATIO_TO_BASE,
-        p999ToBase.whole,
-      ),
-      toTarget(
-        arm,
-        cell,
-        'to-oracle',
-        GREATEST_RATIO_TO_ORACLE,
-        p999ToOracle.whole,
-      ),
-    ];
+    return targets;
   });
 }
 
-function toTarget(
-  arm: ArmName,
-  cell: Cell,
-  target: string,
-  greatest: number,
+function judge(
+  {isDisturbed}: CellFigures,
   ratio: number,
-): TargetFigures {
-  return {arm, cell, target, greatest, ratio, isMet: ratio <= greatest};
+  greatest: number,
+): Pick<TargetFigures, 'ratio' | 'greatest' | 'verdict'> {
+  if (isDisturbed) {
+    return {ratio, greatest, verdict: 'not judged'};
+  }
+  return {ratio, greatest, verdict: ratio <= greatest ? 'met' : 'not met'};
 }
 
-/** Finds the rounds in which any caller was late; none when that would leave no round. */
+/** Finds the rounds in which any caller was late. */
 function findDisturbedRounds(
   results: readonly ArmResult[],
   disturbedLatenessMs: number,
@@ -169,8 +173,7 @@
       }
     }
   }
-  const isAny = results[0].result.rounds.length > disturbed.size;
-  return isAny ? disturbed : new Set();
+  return disturbed;
 }
 
 function toUncomparedFigures(
--- a/packages-private/bench/src/policy-settings.ts
+++ b/packages-private/bench/src/policy-settings.ts
@@ -60,16 +60,18 @@
   readonly queuePerSlot: number;
   /** What service times are multiplied by while a VM's neighbour is busy. */
   readonly noiseFactor: number;
-  readonly noiseMeanBusyMs: number;
-  readonly noiseMeanQuietMs: number;
+  /** Mean time that a neighbour is busy, in mean service times. */
+  readonly noiseMeanBusyRuns: number;
+  /** Mean time that a neighbour is quiet, in mean service times. */
+  readonly noiseMeanQuietRuns: number;
   readonly cells: readonly Cell[];
 }
 
 /** Settings unless stated otherwise. */
 export const DEFAULT_SETTINGS = {
   arrivals: 'poisson',
-  rounds: 5,
-  roundMs: 4_000,
+  rounds: 6,
+  roundMs: 3_500,
   warmUpMs: 1_500,
   entryWarmUpMs: 6_000,
   disturbedLatenessMs: 25,
@@ -78,8 +80,8 @@
   serviceSigma: 0.5,
   queuePerSlot: 4,
   noiseFactor: 5,
-  noiseMeanBusyMs: 1_000,
-  noiseMeanQuietMs: 9_000,
+  noiseMeanBusyRuns: 10,
+  noiseMeanQuietRuns: 90,
 } as const;
 
 /** Cells that are measured unless others are asked for. */
--- a/packages-private/bench/src/report-page.ts
+++ b/packages-private/bench/src/report-page.ts
@@ -24,13 +24,13 @@
 }
 
 function createTargetTable({targets}: PolicyResult): string {
-  const rows = targets.map(({arm, cell, target, greatest, ratio, isMet}) =>
+  const rows = targets.map(({arm, cell, target, greatest, ratio, verdict}) =>
     toRow([
       `${arm}, ${toCellName(cell)}`,
       target,
       String(greatest),
       String(ratio),
-      isMet ? 'met' : 'not met',
+      verdict,
     ]),
   );
   const head = toHead(['cell', 'target', 'at most', 'measured', '']);
--- a/packages-private/bench/src/upstream-group.ts
+++ b/packages-private/bench/src/upstream-group.ts
@@ -74,8 +74,8 @@
     const vms = new Set(this.upstreams.map(upstream => upstream.vm));
     const noise = {
       factor: settings.noiseFactor,
-      meanBusyMs: settings.noiseMeanBusyMs,
-      meanQuietMs: settings.noiseMeanQuietMs,
+      meanBusyMs: settings.noiseMeanBusyRuns * settings.serviceMeanMs,
+      meanQuietMs: settings.noiseMeanQuietRuns * settings.serviceMeanMs,
     };
     return {
       process: `${arm}-${noisiness}`,
--- a/packages/policy/src/vm-latency.ts
+++ b/packages/policy/src/vm-latency.ts
@@ -8,8 +8,8 @@
 /** Weight of the newest answer in a VM's moving average. */
 const LATENCY_WEIGHT = 0.5;
 
-/** Time in which what is known of a VM loses half of its weight, in milliseconds. */
-const LATENCY_HALF_LIFE_MS = 500;
+/** Time in which what is known of a VM loses half of its weight, in medians of the time to answer. */
+const LATENCY_HALF_LIFE_MEDIANS = 5;
 
 /** Relative step by which the median over all VMs is followed. */
 const MEDIAN_STEP = 0.02;
@@ -52,7 +52,8 @@
     }
     const record = this.#recordOf(candidate);
     const ageMs = Math.max(0, nowMs - record.answeredAtMs);
-    const weight = 2 ** (-ageMs / LATENCY_HALF_LIFE_MS);
+    const halfLifeMs = LATENCY_HALF_LIFE_MEDIANS * this.#medianMs;
+    const weight = 2 ** (-ageMs / halfLifeMs);
     const expectedMs =
       this.#medianMs + weight * (record.latencyMs - this.#medianMs);
     return Math.max(expectedMs, record.longestAgeMs) / this.#medianMs;
