--- a/packages/entry/src/upstreams/upstream-handle.ts
+++ b/packages/entry/src/upstreams/upstream-handle.ts
@@ -121,9 +121,9 @@
     }
   }
 
-  /** A request is about to be sent. */
-  onStart(): void {
-    this.load.onStart(this.#options.clock.now());
+  /** A request is about to be sent. @param nowMs Its start; `onEnd` counts from there. */
+  onStart(nowMs: number): void {
+    this.load.onStart(nowMs);
   }
 
   /** A request has ended after `durationMs`. */
@@ -169,7 +169,9 @@
   #onSuccess(): void {
     this.#failures = 0;
     this.#backOffMs = SHORTEST_BACK_OFF_MS;
-    this.#lifeCycle.trigger('SUCCEED');
+    if (this.#lifeCycle.trigger('SUCCEED')) {
+      this.load.beginRamp(this.#options.clock.now());
+    }
   }
 
   #onFailure(limit: number): void {
