--- a/packages-private/bench/src/measure.ts
+++ b/packages-private/bench/src/measure.ts
@@ -1,27 +1,14 @@
-/** The command `measure`: runs one experiment and prints one JSON document. */
+/** The command `measure`: runs the experiment that `--experiment` names. */
 
-import {writeFileSync} from 'node:fs';
-import {SECOND_MS} from '@wasabidyke/shared';
-import {Command, Option} from 'commander';
-import {arrivalPatternSchema} from './arrivals.js';
-import {deploymentNameSchema, type DeploymentName} from './deployment.js';
-import {readMachine} from './machine.js';
-import {createReportPage} from './report-page.js';
-import {PolicyExperiment} from './policy-experiment.js';
-import {checkTargets, type PolicyResult} from './policy-result.js';
-import {
-  ARMS,
-  BASE_ARM,
-  createAllCells,
-  DEFAULT_CELLS,
-  DEFAULT_SETTINGS,
-  type Cell,
-  type PolicySettings,
-} from './policy-settings.js';
+/** Experiments by name; each is a module that reads its own options and runs. */
+const EXPERIMENTS: ReadonlyMap<string, string> = new Map([
+  ['policy', './policy-command.js'],
+  ['added-latency', './added-latency-command.js'],
+]);
 
-/** The arm that the targets are set for. */
-const TARGET_ARM = 'hot-cold';
+const BAD_USE_STATUS = 2;
 
+<<<<<<< HEAD
 interface MeasureOptions {
   readonly experiment: 'policy';
   readonly seed: string;
@@ -144,4 +131,19 @@
 
 function isAmong(list: string | undefined, value: string): boolean {
   return list === undefined || list.split(',').includes(value);
+=======
+const name = readExperimentName(process.argv);
+const module = EXPERIMENTS.get(name ?? '');
+if (module === undefined) {
+  const names = [...EXPERIMENTS.keys()].join(', ');
+  console.error(`Give --experiment with one of: ${names}.`);
+  process.exitCode = BAD_USE_STATUS;
+} else {
+  await import(module);
+}
+
+function readExperimentName(words: readonly string[]): string | undefined {
+  const index = words.indexOf('--experiment');
+  return index === -1 ? undefined : words[index + 1];
+>>>>>>> entry
 }
