--- a/packages/platform/src/manifest-intake.ts
+++ b/packages/platform/src/manifest-intake.ts
@@ -1,7 +1,12 @@
 /** Takes in what the store shows of the manifest; only newer records pass. */
 
 import {parseManifestRecord, type ManifestRecord} from '@wasabidyke/manifest';
-import type {Counter, MetricRegistry, Reporter} from '@wasabidyke/shared';
+import type {
+  Counter,
+  MetricRegistry,
+  Report,
+  Reporter,
+} from '@wasabidyke/shared';
 import {toNewer} from './manifest-submission.js';
 import type {StoreValue} from './store.js';
 
@@ -93,9 +98,8 @@
     this.#complaint = complaint;
     this.#options.reporter.report({
       level: 'error',
-      code: `store.manifest-${complaint}`,
       subject: 'manifest',
-      message: `${MESSAGES[complaint]} The manifest in force stays.`,
+      ...REPORTS[complaint],
     });
     if (newest !== undefined) {
       this.#options.listener.onOlder?.(newest);
@@ -103,12 +107,25 @@
   }
 }
 
-const MESSAGES: Readonly<Record<Complaint, string>> = {
-  unreadable:
-    'The store holds something that is no record of this version; check what wrote it.',
-  older:
-    'The store shows an older revision; check whether it was restored from a copy.',
-  missing: 'The store holds no manifest; check whether it lost its data.',
-  conflicting:
-    'The store shows this revision with another manifest; submit a new one.',
+const REPORTS: Readonly<Record<Complaint, Pick<Report, 'code' | 'message'>>> = {
+  unreadable: {
+    code: 'store.manifest-unreadable',
+    message:
+      'The store holds something that is no record of this version; check what wrote it. The manifest in force stays.',
+  },
+  older: {
+    code: 'store.manifest-older',
+    message:
+      'The store shows an older revision; check whether it was restored from a copy. The manifest in force stays.',
+  },
+  missing: {
+    code: 'store.manifest-missing',
+    message:
+      'The store holds no manifest; check whether it lost its data. The manifest in force stays.',
+  },
+  conflicting: {
+    code: 'store.manifest-conflicting',
+    message:
+      'The store shows this revision with another manifest; submit a new one. The manifest in force stays.',
+  },
 };
--- a/packages/platform/src/numbered-lease.ts
+++ b/packages/platform/src/numbered-lease.ts
@@ -1,23 +1,19 @@
 /**
  * Numbered slots held by leases, so that never more processes than there are
- * slots count themselves in. The holder judges by its own monotonic clock and
- * counts from before each request, as in Gray and Cheriton, "Leases: An
- * Efficient Fault-Tolerant Mechanism for Distributed File Cache Consistency",
- * 1989: it lets go before the store does, however late it learns of it.
+ * slots count themselves in.
  */
 
 import {
   Chart,
   LifeCycle,
-  SECOND_MS,
   Task,
-  type Clock,
   type Counter,
   type MetricRegistry,
+  type Report,
   type Reporter,
 } from '@wasabidyke/shared';
 import {SlotCountTracker, type SlotCount} from './slot-count.js';
-import type {Lease, Store} from './store.js';
+import {StandingLease, type StandingLeaseOptions} from './standing-lease.js';
 
 /** States of the hold on a slot. */
 export type NumberedLeaseState = 'searching' | 'holding' | 'released';
@@ -35,16 +31,11 @@
 const MAILBOX_CAPACITY = 1;
 
 /** What the lease needs. */
-export interface NumberedLeaseOptions {
-  readonly store: Store;
-  readonly clock: Clock;
+export interface NumberedLeaseOptions extends StandingLeaseOptions {
   /** Slots stand at the keys `<name>/<number>`. */
   readonly name: string;
   /** Identity of this process, unique over all of them and over restarts. */
   readonly holder: string;
-  readonly timeToLiveSeconds: number;
-  /** Taken off the time to live, for clocks that run at different rates, in milliseconds. */
-  readonly marginMs: number;
   /** Time between renewals, in milliseconds; well below the time to live. */
   readonly stepMs: number;
   /** How long a count of slots must be told as settled before it is gone by, in milliseconds: long enough for a process that hears of nothing to lose its lease. */
@@ -64,19 +55,13 @@
   readonly shares: number;
 }
 
-interface HeldLease {
-  readonly lease: Lease;
-  /** Until when it certainly stands, by this process's monotonic clock. */
-  standsUntilMs: number;
-}
-
 /** Holds one numbered slot, or searches for one. */
 export class NumberedLease extends Task<'step'> {
   readonly #options: NumberedLeaseOptions;
   readonly #lifeCycle: LifeCycle<NumberedLeaseState, NumberedLeaseTrigger>;
   readonly #terms: Counter;
   readonly #counts: SlotCountTracker;
-  #lease: HeldLease | undefined;
+  #lease: StandingLease | undefined;
   #number: number | undefined;
   #term = 0;
   /** The slot to try first: one whose write may have taken effect, or the last held. */
@@ -105,13 +90,12 @@
   /** The slot, only while its lease certainly stands at `nowMs` of this process's monotonic clock. */
   held(nowMs: number): HeldSlot | undefined {
     const number = this.#number;
-    const standsUntilMs = this.#lease?.standsUntilMs ?? -Infinity;
     if (number === undefined || number >= this.#counts.toUsable(nowMs)) {
       return undefined;
     }
     const shares = this.#counts.toShares(nowMs);
     const held = {number, term: this.#term, shares};
-    return nowMs < standsUntilMs ? held : undefined;
+    return this.#lease?.standsAt(nowMs) ? held : undefined;
   }
 
   /** The number of the slot, under the same condition as `held`. */
@@ -167,37 +151,32 @@
     return this.step();
   }
 
-  async #renew(held: HeldLease): Promise<void> {
-    const sentMs = this.#options.clock.now();
-    const renewed = await this.#options.store.keepLeaseAlive(held.lease);
+  async #renew(standing: StandingLease): Promise<void> {
+    const renewed = await standing.renew();
     if (renewed.isErr()) {
-      if (this.#options.clock.now() >= held.standsUntilMs) {
+      if (!standing.standsAt(this.#options.clock.now())) {
         this.#suspend(renewed.error.message);
       }
-      return;
-    }
-    if (!renewed.value) {
+    } else if (!renewed.value) {
       this.#lose('the lease lapsed');
-      return;
     }
-    held.standsUntilMs = this.#toStandsUntil(sentMs, held.lease);
   }
 
   async #search(): Promise<void> {
-    const held = this.#lease ?? (await this.#grant());
-    if (held === undefined || this.#lifeCycle.isFinal) {
+    const standing = this.#lease ?? (await StandingLease.grant(this.#options));
+    if (standing === undefined || this.#lifeCycle.isFinal) {
       return;
     }
-    this.#lease = held;
+    this.#lease = standing;
     for (const number of this.#listCandidates()) {
-      if (await this.#try(number, held)) {
+      if (await this.#try(number, standing)) {
         return;
       }
     }
   }
 
   /** Tries one slot. Returns whether the search is over for this step. */
-  async #try(number: number, {lease}: HeldLease): Promise<boolean> {
+  async #try(number: number, {lease}: StandingLease): Promise<boolean> {
     const key = `${this.#options.name}/${number}`;
     const value = `${this.#options.holder} ${lease.id}`;
     const options = {key, expectedVersion: 0, value, lease};
@@ -216,23 +195,6 @@
     return isOurs;
   }
 
-  async #grant(): Promise<HeldLease | undefined> {
-    const {store, clock, timeToLiveSeconds} = this.#options;
-    const sentMs = clock.now();
-    const granted = await store.grantLease(timeToLiveSeconds);
-    if (granted.isErr()) {
-      return undefined;
-    }
-    const lease = granted.value;
-    return {lease, standsUntilMs: this.#toStandsUntil(sentMs, lease)};
-  }
-
-  #toStandsUntil(sentMs: number, lease: Lease): number {
-    const {timeToLiveSeconds, marginMs} = this.#options;
-    const seconds = Math.min(timeToLiveSeconds, lease.timeToLiveSeconds);
-    return sentMs + seconds * SECOND_MS - marginMs;
-  }
-
   #listCandidates(): readonly number[] {
     const {random = Math.random} = this.#options;
     const count = this.#usable();
@@ -260,14 +222,22 @@
     this.#candidate = number;
     this.#term += 1;
     this.#terms.add();
-    this.#report('info', 'slot.acquired', `Slot ${number} is held.`);
+    this.#report({
+      level: 'info',
+      code: 'slot.acquired',
+      message: `Slot ${number} is held.`,
+    });
   }
 
   /** The lease may stand or not at the store: the slot is void, but tried again under the same lease. */
   #suspend(reason: string): void {
     this.#number = undefined;
     if (this.#lifeCycle.trigger('LOST')) {
-      this.#report('warn', 'slot.lost', `No slot is held: ${reason}.`);
+      this.#report({
+        level: 'warn',
+        code: 'slot.lost',
+        message: `No slot is held: ${reason}.`,
+      });
     }
   }
 
@@ -285,8 +255,7 @@
     }
   }
 
-  #report(level: 'info' | 'warn', code: string, message: string): void {
-    const subject = this.#options.name;
-    this.#options.reporter.report({level, code, subject, message});
+  #report(report: Omit<Report, 'subject'>): void {
+    this.#options.reporter.report({...report, subject: this.#options.name});
   }
 }
