feat(peer): features, and a session that survives cut links

The features found three faults: - connect's session manager spins without end when a connection closes in the moment in which it opened (its wait loop has no branch for 'closed'); a cut link hung the process.

--- a/packages-private/stand-ins/src/peer/main.ts
+++ b/packages-private/stand-ins/src/peer/main.ts
@@ -116,7 +116,10 @@
     const task = this.#task!;
     const members = task.members().filter(({health}) => health === 'live');
     return {
-      live: members.map(({member}) => member.entry),
+      live: members.map(({member: {entry, incarnation}}) => ({
+        entry,
+        incarnation,
+      })),
       rowCounts: {
         departure: task.rows('departure').length,
         suspect: task.rows('suspect').length,
--- a/packages-private/stand-ins/src/peer/messages.ts
+++ b/packages-private/stand-ins/src/peer/messages.ts
@@ -1,6 +1,7 @@
 /** What a peer process and its parent tell each other. */
 
 import type {
+  Member,
   MemberFacts,
   PeerTimings,
   RowDraft,
@@ -33,8 +34,8 @@
 
 /** What a process knows and has spent. */
 export interface PeerProcessReport {
-  /** Names of the members that it believes to be live. */
-  readonly live: readonly string[];
+  /** Members that it believes to be live. */
+  readonly live: ReadonlyArray<Pick<Member, 'entry' | 'incarnation'>>;
   /** Keys of its rows, by kind. */
   readonly rowCounts: Readonly<Record<string, number>>;
   readonly revision: number;
--- a/packages/peer/src/peer-clients.ts
+++ b/packages/peer/src/peer-clients.ts
@@ -15,7 +15,7 @@
 import type {PeerDialer} from './peer-dialer.js';
 import type {ByteScope, PeerMetrics, Procedure} from './peer-metrics.js';
 import type {PeerTimings} from './peer-timings.js';
-import {PeerSessionManager} from './session-manager.js';
+import {PeerSession} from './peer-session.js';
 import type {WireMeter} from './wire-meter.js';
 
 /** Largest message between entries, in bytes. */
@@ -45,7 +45,7 @@
 
 interface Connection {
   readonly client: PeerServiceClient;
-  readonly manager: PeerSessionManager;
+  readonly session: PeerSession;
   callsInFlight: number;
   usedAtMs: number;
 }
@@ -139,18 +139,18 @@
   #open(target: PeerTarget): Connection {
     this.#makeRoom();
     const baseUrl = `http://${target.address}`;
-    const manager = new PeerSessionManager(baseUrl, () => this.#dial(target));
+    const session = new PeerSession(baseUrl, () => this.#dial(target));
     const transport = createConnectTransport({
       baseUrl,
       httpVersion: '2',
-      sessionManager: manager,
+      sessionManager: session,
       useBinaryFormat: true,
       acceptCompression: [compressionGzip],
       readMaxBytes: MAXIMUM_MESSAGE_BYTES,
       writeMaxBytes: MAXIMUM_MESSAGE_BYTES,
     });
     const client = createClient(PeerService, transport);
-    return {client, manager, callsInFlight: 0, usedAtMs: 0};
+    return {client, session, callsInFlight: 0, usedAtMs: 0};
   }
 
   #dial({address, region}: PeerTarget) {
@@ -171,9 +171,9 @@
     this.#close(...oldest);
   }
 
-  #close(address: string, {manager}: Connection): void {
+  #close(address: string, {session}: Connection): void {
     this.#connections.delete(address);
-    manager.abort();
+    session.close();
   }
 }
 
--- a/packages/peer/src/peer-server.ts
+++ b/packages/peer/src/peer-server.ts
@@ -25,6 +25,7 @@
 import {PeerService} from './gen/wasabidyke/peer/v1/peer_pb.js';
 import {MAXIMUM_MESSAGE_BYTES} from './peer-clients.js';
 import type {PeerMetrics} from './peer-metrics.js';
+import {closeSession} from './peer-session.js';
 import type {WireMeter} from './wire-meter.js';
 
 /** Where a listener listens. */
@@ -108,7 +109,7 @@
       this.#server.close(() => resolve());
     });
     for (const session of this.#sessions.keys()) {
-      session.destroy();
+      closeSession(session);
     }
     await closed;
   }
@@ -117,7 +118,7 @@
     session.on('error', () => undefined);
     if (this.#sessions.size >= MAXIMUM_CONNECTIONS) {
       this.#metrics.refusals('busy').add();
-      session.destroy();
+      closeSession(session);
       return;
     }
     this.#sessions.set(session, socket);
