--- a/packages/entry/src/container.ts
+++ b/packages/entry/src/container.ts
@@ -3,7 +3,12 @@
 import {randomInt} from 'node:crypto';
 import {OperatorServer, type Settings} from '@wasabidyke/operator';
 import {createIncarnation} from '@wasabidyke/peer';
-import {EmbeddedStore, EtcdStore, type Store} from '@wasabidyke/platform';
+import {
+  EmbeddedStore,
+  EtcdStore,
+  NumberedLease,
+  type Store,
+} from '@wasabidyke/platform';
 import {
   CrashGuard,
   RetryBudget,
@@ -25,10 +30,17 @@
   InjectionMode,
   type AwilixContainer,
 } from 'awilix';
+import {
+  DeparturePublisher,
+  DepartureTracker,
+} from './control/departure-tracker.js';
 import {Departures} from './control/departures.js';
+import {LoneGroup, type EntryGroup} from './control/entry-group.js';
+import {registerPeers, type PeerCradle} from './peer-container.js';
 import {EntryList} from './control/entry-list.js';
 import {EntryLifeCycle} from './control/entry-state.js';
-import {BudgetSlot, LoadWatch} from './control/load-watch.js';
+import {LeasedBudgetSlot, type BudgetSlot} from './control/budget-slot.js';
+import {LoadWatch} from './control/load-watch.js';
 import {LoneDirectory} from './control/lone-directory.js';
 import {
   ManifestKeeper,
@@ -54,7 +66,7 @@
 import {UpstreamRegistry} from './upstreams/upstream-registry.js';
 
 /** Everything that an entry is made of. */
-export interface EntryCradle {
+export interface EntryCradle extends PeerCradle {
   settings: Settings;
   operatorToken: string | undefined;
   incarnation: string;
@@ -70,6 +82,9 @@
   store: Store;
   source: ManifestSource;
   departures: Departures;
+  departurePublisher: DeparturePublisher;
+  departureTracker: DepartureTracker;
+  group: EntryGroup;
   registry: UpstreamRegistry;
   retryBudget: RetryBudget;
   crashGuard: CrashGuard;
@@ -85,6 +100,8 @@
   onceHandler: OnceHandler;
   entryList: EntryList;
   callerListener: CallerListener;
+  /** Whether this entry watches the platform for its region. */
+  isWatcher: () => boolean;
   budgetSlot: BudgetSlot;
   loadWatch: LoadWatch;
   operatorFacade: OperatorFacade;
@@ -109,6 +126,23 @@
 /** Share of requests that may be retried before a manifest says. */
 const DEFAULT_RETRY_SHARE = 0.1;
 
+/** Time until a call's answer must be whole. */
+const STORE_CALL_TIMEOUT_MS = 2_000;
+
+/** Calls to the store that one entry may make. */
+const STORE_CALLS_PER_SECOND = 10;
+
+/** How long a part of the load-watch budget outlives its holder. */
+const SLOT_TIME_TO_LIVE_SECONDS = 30;
+
+/** Taken off the lease, for clocks that run at different rates. */
+const SLOT_MARGIN_MS = 1_000;
+
+const SLOT_STEP_MS = 8_000;
+
+/** An entry that hears of nothing has read the store or lost its lease by then. */
+const SLOT_SETTLE_MS = 45_000;
+
 const SEED_BOUND = 2 ** 31;
 
 /** Wires an entry. */
@@ -135,6 +169,9 @@
   registerControl(container);
   registerDataPath(container);
   registerOperators(container);
+  if (settings.peers !== undefined) {
+    registerPeers(container);
+  }
   return container;
 }
 
@@ -162,15 +199,32 @@
       ({revisionGuard, metrics, reporter}: EntryCradle) =>
         new ManifestKeeper({guard: revisionGuard, metrics, reporter}),
     ).singleton(),
-    store: asFunction(({settings, metrics}: EntryCradle) =>
-      createStore(settings, metrics),
-    ).singleton(),
+    store: asFunction(createStore).singleton(),
     source: asFunction(
-      ({store, keeper}: EntryCradle) => new StoreManifestSource(store, keeper),
+      ({store, keeper, isWatcher, clock, metrics, reporter}: EntryCradle) =>
+        new StoreManifestSource({
+          store,
+          keeper,
+          isWatcher,
+          clock,
+          metrics,
+          reporter,
+        }),
     ).singleton(),
-    departures: asFunction(
-      ({clock}: EntryCradle) => new Departures(clock),
+    departures: asFunction(() => new Departures()).singleton(),
+    departurePublisher: asFunction(
+      () => new NoDeparturePublisher(),
     ).singleton(),
+    departureTracker: asFunction(
+      ({departures, registry, departurePublisher, reporter}: EntryCradle) =>
+        new DepartureTracker({
+          departures,
+          registry,
+          publisher: departurePublisher,
+          reporter,
+        }),
+    ).singleton(),
+    group: asFunction(() => new LoneGroup()).singleton(),
     registry: asFunction(
       ({settings, clock, random, reporter, departures}: EntryCradle) =>
         new UpstreamRegistry({
@@ -185,7 +239,8 @@
     entryList: asFunction(
       ({directory, random}: EntryCradle) => new EntryList(directory, random),
     ).singleton(),
-    budgetSlot: asFunction(() => new NoBudgetSlot()).singleton(),
+    isWatcher: asValue(() => true),
+    budgetSlot: asFunction(createBudgetSlot).singleton(),
     loadWatch: asFunction(
       (cradle: EntryCradle) =>
         new LoadWatch({
@@ -195,7 +250,8 @@
           clock: cradle.clock,
           random: cradle.random,
           metrics: cradle.metrics,
-          onLeavingSignal: () => {},
+          onLeavingSignal: handle => cradle.departureTracker.onSignal(handle),
+          onReturn: handle => cradle.departureTracker.onReturn(handle),
         }),
     ).singleton(),
   });
@@ -216,7 +272,7 @@
           retryBudget: cradle.retryBudget,
           crashGuard: cradle.crashGuard,
           suspectNotifier: cradle.suspectNotifier,
-          onLeavingSignal: () => {},
+          onLeavingSignal: handle => cradle.departureTracker.onSignal(handle),
         }),
     ).singleton(),
     issueCounter: asFunction(
@@ -311,15 +367,36 @@
   });
 }
 
-function createStore(settings: Settings, metrics: MetricRegistry): Store {
+function createStore({settings, metrics, clock}: EntryCradle): Store {
   const {platform} = settings;
-  return platform.kind === 'embedded'
-    ? new EmbeddedStore()
-    : new EtcdStore({
-        endpoints: platform.endpoints,
-        prefix: platform.prefix,
-        registry: metrics,
-      });
+  if (platform.kind === 'embedded') {
+    return new EmbeddedStore(clock);
+  }
+  return new EtcdStore({
+    endpoints: platform.endpoints,
+    prefix: platform.prefix.replace(/\/*$/, '/'),
+    callTimeoutMs: STORE_CALL_TIMEOUT_MS,
+    callsPerSecond: STORE_CALLS_PER_SECOND,
+    metrics,
+    clock,
+  });
+}
+
+function createBudgetSlot(cradle: EntryCradle): BudgetSlot {
+  const {store, clock, metrics, reporter, settings, incarnation} = cradle;
+  const lease = new NumberedLease({
+    store,
+    clock,
+    name: 'load-watch',
+    holder: `${settings.name}.${incarnation}`,
+    timeToLiveSeconds: SLOT_TIME_TO_LIVE_SECONDS,
+    marginMs: SLOT_MARGIN_MS,
+    stepMs: SLOT_STEP_MS,
+    settleMs: SLOT_SETTLE_MS,
+    metrics,
+    reporter,
+  });
+  return new LeasedBudgetSlot(lease, cradle.keeper, cradle.directory);
 }
 
 function createLoneDirectory(cradle: EntryCradle): MemberDirectory {
@@ -335,15 +412,9 @@
   });
 }
 
-/** Holds no part of the budget: only what answers report is watched. */
-class NoBudgetSlot extends BudgetSlot {
-  override heldNumber(): undefined {
-    return undefined;
-  }
-
-  override get slots(): number {
-    return 1;
-  }
+/** There are no other entries to tell. */
+class NoDeparturePublisher extends DeparturePublisher {
+  override publishDeparture(): void {}
 }
 
 /** There are no other entries to tell. */
--- a/packages/entry/src/data-path/dispatcher.ts
+++ b/packages/entry/src/data-path/dispatcher.ts
@@ -13,8 +13,8 @@
 } from '@wasabidyke/policy';
 import type {Clock, Outcome} from '@wasabidyke/shared';
 import type {
-  AcquireRefusal,
   AcquireRequest,
+  AcquireResult,
   ServicePool,
 } from '../upstreams/service-pool.js';
 import type {UpstreamHandle} from '../upstreams/upstream-handle.js';
@@ -68,8 +68,6 @@
 /** Attempts that may fail before any byte was sent; they cost upstreams nothing. */
 const MAXIMUM_UNSENT_ATTEMPTS = 4;
 
-const RETRY_AFTER_SECONDS = 1;
-
 /** Sends requests to upstreams. */
 export class RequestDispatcher {
   readonly #options: DispatcherOptions;
@@ -170,39 +168,40 @@
       return this.#fail('no-upstream', 'The service has just been removed.');
     }
     const acquired = await this.#acquire(pool);
-    if (typeof acquired === 'string') {
-      return acquired === 'cancelled'
+    if (acquired.kind === 'refused') {
+      return acquired.reason === 'cancelled'
         ? {kind: 'broken-off'}
-        : this.#fail(acquired, 'No upstream had room in time.');
+        : this.#fail(acquired.reason, 'No upstream had room in time.');
     }
-    return this.#runAt(pool, acquired);
+    return this.#runAt(pool, acquired.handle, acquired.startedAtMs);
   }
 
-  async #acquire(pool: ServicePool): Promise<UpstreamHandle | AcquireRefusal> {
+  async #acquire(pool: ServicePool): Promise<AcquireResult> {
     if (this.#isCancelled) {
-      return 'cancelled';
+      return {kind: 'refused', reason: 'cancelled'};
     }
     const {rule, deadlineMs} = this.#job;
     const excluded = this.#excluded;
     const request: AcquireRequest = {rule, deadlineMs, excluded};
     const handle = pool.waiting === 0 ? pool.tryAcquire(request) : undefined;
     if (handle !== undefined) {
-      handle.onStart();
-      return handle;
+      const startedAtMs = this.#options.clock.now();
+      handle.onStart(startedAtMs);
+      return {kind: 'acquired', handle, startedAtMs};
     }
     const ticket = pool.wait(request);
     this.#cancelWait = ticket.cancel;
     const result = await ticket.result;
     this.#cancelWait = undefined;
-    return result.kind === 'acquired' ? result.handle : result.reason;
+    return result;
   }
 
   async #runAt(
     pool: ServicePool,
     handle: UpstreamHandle,
+    startedAtMs: number,
   ): Promise<DispatchResult | undefined> {
     const {clock} = this.#options;
-    const startedAtMs = clock.now();
     const attempt = new Attempt({
       dispatcher: handle.pool,
       request: this.#job.request,
@@ -211,7 +210,7 @@
     });
     this.#attempt = attempt;
     attempt.start();
-    if (this.#isCancelled || startedAtMs >= this.#job.deadlineMs) {
+    if (this.#isOver()) {
       attempt.giveUp();
     }
     const result = await attempt.result;
@@ -378,9 +377,7 @@
 
   #createProblem(reason: ProblemReason, detail: string): Problem {
     const outcome: Outcome = this.#hasRun ? 'unknown' : 'not-run';
-    const helps = reason !== 'quarantined';
-    const retryAfterSeconds = helps ? RETRY_AFTER_SECONDS : undefined;
-    return {reason, outcome, detail, retryAfterSeconds};
+    return {reason, outcome, detail};
   }
 }
 
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -3,6 +3,7 @@
 export * from './admission-queue.js';
 export * from './crash-guard.js';
 export * from './create-selection.js';
+export * from './hedge-plan.js';
 export * from './hot-cold.js';
 export * from './least-in-flight.js';
 export * from './load-report.js';
