test(prove): departures that are not spread, restored and stale manifests, shares in short leases

A worker far away from an entry says that it leaves; later that entry has to turn to it. The store is given the first manifest back, past every check. Shares of the load-watch budget settle after 45 s, which is longer than a run, so the runs for that promise register the entry's own leases with times of seconds.

--- a/features/promises/leaving-upstream.feature
+++ b/features/promises/leaving-upstream.feature
@@ -5,3 +5,7 @@
   Scenario: It holds under faults
     When the promise "leaving-upstream" is tried with seed 1
     Then no violation is found
+
+  Scenario: It is found broken with departures-not-spread
+    When it is tried with "departures-not-spread" and seed 1
+    Then violations of "leaving-upstream" are found
--- a/packages-private/prove/src/faults/index.ts
+++ b/packages-private/prove/src/faults/index.ts
@@ -8,7 +8,13 @@
   scaleBudget,
   SubmitAct,
 } from './operator-acts.js';
-import {LapseFault, StoreFault, VmListFault} from './platform-faults.js';
+import {
+  LapseFault,
+  RestoreFault,
+  StaleReadFault,
+  StoreFault,
+  VmListFault,
+} from './platform-faults.js';
 import {FreezeFault, KillFault, StopFault} from './process-faults.js';
 import {LinkFault, WorkerFault} from './worker-faults.js';
 
@@ -79,6 +85,8 @@
     {lostAnswers: LOST_ANSWERS},
     {lostAnswers: 0},
   ),
+  'store-stale': new StaleReadFault('store-stale'),
+  'store-restored': new RestoreFault('store-restored'),
   'leases-lapse': new LapseFault('leases-lapse'),
   'vm-list-lags': new VmListFault('vm-list-lags', {lagMs: VM_LIST_LAG_MS}),
   'vm-list-down': new VmListFault('vm-list-down', {isDown: true}),
--- a/packages-private/prove/src/faults/platform-faults.ts
+++ b/packages-private/prove/src/faults/platform-faults.ts
@@ -1,6 +1,7 @@
 /** Faults of the store and of the VM list. */
 
 import type {StoreFaults} from '@wasabidyke/stand-ins';
+import type {StoreWrite} from '../site/site.js';
 import {Fault, type FaultContext} from './fault.js';
 
 /** A fault of the platform. */
@@ -39,6 +40,32 @@
   }
 }
 
+/** Reads are served as of the manifest before the present one. */
+export class StaleReadFault extends PlatformFault {
+  override async begin({site}: FaultContext): Promise<void> {
+    await site.makeStoreStale();
+  }
+
+  override async end({site}: FaultContext): Promise<void> {
+    await site.changeStore({staleRevision: undefined});
+  }
+}
+
+/** The first manifest is put back into the store, as from a backup, and later the latest one. */
+export class RestoreFault extends PlatformFault {
+  #latest: StoreWrite | undefined;
+
+  override async begin({site}: FaultContext): Promise<void> {
+    this.#latest = await site.restoreFirstManifest();
+  }
+
+  override async end({site}: FaultContext): Promise<void> {
+    if (this.#latest !== undefined) {
+      await site.writeStore(this.#latest);
+    }
+  }
+}
+
 /** All leases lapse. */
 export class LapseFault extends PlatformFault {
   override async begin({site}: FaultContext): Promise<void> {
--- a/packages-private/prove/src/runner.ts
+++ b/packages-private/prove/src/runner.ts
@@ -52,6 +52,7 @@
       directory: this.#directory,
       seed: this.#schedule.seed,
       weakened: this.#weakened,
+      hasShortLeases: this.#schedule.promise === 'load-watch',
     });
     try {
       await site.start();
--- a/packages-private/prove/src/schedule/draw.ts
+++ b/packages-private/prove/src/schedule/draw.ts
@@ -38,7 +38,8 @@
     faults: drawFaults(profile),
   });
   const [drawn] = fc.sample(fc.noBias(schedule), {seed, numRuns: 1});
-  const faults = aimAll(drawn.faults, layout);
+  const {directed} = profile;
+  const faults = [...directed, ...aimAll(drawn.faults, layout, directed)];
   return {
     seed,
     promise,
@@ -65,7 +66,15 @@
   const certain = always.map(name => drawFault(fc.constant(name), profile));
   return fc
     .tuple(fc.tuple(...certain), drawn)
-    .map(([first, further]) => [...first, ...further]);
+    .map(([first, further]) => [...sortTimes(first), ...further]);
+}
+
+/** Leaves faults in their order, and their times rising. */
+function sortTimes(faults: readonly DrawnFault[]): DrawnFault[] {
+  const times = faults
+    .map(({atMs}) => atMs)
+    .toSorted((left, right) => left - right);
+  return faults.map((fault, index) => ({...fault, atMs: times[index]}));
 }
 
 function drawFault(
@@ -81,8 +90,15 @@
 }
 
 /** Aims faults. A worker that leaves does nothing else: no other fault may bring it back. */
-function aimAll(faults: readonly DrawnFault[], layout: Layout): PlannedFault[] {
-  const workers = layout.workers.map(({name}) => name);
+function aimAll(
+  faults: readonly DrawnFault[],
+  layout: Layout,
+  directed: readonly PlannedFault[],
+): PlannedFault[] {
+  const taken = new Set(directed.map(({target}) => target));
+  const workers = layout.workers
+    .map(({name}) => name)
+    .filter(name => !taken.has(name));
   const entries = layout.entries.map(({name}) => name);
   const isDeparture = ({name}: DrawnFault) => DEPARTURES.has(name);
   const leaving = faults
--- a/packages-private/prove/src/schedule/profiles.ts
+++ b/packages-private/prove/src/schedule/profiles.ts
@@ -2,6 +2,7 @@
 
 import type {PromiseName} from '@wasabidyke/stand-ins';
 import type {FaultName} from '../faults/index.js';
+import type {PlannedFault} from './schedule.js';
 
 /** What a schedule draws from. */
 export interface Profile {
@@ -10,7 +11,9 @@
   readonly requestsPerSecond: number;
   /** Time before which all faults begin. */
   readonly faultsUntilMs: number;
-  /** Faults that every schedule has once. */
+  /** Faults that every schedule has just so. */
+  readonly directed: readonly PlannedFault[];
+  /** Faults that every schedule has once, in this order. */
   readonly always: readonly FaultName[];
   /** Faults that are drawn from. */
   readonly pool: readonly FaultName[];
@@ -27,6 +30,7 @@
   durationMs: 8_000,
   requestsPerSecond: 20,
   faultsUntilMs: 6_000,
+  directed: [],
   always: [],
   minimumDrawn: 2,
   maximumDrawn: 4,
@@ -59,6 +63,7 @@
   'store-held',
   'store-slow',
   'store-loses-answers',
+  'store-stale',
   'leases-lapse',
   'vm-list-lags',
   'vm-list-down',
@@ -71,6 +76,16 @@
   'stop-entry',
 ] as const satisfies readonly FaultName[];
 
+/**
+ * A worker of the north says that it leaves. Later both workers of the south
+ * die, so that its entry turns to the north, where it asked for nothing before.
+ */
+const DEPARTURE_FAR_AWAY: readonly PlannedFault[] = [
+  {name: 'leave-by-signal', target: 'shop-1', atMs: 1_000, lengthMs: 0},
+  {name: 'kill-worker', target: 'shop-3', atMs: 5_500, lengthMs: 3_500},
+  {name: 'kill-worker', target: 'shop-4', atMs: 5_500, lengthMs: 3_500},
+];
+
 /** The profile of each promise. */
 export const PROFILES: Readonly<Record<PromiseName, Profile>> = {
   'at-most-once': {
@@ -96,7 +111,8 @@
     ...BASE,
     durationMs: 10_000,
     faultsUntilMs: 4_000,
-    always: ['leave-by-manifest', 'leave-by-vm-list', 'leave-by-signal'],
+    directed: DEPARTURE_FAR_AWAY,
+    always: ['leave-by-manifest', 'leave-by-vm-list'],
     pool: ['store-down', 'freeze-entry', 'cut-store-from-entry'],
     minimumDrawn: 1,
     maximumDrawn: 2,
@@ -116,7 +132,7 @@
     ...BASE,
     durationMs: 10_000,
     requestsPerSecond: 5,
-    always: ['operators-race', 'store-loses-answers'],
+    always: ['operators-race', 'store-restored', 'store-loses-answers'],
     pool: [...PLATFORM_FAULTS, ...ENTRY_FAULTS, 'operators-race'],
   },
   'load-watch': {
--- a/packages-private/prove/src/site/layout.ts
+++ b/packages-private/prove/src/site/layout.ts
@@ -101,8 +101,8 @@
     },
     loadWatch: {
       preference: 'tail-first',
-      requestsPerSecond: 30,
-      bytesPerSecond: 20_000,
+      requestsPerSecond: 6,
+      bytesPerSecond: 12_000,
       crossRegionBytesPerSecond: 4_000,
     },
     services: ['shop', 'farm'].map(name => ({
--- a/packages-private/prove/src/site/site.ts
+++ b/packages-private/prove/src/site/site.ts
@@ -42,12 +42,23 @@
 const entryReadySchema = z.looseObject({});
 const statusSchema = z.object({state: z.string()});
 
+const storeWriteSchema = z.object({
+  key: z.string(),
+  value: z.string().optional(),
+  revision: z.int(),
+});
+
+/** A write to the store. */
+export type StoreWrite = z.infer<typeof storeWriteSchema>;
+
 /** How a site is made. */
 export interface SiteOptions {
   readonly directory: RunDirectory;
   readonly seed: number;
   /** Name of the part that stands in for one of the entries' own. */
   readonly weakened: string | undefined;
+  /** Whether shares of the budget for watching load change hands within seconds. */
+  readonly hasShortLeases: boolean;
 }
 
 /** A worker's process. */
@@ -207,6 +218,28 @@
     await sendControl('PUT', `http://${control}/faults`, this.#storeFaults);
   }
 
+  /** Serves reads as of the manifest before the present one. */
+  async makeStoreStale(): Promise<void> {
+    const former = (await this.#readManifestWrites()).at(-2);
+    await this.changeStore({staleRevision: former?.revision});
+  }
+
+  /** Puts the first manifest back into the store, past every check. Returns what stood there. */
+  async restoreFirstManifest(): Promise<StoreWrite | undefined> {
+    const writes = await this.#readManifestWrites();
+    const latest = writes.at(-1);
+    if (writes.length > 1) {
+      await this.writeStore(writes[0]);
+    }
+    return latest;
+  }
+
+  /** Writes to the store, past every check. */
+  async writeStore({key, value}: StoreWrite): Promise<void> {
+    const {control} = this.#store.ready;
+    await sendControl('POST', `http://${control}/write`, {key, value});
+  }
+
   /** Lets all leases lapse. */
   async lapseLeases(): Promise<void> {
     await sendControl('POST', `http://${this.#store.ready.control}/lapse`, {});
@@ -224,6 +257,15 @@
     await sendControl('PATCH', `http://${control}/vms/${name}`, change);
   }
 
+  async #readManifestWrites(): Promise<readonly StoreWrite[]> {
+    const answer = await request(`http://${this.#store.ready.control}/history`);
+    const lines = (await answer.body.text()).split('\n');
+    return lines
+      .filter(line => line !== '')
+      .map(line => storeWriteSchema.parse(JSON.parse(line)))
+      .filter(({key}) => key.endsWith('manifest'));
+  }
+
   async #startWorker(place: WorkerPlace): Promise<void> {
     const {directory, seed} = this.#options;
     const {name, address, service, vm} = place;
@@ -290,7 +332,7 @@
   }
 
   async #startEntry(place: EntryPlace): Promise<void> {
-    const {directory, weakened} = this.#options;
+    const {directory} = this.#options;
     const {name, region, zone} = place;
     const storeLink = this.#links?.ready.links.find(
       link => link.name === `store-${name}`,
@@ -310,21 +352,23 @@
       },
       log: {format: 'json'},
     };
-    const options =
-      weakened === undefined
-        ? directory.prepare(name, PROGRAMS.entry, settings)
-        : directory.prepare(
-            name,
-            PROGRAMS.changedEntry,
-            settings,
-            '--weakened',
-            weakened,
-          );
+    const changes = this.#listChanges();
+    const program =
+      changes.length === 0 ? PROGRAMS.entry : PROGRAMS.changedEntry;
+    const options = directory.prepare(name, program, settings, ...changes);
     const unit = new Unit(options, entryReadySchema);
     this.entries.set(name, {place, unit});
     await unit.start();
   }
 
+  #listChanges(): readonly string[] {
+    const {weakened, hasShortLeases} = this.#options;
+    return [
+      ...(weakened === undefined ? [] : ['--weakened', weakened]),
+      ...(hasShortLeases ? ['--short-leases'] : []),
+    ];
+  }
+
   async #waitUntilServing(): Promise<void> {
     const deadlineMs = performance.now() + SERVING_TIMEOUT_MS;
     for (const place of this.layout.entries) {
--- a/packages-private/prove/src/weakened/index.ts
+++ b/packages-private/prove/src/weakened/index.ts
@@ -2,6 +2,7 @@
 
 import type {ContainerChange, EntryCradle} from '@wasabidyke/entry';
 import type {PromiseName} from '@wasabidyke/stand-ins';
+import {parseManifestRecord} from '@wasabidyke/manifest';
 import {asFunction} from 'awilix';
 import {
   AnyHomeIssuer,
@@ -9,6 +10,7 @@
   BlindCrashGuard,
   OptimisticDispatcher,
   RetryingDispatcher,
+  SilentDeparturePublisher,
   TrustingDispatcher,
   WholeBudgetSlot,
 } from './naive-parts.js';
@@ -58,6 +60,17 @@
     description: 'the end of a connection is taken for the end of an answer',
     change: registerDispatcher(TrustingDispatcher),
   },
+  'departures-not-spread': {
+    promise: 'leaving-upstream',
+    description: 'an entry keeps to itself which upstreams leave',
+    change: container => {
+      container.register({
+        departurePublisher: asFunction(
+          () => new SilentDeparturePublisher(),
+        ).singleton(),
+      });
+    },
+  },
   'stop-without-draining': {
     promise: 'planned-stop',
     description: 'an entry ends at once when it is asked to stop',
@@ -72,6 +85,7 @@
       container.register({
         revisionGuard: asFunction(() => new AnyRevisionGuard()).singleton(),
       });
+      offerWhateverTheStoreTells(container.cradle);
     },
   },
   'budget-not-split': {
@@ -94,6 +108,19 @@
   },
 };
 
+function offerWhateverTheStoreTells({store, keeper}: EntryCradle): void {
+  store.watch('manifest', {
+    onValue: value => {
+      const record = value && parseManifestRecord(value.value);
+      if (record !== undefined) {
+        keeper.offer(record, 'the store');
+      }
+    },
+    onStart: () => {},
+    onEnd: () => {},
+  });
+}
+
 function registerDispatcher(
   Dispatcher: typeof RetryingDispatcher,
 ): ContainerChange {
--- a/packages-private/prove/src/weakened/naive-parts.ts
+++ b/packages-private/prove/src/weakened/naive-parts.ts
@@ -4,6 +4,7 @@
 import {
   AnswerSink,
   BudgetSlot,
+  DeparturePublisher,
   HomeTokenIssuer,
   RequestDispatcher,
   RevisionGuard,
@@ -111,6 +112,11 @@
   }
 }
 
+/** Keeps to itself which upstreams leave. */
+export class SilentDeparturePublisher extends DeparturePublisher {
+  override publishDeparture(): void {}
+}
+
 /** Takes in every revision, older ones too. */
 export class AnyRevisionGuard extends RevisionGuard {
   override accepts(): boolean {
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -5,7 +5,12 @@
   type EntryContainer,
   type EntryCradle,
 } from './container.js';
-export {BudgetSlot, type HeldShare} from './control/budget-slot.js';
+export {
+  BudgetSlot,
+  LeasedBudgetSlot,
+  type HeldShare,
+} from './control/budget-slot.js';
+export {DeparturePublisher} from './control/departure-tracker.js';
 export {RevisionGuard} from './control/manifest-keeper.js';
 export {AnswerSink, type FlowControl} from './data-path/answer-sink.js';
 export {
