--- a/packages-private/bench/src/policy-command.ts
+++ b/packages-private/bench/src/policy-command.ts
@@ -38,6 +38,7 @@
   readonly arrivals: PolicySettings['arrivals'];
   readonly rounds: string;
   readonly roundMs: string;
+  readonly serviceMs: string;
 }
 
 const options = readOptions();
@@ -98,6 +99,11 @@
       'length of a round',
       String(DEFAULT_SETTINGS.roundMs),
     )
+    .option(
+      '--service-ms <milliseconds>',
+      'mean service time; neighbours are busy in proportion',
+      String(DEFAULT_SETTINGS.serviceMeanMs),
+    )
     .parse()
     .opts<MeasureOptions>();
 }
@@ -114,6 +120,7 @@
     arrivals: given.arrivals,
     rounds: Number(given.rounds),
     roundMs: Number(given.roundMs),
+    serviceMeanMs: Number(given.serviceMs),
     cells: selectCells(given),
   };
 }
