feat(entry): a slow idempotent request is hedged on another VM

A rule with "hedge" has a second attempt made on another VM after the 95th percentile of the time to answer, paid from the retry budget and at most one for ten requests; the first answer that begins is relayed, the other attempt is given up and its connection closed. Ruled out: hedging at every depth (a chain of calls would multiply) and hedging suspects. The feature fails with hedging off and passes with it.

--- a/features/steps/whole-path.steps.ts
+++ b/features/steps/whole-path.steps.ts
@@ -2,7 +2,7 @@
 
 import assert from 'node:assert/strict';
 import {createHash, randomBytes} from 'node:crypto';
-import {After, Given, Then} from '@cucumber/cucumber';
+import {After, Given, Then, When} from '@cucumber/cucumber';
 import {request} from 'undici';
 import {z} from 'zod';
 import {eventually} from '../support/eventually.js';
@@ -23,6 +23,9 @@
 
 const PROBLEM_SCHEMA = z.object({reason: z.string(), outcome: z.string()});
 
+/** Later than the deadline of every request. */
+const TOO_LATE_MS = 20_000;
+
 interface PathWorld {
   site: Site;
 }
@@ -164,3 +167,22 @@
     assert.deepEqual(problem, {outcome, reason});
   },
 );
+
+When(
+  'the upstream {string} answers only after every deadline',
+  async function (this: PathWorld, worker: string) {
+    const faults = {answerLateMs: TOO_LATE_MS};
+    await this.site.changeUpstream(worker, {faults});
+  },
+);
+
+Then(
+  '{int} look-ups through the first entry are answered',
+  async function (this: PathWorld, count: number) {
+    const sent = {method: 'GET', path: '/shop/cheese'} as const;
+    for (let index = 0; index < count; index++) {
+      const {answer, text} = await send(this.site.entries[0], sent);
+      assert.equal(answer.statusCode, 200, text);
+    }
+  },
+);
--- a/features/support/site.ts
+++ b/features/support/site.ts
@@ -39,6 +39,7 @@
   readonly #directory = mkdtempSync(join(tmpdir(), 'wasabidyke-site-'));
   readonly #processes: StandInProcess[] = [];
   readonly #network: string;
+  #upstreams: StandInProcess | undefined;
 
   private constructor(entryCount: number) {
     sites += 1;
@@ -82,6 +83,7 @@
               kind: 'idempotent',
               timeoutMs: 5_000,
               retries: 2,
+              hedge: true,
             },
             {
               name: 'order',
@@ -98,6 +100,14 @@
     };
   }
 
+  /** Changes an upstream, as the control port of its stand-in takes it. */
+  async changeUpstream(worker: string, change: object): Promise<void> {
+    await this.#upstreams?.control('POST', '/change', {
+      workers: [worker],
+      ...change,
+    });
+  }
+
   /** Ends every process. */
   async stop(): Promise<void> {
     await Promise.all(this.#processes.map(process => process.stop()));
@@ -114,7 +124,12 @@
       vm,
       service: 'shop',
     }));
-    await this.#startProgram(UPSTREAM_PROGRAM, 'upstreams', {workers});
+    const upstreams = {workers};
+    this.#upstreams = await this.#startProgram(
+      UPSTREAM_PROGRAM,
+      'upstreams',
+      upstreams,
+    );
     const platform = {
       kind: 'etcd',
       endpoints: [store.origin],
@@ -134,10 +149,10 @@
     program: string,
     name: string,
     settings: object,
-  ): Promise<void> {
+  ): Promise<StandInProcess> {
     const file = join(this.#directory, `${name}.json`);
     writeFileSync(file, JSON.stringify(settings));
-    await this.#track(
+    return this.#track(
       StandInProcess.startProgram(program, ['--settings', file]),
     );
   }
--- a/packages-private/prove/src/site/layout.ts
+++ b/packages-private/prove/src/site/layout.ts
@@ -110,7 +110,12 @@
       policy: 'hot-cold',
       queueLimit: 64,
       requests: [
-        {...createRule('lookup', 'idempotent'), methods: ['GET'], retries: 2},
+        {
+          ...createRule('lookup', 'idempotent'),
+          methods: ['GET'],
+          retries: 2,
+          hedge: true,
+        },
         {...createRule('order', 'at-most-once'), path: '/orders'},
         {...createRule('upload', 'bulk'), path: '/photos'},
       ],
@@ -132,6 +137,7 @@
     path: '/',
     timeoutMs: 5_000,
     retries: 0,
+    hedge: false,
     priority: 5,
     regions: 'local-first' as const,
   };
--- a/packages/entry/src/data-path/dispatch.ts
+++ b/packages/entry/src/data-path/dispatch.ts
@@ -13,7 +13,8 @@
   ServicePool,
 } from '../upstreams/service-pool.js';
 import type {UpstreamHandle} from '../upstreams/upstream-handle.js';
-import {Attempt, type AttemptResult} from './attempt.js';
+import type {AttemptResult} from './attempt.js';
+import {AttemptRace, type RunEnd} from './attempt-race.js';
 import type {
   DispatchJob,
   DispatchResult,
@@ -34,7 +35,8 @@
   readonly #trialLock: TrialLock;
   readonly #suspicion: Suspicion;
   readonly #excluded = new Set<UpstreamHandle>();
-  #attempt: Attempt | undefined;
+  readonly #breakReports: Array<Promise<void>> = [];
+  #race: AttemptRace | undefined;
   #cancelWait: (() => void) | undefined;
   #isCancelled = false;
   #hasRun = false;
@@ -58,6 +60,9 @@
       () => this.#giveUp(),
       this.#job.deadlineMs - this.#options.clock.now(),
     );
+    this.#options.registry
+      .findPool(this.#job.service.name)
+      ?.hedgePlan.onRequest();
     try {
       return await this.#runAttempts();
     } finally {
@@ -73,7 +78,7 @@
   }
 
   #giveUp(): void {
-    this.#attempt?.giveUp();
+    this.#race?.giveUp();
   }
 
   async #runAttempts(): Promise<DispatchResult> {
@@ -147,24 +152,85 @@
     handle: UpstreamHandle,
     startedAtMs: number,
   ): Promise<DispatchResult | undefined> {
-    const {clock} = this.#options;
-    const attempt = new Attempt({
-      dispatcher: handle.pool,
+    const race = new AttemptRace({
       request: this.#job.request,
       sink: this.#job.sink,
-      onAnswerHead: headers => this.#onAnswerHead(handle, headers),
+      onAnswerHead: (from, headers) => this.#onAnswerHead(from, headers),
+      onRunEnd: end => this.#onRunEnd(pool, end),
     });
-    this.#attempt = attempt;
-    attempt.start();
+    this.#race = race;
+    race.start(handle, startedAtMs);
     if (this.#isOver()) {
-      attempt.giveUp();
+      race.giveUp();
     }
-    const result = await attempt.result;
-    this.#attempt = undefined;
-    const durationMs = clock.now() - startedAtMs;
-    this.#settleLoad(handle, result, durationMs);
+    const hedgeTimer = this.#scheduleHedge(pool, race, handle);
+    const end = await race.result;
+    clearTimeout(hedgeTimer);
+    this.#race = undefined;
+    return this.#judge(end.result);
+  }
+
+  /** Has a second attempt made elsewhere when the first takes longer than most. */
+  #scheduleHedge(
+    pool: ServicePool,
+    race: AttemptRace,
+    first: UpstreamHandle,
+  ): NodeJS.Timeout | undefined {
+    const {rule, depth} = this.#job;
+    const {delayMs} = pool.hedgePlan;
+    const mayHedge =
+      rule.hedge &&
+      rule.kind === 'idempotent' &&
+      depth === 0 &&
+      delayMs !== undefined &&
+      this.#isReplayable() &&
+      this.#suspicion.standing === 'clear';
+    return mayHedge
+      ? setTimeout(() => this.#hedge(pool, race, first), delayMs)
+      : undefined;
+  }
+
+  /** Neighbours slow all upstreams of a VM at once, so the second attempt goes to another VM. */
+  #hedge(pool: ServicePool, race: AttemptRace, first: UpstreamHandle): void {
+    if (race.isOver || this.#isOver() || pool.waiting > 0) {
+      return;
+    }
+    const {vm} = first.load.upstream;
+    const sameVm = pool.handles.filter(({load}) => load.upstream.vm === vm);
+    const excluded = new Set([...this.#excluded, ...sameVm]);
+    const {rule, deadlineMs} = this.#job;
+    const second = pool.tryAcquire({rule, deadlineMs, excluded});
+    const isAllowed =
+      second !== undefined &&
+      pool.hedgePlan.take() &&
+      this.#options.retryBudget.take();
+    if (second === undefined || !isAllowed) {
+      return;
+    }
+    const startedAtMs = this.#options.clock.now();
+    second.onStart(startedAtMs);
+    race.start(second, startedAtMs);
+  }
+
+  #onRunEnd(pool: ServicePool, end: RunEnd): void {
+    const {handle, result, startedAtMs, hasLost} = end;
+    const durationMs = this.#options.clock.now() - startedAtMs;
+    if (hasLost) {
+      handle.onEnd('cancelled', durationMs);
+    } else {
+      this.#settleLoad(handle, result, durationMs);
+    }
+    if (hasLost || result.kind === 'answered') {
+      pool.hedgePlan.onAnswer(durationMs);
+    }
+    if (result.kind === 'broken' || result.kind === 'given-up') {
+      this.#hasRun = true;
+    }
+    if (result.kind === 'broken' && result.isConnectionLost) {
+      this.#breakReports.push(this.#suspicion.onBreak(handle));
+    }
+    this.#excluded.add(handle);
     pool.onEnd(durationMs);
-    return this.#judge(handle, result);
   }
 
   #settleLoad(
@@ -181,11 +247,7 @@
     }
   }
 
-  async #judge(
-    handle: UpstreamHandle,
-    result: AttemptResult,
-  ): Promise<DispatchResult | undefined> {
-    this.#excluded.add(handle);
+  async #judge(result: AttemptResult): Promise<DispatchResult | undefined> {
     switch (result.kind) {
       case 'answered':
         this.#suspicion.onAnswer();
@@ -195,10 +257,8 @@
       case 'shed':
         return this.#judgeShed(result.retryAfterSeconds);
       case 'broken':
-        this.#hasRun = true;
-        return this.#judgeBroken(handle, result);
+        return this.#judgeBroken(result);
       case 'given-up':
-        this.#hasRun = true;
         return this.#judgeGivenUp();
     }
   }
@@ -226,12 +286,9 @@
   }
 
   async #judgeBroken(
-    handle: UpstreamHandle,
     result: Extract<AttemptResult, {kind: 'broken'}>,
   ): Promise<DispatchResult | undefined> {
-    if (result.isConnectionLost) {
-      await this.#suspicion.onBreak(handle);
-    }
+    await Promise.all(this.#breakReports);
     if (this.#job.sink.isCommitted) {
       return {kind: 'broken-off'};
     }
--- a/packages/entry/src/upstreams/service-pool.ts
+++ b/packages/entry/src/upstreams/service-pool.ts
@@ -3,6 +3,7 @@
 import type {RequestRule, Service} from '@wasabidyke/manifest';
 import {
   AdmissionQueue,
+  HedgePlan,
   type LocalityFilter,
   type Selection,
   type UpstreamLoad,
@@ -47,6 +48,9 @@
   readonly clock: Clock;
 }
 
+/** Hedges for each request at most; they spend the retry budget besides. */
+const HEDGE_SHARE = 0.1;
+
 /** Weight of the newest interval between two ends of requests. */
 const INTERVAL_WEIGHT = 0.05;
 
@@ -58,6 +62,8 @@
 
 /** The upstreams of one service. */
 export class ServicePool {
+  /** When requests to the service are hedged. */
+  readonly hedgePlan = new HedgePlan(HEDGE_SHARE);
   readonly #clock: Clock;
   readonly #queue: AdmissionQueue<Waiter>;
   readonly #handlesByLoad = new Map<UpstreamLoad, UpstreamHandle>();
--- a/packages/manifest/src/checks/rule-check.ts
+++ b/packages/manifest/src/checks/rule-check.ts
@@ -17,6 +17,7 @@
       this.#checkUniqueness(service);
       for (const {part, path} of this.listRules(service)) {
         this.#checkRetries(part, path);
+        this.#checkHedge(part, path);
         this.#checkMethods(part, path);
       }
     }
@@ -46,6 +47,13 @@
     }
   }
 
+  #checkHedge({kind, hedge}: Draft<RequestRule>, path: DocumentPath): void {
+    if (hedge === true && kind !== undefined && kind !== 'idempotent') {
+      const message = `A request of kind "${kind}" is never run twice; set "hedge" to false.`;
+      this.add('hedge-not-idempotent', [...path, 'hedge'], message);
+    }
+  }
+
   #checkMethods(rule: Draft<RequestRule>, path: DocumentPath): void {
     for (const method of place(rule.methods, [...path, 'methods'])) {
       if (UNSUPPORTED_METHODS.has(method.part)) {
--- a/packages/manifest/src/schema.ts
+++ b/packages/manifest/src/schema.ts
@@ -71,6 +71,8 @@
   timeoutMs: z.int().min(1).max(MAXIMUM_TIMEOUT_MS),
   /** Further attempts after the first, for idempotent requests alone. */
   retries: z.int().min(0).max(10).default(0),
+  /** Whether a second attempt may be made while the first is still under way, for idempotent requests alone. */
+  hedge: z.boolean().default(false),
   /** Under overload, larger numbers are served first. */
   priority: z.int().min(0).max(9).default(5),
   /** Which regions' upstreams may serve it. */
