fix(workspace): set-up notices a package that is not linked; both binaries on a fresh clone

A checkout that was installed before a workspace package came in lacked its link, and set-up took it for installed: it compared versions, which links don't have. Features then failed with MODULE_NOT_FOUND.

`npx wasabidyke-entry` was missing on a fresh clone, because the binary that the package manager was to link had not been built yet; it is a small committed file now, as the command line's is.

The README's manifest is checked by a scenario.

--- a/features/operator/documents.feature
+++ b/features/operator/documents.feature
@@ -8,3 +8,6 @@
 
   Scenario: Every setting is described, and no other
     Then the settings of the operators' page are those of the schema
+
+  Scenario: A newcomer's first manifest is accepted
+    Then the manifest in the README has no findings
--- a/features/steps/operator-documents.steps.ts
+++ b/features/steps/operator-documents.steps.ts
@@ -4,6 +4,7 @@
 import {readFileSync, readdirSync} from 'node:fs';
 import {join} from 'node:path';
 import {Then} from '@cucumber/cucumber';
+import {parseManifest} from '@wasabidyke/manifest';
 import {settingsSchema} from '@wasabidyke/operator';
 import {z} from 'zod';
 
@@ -113,3 +114,10 @@
 function isMetric(name: string): boolean {
   return name.startsWith('wasabidyke_');
 }
+
+Then('the manifest in the README has no findings', () => {
+  const [, after] = readFileSync('README.md', 'utf8').split('```jsonc\n');
+  const [text] = after.split('```');
+  const {name} = parseManifest('README.md', text).unwrap();
+  assert.equal(name, 'my-site');
+});
--- /dev/null
+++ b/packages/entry/bin/wasabidyke-entry.mjs
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import '../dist/main.js';
--- a/scripts/setup.mjs
+++ b/scripts/setup.mjs
@@ -22,7 +22,7 @@
     ([path, entry]) =>
       !path.startsWith('node_modules/') ||
       entry.optional ||
-      present[path]?.version === entry.version,
+      (present[path] !== undefined && present[path].version === entry.version),
   );
 }
 
