fix(entry): an attempt that is given up at its deadline is told as such

Cause: aborting an attempt calls back with an error before the attempt was marked as ended, so a passed deadline was told as upstream-failed with 502 and counted against the upstream as a break. Seen when the hedging feature ran with hedging off. The feature fails before and passes after.

--- a/features/path/whole-path.feature
+++ b/features/path/whole-path.feature
@@ -16,3 +16,7 @@
 
   Scenario: An order without a key is refused as not run
     Then an order without a key is refused as "not-run" for "key-required"
+
+  Scenario: A request that is given up at its deadline is told so
+    When every upstream answers only after every deadline
+    Then a look-up through the first entry is refused as "unknown" for "deadline-exceeded"
--- a/features/steps/whole-path.steps.ts
+++ b/features/steps/whole-path.steps.ts
@@ -186,3 +186,24 @@
     }
   },
 );
+
+When(
+  'every upstream answers only after every deadline',
+  async function (this: PathWorld) {
+    const faults = {answerLateMs: TOO_LATE_MS};
+    await this.site.changeUpstream('shop-1', {faults});
+    await this.site.changeUpstream('shop-2', {faults});
+  },
+);
+
+Then(
+  'a look-up through the first entry is refused as {string} for {string}',
+  async function (this: PathWorld, outcome: string, reason: string) {
+    const sent = {method: 'GET', path: '/shop/cheese'} as const;
+    const {answer, text} = await send(this.site.entries[0], sent);
+    assert.equal(answer.headers['wasabidyke-outcome'], outcome);
+    assert.notEqual(answer.headers['retry-after'], undefined);
+    const problem = PROBLEM_SCHEMA.parse(JSON.parse(text));
+    assert.deepEqual(problem, {outcome, reason});
+  },
+);
--- a/packages/entry/src/data-path/attempt.ts
+++ b/packages/entry/src/data-path/attempt.ts
@@ -105,8 +105,9 @@
     }
     this.#isGivenUp = true;
     if (this.#isSent) {
-      this.#controller?.abort(new Error('given up'));
+      // Ended first: aborting calls back with an error that would look like the upstream's.
       this.#endBroken({kind: 'given-up'});
+      this.#controller?.abort(new Error('given up'));
       return;
     }
     this.#end({kind: 'not-sent', message: 'given up before it was sent'});
