fix(entry): watchers of the store read it every 3 s

A watch that ends unnoticed would have been found out after 30 s, beyond the 7 s in which an accepted manifest is to be in force. Six watchers in three regions make two reads a second.

--- a/packages/entry/src/control/store-manifest-source.ts
+++ b/packages/entry/src/control/store-manifest-source.ts
@@ -30,8 +30,8 @@
 /** How long a submission tries to learn its outcome, in milliseconds. */
 const SETTLE_TIMEOUT_MS = 8_000;
 
-/** Time between readings while a watch stands, in milliseconds. */
-const POLL_MS = 30 * SECOND_MS;
+/** Time between readings while a watch stands, in milliseconds: a watch may end unnoticed, and a manifest is to be in force in seconds. */
+const POLL_MS = 3 * SECOND_MS;
 
 /** An entry that doesn't watch reads once in this many seconds, should no other tell it. */
 const SELDOM_SECONDS = 30;
