--- /dev/null
+++ b/packages-private/bench/src/control-cost-main.ts
@@ -0,0 +1,33 @@
+/** Runs the experiment `control-cost` and prints one JSON document. */
+
+import {Command} from 'commander';
+import {CONTROL_COST_SETTINGS, ControlCostExperiment} from './control-cost.js';
+import {readMachine} from './machine.js';
+
+const given = new Command()
+  .name('control-cost')
+  .option('--seed <number>', 'seed of all generators', '1')
+  .option('--sizes <numbers>', 'numbers of entries, such as 1,12,24')
+  .parse()
+  .opts<{seed: string; sizes?: string}>();
+const settings = {
+  ...CONTROL_COST_SETTINGS,
+  seed: Number(given.seed),
+  sizes: given.sizes?.split(',').map(Number) ?? CONTROL_COST_SETTINGS.sizes,
+};
+const machine = readMachine();
+const startedAt = new Date().toISOString();
+const experiment = new ControlCostExperiment(settings, line =>
+  console.error(line),
+);
+const cells = await experiment.run();
+const command = `node packages-private/bench/dist/control-cost-main.js ${process.argv.slice(2).join(' ')}`;
+const result = {
+  experiment: 'control-cost',
+  command: command.trim(),
+  startedAt,
+  machine,
+  settings,
+  cells,
+};
+process.stdout.write(`${JSON.stringify(result, null, 1)}\n`);
--- a/packages-private/stand-ins/src/peer/forked-peer.ts
+++ b/packages-private/stand-ins/src/peer/forked-peer.ts
@@ -14,7 +14,7 @@
 const PROGRAM = fileURLToPath(new URL('./main.js', import.meta.url));
 
 /** Time for a process to answer its parent. */
-const ANSWER_TIMEOUT_MS = 20_000;
+const ANSWER_TIMEOUT_MS = 60_000;
 
 /** Told of what a process says by itself. */
 export type PeerEventListener = (
@@ -39,6 +39,12 @@
     this.#child = fork(PROGRAM, {
       stdio: ['ignore', 'inherit', 'inherit', 'ipc'],
     });
+    this.#child.on('exit', (status, signal) => {
+      if (signal !== 'SIGKILL') {
+        const {entry} = this.settings.member;
+        console.error(`${entry} ended: status ${status}, signal ${signal}`);
+      }
+    });
     this.#child.on('message', event => this.#on(event as PeerProcessEvent));
   }
 
