fix(entry): a planned stop waits for runs whose callers have given up

A run of an order goes on for up to twice its timeout; the listener counts only callers' requests, so a stop could end the process under such a run and hand it over as unknown.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,6 +1,7 @@
 /** The entry process: its start, its work and its planned stop. */
 
 import {readFile} from 'node:fs/promises';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {
   createManifestRecord,
   parseManifest,
@@ -12,6 +13,9 @@
 /** How often lapsed state is forgotten and other entries are told of the load, in milliseconds. */
 const PERIOD_MS = SECOND_MS;
 
+/** How often a stopping entry looks for runs that are still under way, in milliseconds. */
+const RUN_POLL_MS = 50;
+
 /** Time for other entries to hear that this one is being stopped. */
 const SPREAD_RESERVE_MS = 2 * SECOND_MS;
 
@@ -69,6 +73,7 @@
       await this.#waitForOldLists();
     }
     await callerListener.stop();
+    await this.#waitForRuns();
     await group.handOver();
     await this.#close();
     entryLifeCycle.trigger('DRAINED');
@@ -89,6 +94,14 @@
     });
   }
 
+  /** A run may go on after its caller was told that its time was over. */
+  async #waitForRuns(): Promise<void> {
+    const {ledger} = this.#cradle;
+    while (ledger.running > 0) {
+      await sleep(RUN_POLL_MS);
+    }
+  }
+
   async #close(): Promise<void> {
     const {source, loadWatch, forwarder, registry, operatorServer, group} =
       this.#cradle;
--- a/packages/entry/src/once/run-ledger.ts
+++ b/packages/entry/src/once/run-ledger.ts
@@ -177,9 +177,13 @@
     return [...this.#runs.values()];
   }
 
+  /** Runs stand in about the order of their issues, so the first that has not lapsed ends the search. */
   override sweep(): void {
     for (const [key, run] of this.#runs) {
-      if (run.state !== 'running' && this.#issuer.hasLapsed(run.issue)) {
+      if (!this.#issuer.hasLapsed(run.issue)) {
+        return;
+      }
+      if (run.state !== 'running') {
         this.#runs.delete(key);
         this.#bytes -= run.bytes;
       }
