--- a/packages/entry/src/data-path/caller-listener.ts
+++ b/packages/entry/src/data-path/caller-listener.ts
@@ -114,6 +114,10 @@
       return503OnClosing: false,
       exposeHeadRoutes: false,
       clientErrorHandler: refuseMalformed,
+      frameworkErrors: (error, request, reply) => {
+        reply.hijack();
+        refuse(request.raw, reply.raw, 'bad-request', error.message);
+      },
       http: {headersTimeout: HEADERS_TIMEOUT_MS},
     });
     fastify.server.maxConnections = MAXIMUM_CONNECTIONS;
--- a/packages/entry/src/data-path/dispatch.ts
+++ b/packages/entry/src/data-path/dispatch.ts
@@ -8,6 +8,7 @@
 } from '@wasabidyke/policy';
 import type {Outcome} from '@wasabidyke/shared';
 import type {
+  AcquireRefusal,
   AcquireRequest,
   AcquireResult,
   ServicePool,
@@ -120,9 +121,7 @@
     }
     const acquired = await this.#acquire(pool);
     if (acquired.kind === 'refused') {
-      return acquired.reason === 'cancelled'
-        ? {kind: 'broken-off'}
-        : this.#fail(acquired.reason, 'No upstream had room in time.');
+      return this.#judgeRefusal(acquired.reason);
     }
     return this.#runAt(pool, acquired.handle, acquired.startedAtMs);
   }
@@ -263,6 +262,16 @@
     }
   }
 
+  #judgeRefusal(reason: AcquireRefusal): DispatchResult {
+    if (reason === 'cancelled') {
+      return {kind: 'broken-off'};
+    }
+    const hasNoOther = reason === 'no-upstream' && this.#hasRun;
+    return hasNoOther
+      ? this.#fail('upstream-failed', 'No other upstream is left to try.')
+      : this.#fail(reason, 'No upstream had room in time.');
+  }
+
   #judgeUnsent(message: string): DispatchResult | undefined {
     if (this.#isCancelled) {
       return {kind: 'broken-off'};
