fix(entry): small shares of the load-watch budget still probe; an embedded entry says what it keeps

A share below one probe a second never saved up a whole one, since the bucket held one second. It now holds one probe at least and 100 ms of its rate, so what is spent in any time exceeds the budget by one probe an entry at most.

--- a/packages/entry/src/control-container.ts
+++ b/packages/entry/src/control-container.ts
@@ -134,7 +134,7 @@
     timeToLiveSeconds: SLOT_TIME_TO_LIVE_SECONDS,
     marginMs: SLOT_MARGIN_MS,
     stepMs: SLOT_STEP_MS,
-    settleMs: SLOT_SETTLE_MS,
+    settleMs: settings.platform.kind === 'embedded' ? 0 : SLOT_SETTLE_MS,
     metrics,
     reporter,
   });
--- a/packages/entry/src/control/load-watch.ts
+++ b/packages/entry/src/control/load-watch.ts
@@ -50,7 +50,7 @@
 const LEAVING_AGE_MS = 10_000;
 
 /** Tokens of how many milliseconds may be saved up. */
-const SAVED_MS = 1_000;
+const SAVED_MS = 100;
 
 const PROBE_TIMEOUT_MS = 500;
 
@@ -82,9 +82,9 @@
     this.#options = options;
     const nowMs = options.clock.now();
     this.#startedAtMs = nowMs;
-    this.#requests = new TokenBucket(0, SAVED_MS, nowMs);
-    this.#bytes = new TokenBucket(0, SAVED_MS, nowMs);
-    this.#crossRegionBytes = new TokenBucket(0, SAVED_MS, nowMs);
+    this.#requests = createBucket(1, nowMs);
+    this.#bytes = createBucket(PROBE_BYTES, nowMs);
+    this.#crossRegionBytes = createBucket(PROBE_BYTES, nowMs);
     this.#probes = options.metrics.counter(
       'wasabidyke_load_probes_total',
       'Probes of the load of upstreams.',
@@ -246,3 +246,13 @@
     }
   }
 }
+
+/** However small the share, one whole probe can be saved up. */
+function createBucket(probe: number, nowMs: number): TokenBucket {
+  return new TokenBucket({
+    ratePerSecond: 0,
+    capacityMs: SAVED_MS,
+    minimumCapacity: probe,
+    nowMs,
+  });
+}
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -7,6 +7,7 @@
   parseManifest,
   type Snapshot,
 } from '@wasabidyke/manifest';
+import {MANIFEST_KEY} from '@wasabidyke/platform';
 import {formatFinding, SECOND_MS} from '@wasabidyke/shared';
 import type {EntryContainer, EntryCradle} from './container.js';
 
@@ -135,18 +136,34 @@
 
   /** Without a platform, the first manifest comes from a file. */
   async #seedEmbeddedStore(): Promise<void> {
-    const {settings, store} = this.#cradle;
+    const {settings, store, reporter} = this.#cradle;
     if (settings.platform.kind !== 'embedded') {
       return;
     }
     const file = settings.platform.manifestFile;
-    const body = await readFile(file, 'utf8');
+    const body = await readManifestFile(file);
     const parsed = parseManifest(file, body);
     if (parsed.isErr()) {
       throw new Error(parsed.error.map(formatFinding).join('\n'));
     }
     const record = createManifestRecord(1, 'manifest-file', body);
     const value = JSON.stringify(record);
-    await store.compareAndSwap({key: 'manifest', expectedVersion: 0, value});
+    await store.compareAndSwap({key: MANIFEST_KEY, expectedVersion: 0, value});
+    reporter.report({
+      level: 'info',
+      code: 'entry.embedded',
+      subject: settings.name,
+      message: `Runs alone, with its manifest from ${file}; later manifests and keys are kept in memory and lost at its end.`,
+    });
+  }
+}
+
+async function readManifestFile(file: string): Promise<string> {
+  try {
+    return await readFile(file, 'utf8');
+  } catch {
+    throw new Error(
+      `The manifest ${file} cannot be read; correct platform.manifestFile.`,
+    );
   }
 }
--- a/packages/policy/src/token-bucket.ts
+++ b/packages/policy/src/token-bucket.ts
@@ -1,26 +1,41 @@
 /** A token bucket: spending that never exceeds a rate, but for what was saved up. */
 
-/** A token bucket that starts empty. */
+import {SECOND_MS} from '@wasabidyke/shared';
+
+/** How a bucket fills and what it holds. */
+export interface TokenBucketOptions {
+  /** Tokens that come in a second. */
+  readonly ratePerSecond: number;
+  /** Tokens of how many milliseconds may be saved up. */
+  readonly capacityMs: number;
+  /** Tokens that may be saved up at least: the largest amount that is taken at once. */
+  readonly minimumCapacity: number;
+  /** On the monotonic clock. */
+  readonly nowMs: number;
+}
+
+/**
+ * A token bucket that starts empty. What is taken in any time exceeds the rate
+ * by the capacity at most.
+ */
 export class TokenBucket {
   readonly #capacityMs: number;
+  readonly #minimumCapacity: number;
   #ratePerMs: number;
   #tokens = 0;
   #filledAtMs: number;
 
-  /**
-   * @param ratePerSecond Tokens that come in a second.
-   * @param capacityMs Tokens of how many milliseconds may be saved up.
-   */
-  constructor(ratePerSecond: number, capacityMs: number, nowMs: number) {
-    this.#ratePerMs = ratePerSecond / 1_000;
-    this.#capacityMs = capacityMs;
-    this.#filledAtMs = nowMs;
+  constructor(options: TokenBucketOptions) {
+    this.#ratePerMs = options.ratePerSecond / SECOND_MS;
+    this.#capacityMs = options.capacityMs;
+    this.#minimumCapacity = options.minimumCapacity;
+    this.#filledAtMs = options.nowMs;
   }
 
   /** Changes the rate; what is saved beyond the new capacity is lost. */
   applyRate(ratePerSecond: number, nowMs: number): void {
     this.#fill(nowMs);
-    this.#ratePerMs = ratePerSecond / 1_000;
+    this.#ratePerMs = ratePerSecond / SECOND_MS;
     this.#tokens = Math.min(this.#tokens, this.#capacity());
   }
 
@@ -46,7 +61,8 @@
   }
 
   #capacity(): number {
-    return this.#ratePerMs * this.#capacityMs;
+    const saved = this.#ratePerMs * this.#capacityMs;
+    return this.#ratePerMs === 0 ? 0 : Math.max(saved, this.#minimumCapacity);
   }
 
   #fill(nowMs: number): void {
