--- a/packages-private/prove/src/site/managed-process.ts
+++ b/packages-private/prove/src/site/managed-process.ts
@@ -8,6 +8,9 @@
 
 const READY_TIMEOUT_MS = 30_000;
 
+/** Exit status of a runner that was interrupted. */
+const INTERRUPTED_STATUS = 130;
+
 const readySchema = z.looseObject({ready: z.literal(true)});
 
 /** What to run. */
@@ -28,6 +31,10 @@
   }
 });
 
+for (const signal of ['SIGINT', 'SIGTERM'] as const) {
+  process.once(signal, () => process.exit(INTERRUPTED_STATUS));
+}
+
 /** A running process. */
 export class ManagedProcess {
   readonly name: string;
