--- a/packages-private/bench/src/added-latency-experiment.ts
+++ b/packages-private/bench/src/added-latency-experiment.ts
@@ -4,7 +4,6 @@
  * round is followed by its counterpart, so that two neighbours make a pair.
  */
 
-import {readFileSync} from 'node:fs';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {SECOND_MS} from '@wasabidyke/shared';
 import {callerResultSchema, type CallerSettings} from './caller-settings.js';
@@ -16,6 +15,7 @@
   type CurvePoint,
   type LatencyFigures,
 } from './latency-record.js';
+import {readProcessorMs} from './process-time.js';
 
 /** What is measured. */
 export interface AddedLatencySettings {
@@ -90,7 +90,6 @@
 const CONNECTIONS = 200;
 const CALLER_START_MS = 1_200;
 const TIMEOUT_MS = 5_000;
-const CLOCK_TICK_MS = 10;
 
 const ENTRY_PROGRAM = new URL(
   'main.js',
@@ -156,9 +155,9 @@
       return this.#children.start(CALLER_PROGRAM, [file]);
     });
     await sleep(CALLER_START_MS + this.#settings.warmUpMs);
-    const cpuBeforeMs = this.#readEntryCpuMs();
+    const cpuBeforeMs = readProcessorMs(this.#entry?.pid);
     await sleep(this.#settings.roundMs);
-    const entryCpuMs = this.#readEntryCpuMs() - cpuBeforeMs;
+    const entryCpuMs = readProcessorMs(this.#entry?.pid) - cpuBeforeMs;
     const lines = await Promise.all(running.map(child => child.firstLine()));
     return toRound(lines, entryCpuMs);
   }
@@ -246,13 +245,6 @@
     await this.#entry.firstLine();
     await sleep(SECOND_MS);
   }
-
-  /** User and system time of the entry process so far. */
-  #readEntryCpuMs(): number {
-    const stat = readFileSync(`/proc/${this.#entry?.pid}/stat`, 'utf8');
-    const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
-    return (Number(fields[11]) + Number(fields[12])) * CLOCK_TICK_MS;
-  }
 }
 
 function toRound(lines: readonly string[], entryCpuMs: number): Round {
--- a/packages-private/bench/src/measure.ts
+++ b/packages-private/bench/src/measure.ts
@@ -4,6 +4,7 @@
 const EXPERIMENTS: ReadonlyMap<string, string> = new Map([
   ['policy', './policy-command.js'],
   ['added-latency', './added-latency-command.js'],
+  ['control-cost', './control-cost-command.js'],
 ]);
 
 const BAD_USE_STATUS = 2;
--- a/packages-private/prove/src/schedule/profiles.ts
+++ b/packages-private/prove/src/schedule/profiles.ts
@@ -90,6 +90,9 @@
 export const PROFILES: Readonly<Record<PromiseName, Profile>> = {
   'at-most-once': {
     ...BASE,
+    directed: [
+      {name: 'cutting-worker', target: 'shop-2', atMs: 500, lengthMs: 3_000},
+    ],
     always: ['freeze-entry', 'reset-link'],
     pool: [...ENTRY_FAULTS, ...WORKER_FAULTS, ...LINK_FAULTS, 'store-down'],
     lookups: 10,
