--- a/packages-private/bench/src/entry-group.ts
+++ b/packages-private/bench/src/entry-group.ts
@@ -5,6 +5,7 @@
 import {request} from 'undici';
 import type {ChildGroup} from './child-process.js';
 import type {Deployment} from './deployment.js';
+import type {PolicySettings} from './policy-settings.js';
 import {PLACE, type UpstreamGroup} from './upstream-group.js';
 
 /** The program of an entry. */
@@ -53,9 +54,9 @@
   async start(
     children: ChildGroup,
     groups: readonly UpstreamGroup[],
-    timeoutMs: number,
+    settings: PolicySettings,
   ): Promise<void> {
-    const manifest = this.#toManifest(groups, timeoutMs);
+    const manifest = this.#toManifest(groups, settings);
     const manifestFile = children.writeSettings(manifest);
     for (const index of this.addresses.keys()) {
       const settings = this.#toSettings(index, manifestFile);
@@ -78,7 +79,10 @@
     };
   }
 
-  #toManifest(groups: readonly UpstreamGroup[], timeoutMs: number): object {
+  #toManifest(
+    groups: readonly UpstreamGroup[],
+    settings: PolicySettings,
+  ): object {
     return {
       name: this.#deployment.name,
       regions: [{name: PLACE.region, zones: [PLACE.zone]}],
@@ -92,7 +96,7 @@
         bytesPerSecond: 0,
         crossRegionBytesPerSecond: 0,
       },
-      services: groups.map(group => toService(group, timeoutMs)),
+      services: groups.map(group => toService(group, settings)),
     };
   }
 }
@@ -102,7 +106,7 @@
   return `${options.arm}-${options.noisiness}`;
 }
 
-function toService(group: UpstreamGroup, timeoutMs: number): object {
+function toService(group: UpstreamGroup, settings: PolicySettings): object {
   const {arm} = group.options;
   const upstreams: readonly Upstream[] = group.upstreams;
   return {
@@ -114,8 +118,9 @@
         name: 'lookup',
         methods: ['GET'],
         kind: 'idempotent',
-        timeoutMs,
+        timeoutMs: settings.timeoutMs,
         retries: RETRIES,
+        hedge: settings.hedgedArms.includes(arm),
       },
     ],
     upstreams,
--- a/packages-private/bench/src/policy-command.ts
+++ b/packages-private/bench/src/policy-command.ts
@@ -83,7 +83,7 @@
       ),
     )
     .option('--arms <names>', 'only these arms, the base and the oracle')
-    .option('--hedge <names>', 'with --direct: arms that hedge', '')
+    .option('--hedge <names>', 'arms that hedge', '')
     .option('--load <percents>', 'only these loads, such as 50,75')
     .option('--noisiness <names>', 'only these of calm,noisy')
     .option('--lag <milliseconds>', 'only these ages of reports')
--- a/packages-private/bench/src/policy-experiment.ts
+++ b/packages-private/bench/src/policy-experiment.ts
@@ -84,7 +84,7 @@
       );
       const entries = new EntryGroup(deployment, createNetwork());
       if (!this.#settings.isDirect) {
-        await entries.start(children, groups, this.#settings.timeoutMs);
+        await entries.start(children, groups, this.#settings);
       }
       await this.#warmUp(cells[0], groups, entries, children);
       const figures: CellFigures[] = [];
