--- a/packages/entry/src/control/entry-group.ts
+++ b/packages/entry/src/control/entry-group.ts
@@ -2,7 +2,7 @@
 
 import type {Snapshot} from '@wasabidyke/manifest';
 import type {PeerTask} from '@wasabidyke/peer';
-import {MINUTE_MS, type Reporter} from '@wasabidyke/shared';
+import {MINUTE_MS} from '@wasabidyke/shared';
 import type {LedgerHandOver} from '../once/ledger-hand-over.js';
 import type {DepartureTracker} from './departure-tracker.js';
 import type {EntryMemberState} from './member-directory.js';
@@ -49,7 +49,6 @@
   readonly keeper: ManifestKeeper;
   readonly tracker: DepartureTracker;
   readonly ledgerHandOver: LedgerHandOver;
-  readonly reporter: Reporter;
 }
 
 /** How often departures are told again, in milliseconds. */
--- a/packages/entry/src/peer-container.ts
+++ b/packages/entry/src/peer-container.ts
@@ -69,7 +69,6 @@
           keeper: cradle.keeper,
           tracker: cradle.departureTracker,
           ledgerHandOver: cradle.ledgerHandOver,
-          reporter: cradle.reporter,
         }),
     ).singleton(),
   });
