feat(platform): the whole path on the users' platform

An entry follows the platform's store, chooses upstreams by fresh load reports and relays requests. platform/ translates; packages/balancer holds the data path; packages/store is the former packages/platform.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -15,6 +15,7 @@
         project: [
           './packages/*/tsconfig.json',
           './packages-private/*/tsconfig.json',
+          './platform/tsconfig.json',
           './features/tsconfig.json',
         ],
         tsconfigRootDir: import.meta.dirname,
--- /dev/null
+++ b/features/policy/load-patterns.feature
@@ -0,0 +1,64 @@
+Feature: Choices under the load of the heaviest days
+
+  Scenario: A neighbour slows one upstream for a while, and work moves away at once
+    Given an upstream in "same-zone" that reports 1 of 4 slots busy at 7 times the usual pace
+    And an upstream in "same-region" that reports 3 of 4 slots busy at 1 times the usual pace
+    Then a request of 60 ms work and 200 ms target goes to upstream 2
+
+  Scenario: A burst fills the zone, and small requests go to another region before they are late
+    Given an upstream in "same-zone" that reports 9 of 4 slots busy at 1 times the usual pace
+    And an upstream in "other-region" that reports 0 of 4 slots busy at 1 times the usual pace
+    Then a request of 60 ms work and 200 ms target goes to upstream 2
+
+  Scenario: In the calm, bytes stay in the zone
+    Given an upstream in "same-zone" that reports 2 of 4 slots busy at 1 times the usual pace
+    And an upstream in "same-region" that reports 0 of 4 slots busy at 1 times the usual pace
+    And an upstream in "other-region" that reports 0 of 4 slots busy at 1 times the usual pace
+    Then a request of 60 ms work and 200 ms target goes to upstream 1
+
+  Scenario: A large upload stays off links that are paid for, though it is a little later
+    Given an upstream in "same-zone" that reports 4 of 4 slots busy at 1 times the usual pace
+    And an upstream in "other-region" that reports 0 of 4 slots busy at 1 times the usual pace
+    Then a request of 60000 bytes, 72 ms work and 400 ms target goes to upstream 1
+
+  Scenario: An upstream that fails behind a good report gets little work, and is tried again later
+    Given an upstream in "same-zone" that reports 0 of 4 slots busy at 1 times the usual pace
+    And an upstream in "same-region" that reports 2 of 4 slots busy at 1 times the usual pace
+    When 2 requests fail at upstream 1
+    Then a request of 60 ms work and 200 ms target goes to upstream 2
+    When 20000 ms pass
+    And upstream 1 reports 0 of 4 slots busy at 1 times the usual pace
+    And upstream 2 reports 2 of 4 slots busy at 1 times the usual pace
+    Then a request of 60 ms work and 200 ms target goes to upstream 1
+
+  Scenario: An upstream that has just started gets work only while others are slower still
+    Given an upstream in "same-zone" that reports 0 of 4 slots busy at 1 times the usual pace
+    And upstream 1 is cold for 3000 ms
+    And an upstream in "same-zone" that reports 0 of 4 slots busy at 1 times the usual pace
+    Then a request of 60 ms work and 200 ms target goes to upstream 2
+
+  Scenario: What was sent since the last report counts
+    Given an upstream in "same-zone" that reports 2 of 4 slots busy at 1 times the usual pace
+    And an upstream in "same-zone" that reports 3 of 4 slots busy at 1 times the usual pace
+    When 3 requests are sent to upstream 1
+    Then a request of 60 ms work and 200 ms target goes to upstream 2
+
+  Scenario: All entries together keep to the budget for repeats in any window
+    Given 14 entries that share repeats of 0.2 per request and 56 beside them in 10000 ms
+    When each entry gets 20 requests a second and repeats all it may, for 60 s
+    Then no window holds more repeats than 0.2 of its requests and 56
+
+  Scenario: A lull after a burst leaves no budget for the repeats of the burst
+    Given 14 entries that share repeats of 0.2 per request and 56 beside them in 10000 ms
+    When each entry gets 40 requests a second and repeats all it may, for 10 s
+    And each entry gets 1 requests a second and repeats all it may, for 30 s
+    Then no window holds more repeats than 0.2 of its requests and 56
+
+  Scenario: Weighted services get their shares in any short span
+    Given targets of weight 90 and 10
+    When 20 requests are dealt
+    Then the second target got 2 of them
+
+  Scenario: Callers that are refused together don't return together
+    When 200 requests are refused with 8 waiting and 15 ms for each
+    Then they return between 120 and 180 ms later, in at least 50 different milliseconds
--- a/features/steps/operator-documents.steps.ts
+++ b/features/steps/operator-documents.steps.ts
@@ -9,7 +9,7 @@
 import {z} from 'zod';
 
 const PAGE = 'docs/OPERATING.md';
-const PACKAGES = ['entry', 'peer', 'platform', 'policy'];
+const PACKAGES = ['entry', 'peer', 'store', 'policy'];
 
 /** Codes that are made of a state of a chart. */
 const CHARTS: Readonly<Record<string, string>> = {
--- a/features/steps/platform-manifest-repository.steps.ts
+++ b/features/steps/platform-manifest-repository.steps.ts
@@ -3,7 +3,7 @@
 import assert from 'node:assert/strict';
 import {Given, Then, When} from '@cucumber/cucumber';
 import {parseManifest} from '@wasabidyke/manifest';
-import type {ManifestSubmission, SubmissionOutcome} from '@wasabidyke/platform';
+import type {ManifestSubmission, SubmissionOutcome} from '@wasabidyke/store';
 import {eventually} from '../support/eventually.js';
 import {
   createRepository,
--- a/features/steps/platform-manifest-watch.steps.ts
+++ b/features/steps/platform-manifest-watch.steps.ts
@@ -3,7 +3,7 @@
 import assert from 'node:assert/strict';
 import {After, Given, Then, When} from '@cucumber/cucumber';
 import {createManifestRecord, listSubmissions} from '@wasabidyke/manifest';
-import {MANIFEST_KEY, ManifestWatch} from '@wasabidyke/platform';
+import {MANIFEST_KEY, ManifestWatch} from '@wasabidyke/store';
 import {MetricRegistry} from '@wasabidyke/shared';
 import {eventually} from '../support/eventually.js';
 import {
--- a/features/steps/platform-numbered-lease.steps.ts
+++ b/features/steps/platform-numbered-lease.steps.ts
@@ -7,7 +7,7 @@
   NumberedLease,
   type Lease,
   type StoreError,
-} from '@wasabidyke/platform';
+} from '@wasabidyke/store';
 import {ManualClock, MetricRegistry, type Result} from '@wasabidyke/shared';
 import {
   RecordingReporter,
--- a/features/steps/platform-store-bounds.steps.ts
+++ b/features/steps/platform-store-bounds.steps.ts
@@ -2,7 +2,7 @@
 
 import assert from 'node:assert/strict';
 import {After, Given, Then, When} from '@cucumber/cucumber';
-import type {StoreError, SwapAnswer} from '@wasabidyke/platform';
+import type {StoreError, SwapAnswer} from '@wasabidyke/store';
 import type {Result} from '@wasabidyke/shared';
 import fc from 'fast-check';
 import {eventually} from '../support/eventually.js';
--- a/features/steps/platform-store-history.steps.ts
+++ b/features/steps/platform-store-history.steps.ts
@@ -3,7 +3,7 @@
 import assert from 'node:assert/strict';
 import {Then, When} from '@cucumber/cucumber';
 import {parseManifestRecord} from '@wasabidyke/manifest';
-import type {Store, StoreError, SwapAnswer} from '@wasabidyke/platform';
+import type {Store, StoreError, SwapAnswer} from '@wasabidyke/store';
 import type {Result} from '@wasabidyke/shared';
 import {
   readHistory,
--- a/features/steps/platform-store.steps.ts
+++ b/features/steps/platform-store.steps.ts
@@ -9,7 +9,7 @@
   type StoreError,
   type StoreValue,
   type SwapAnswer,
-} from '@wasabidyke/platform';
+} from '@wasabidyke/store';
 import {Err, ManualClock, type Result} from '@wasabidyke/shared';
 import {eventually} from '../support/eventually.js';
 import {sampleNonsense} from '../support/nonsense.js';
--- a/features/steps/platform-vm-list.steps.ts
+++ b/features/steps/platform-vm-list.steps.ts
@@ -7,7 +7,7 @@
   parseVmList,
   type VmListError,
   type VmListing,
-} from '@wasabidyke/platform';
+} from '@wasabidyke/store';
 import type {Result} from '@wasabidyke/shared';
 import {sampleNonsense} from '../support/nonsense.js';
 import {StandInProcess} from '../support/stand-in-process.js';
--- a/features/support/manifest-context.ts
+++ b/features/support/manifest-context.ts
@@ -4,7 +4,7 @@
   ManifestRepository,
   type ManifestWatch,
   type SubmissionOutcome,
-} from '@wasabidyke/platform';
+} from '@wasabidyke/store';
 import {SystemClock} from '@wasabidyke/shared';
 import type {ManifestRecord} from '@wasabidyke/manifest';
 import type {RecordingReporter, StoreContext} from './store-context.js';
--- a/features/support/slot-holder.ts
+++ b/features/support/slot-holder.ts
@@ -1,7 +1,7 @@
 /** A process that holds a numbered slot and prints readings of it as JSON lines. */
 
 import {fileURLToPath} from 'node:url';
-import {EtcdStore, NumberedLease, type HeldSlot} from '@wasabidyke/platform';
+import {EtcdStore, NumberedLease, type HeldSlot} from '@wasabidyke/store';
 import {MetricRegistry, SystemClock} from '@wasabidyke/shared';
 import {KEY_PREFIX, RecordingReporter} from './store-context.js';
 
--- a/features/support/slot-schedule.ts
+++ b/features/support/slot-schedule.ts
@@ -1,6 +1,6 @@
 /** Schedules of what may happen to holders of numbered slots: counts that change and arrive late, steps, pauses. */
 
-import {EmbeddedStore, NumberedLease} from '@wasabidyke/platform';
+import {EmbeddedStore, NumberedLease} from '@wasabidyke/store';
 import {ManualClock, MetricRegistry} from '@wasabidyke/shared';
 import fc from 'fast-check';
 import {RecordingReporter} from './store-context.js';
--- a/features/support/store-context.ts
+++ b/features/support/store-context.ts
@@ -1,10 +1,6 @@
 /** The store that the steps of a scenario share. */
 
-import {
-  EtcdStore,
-  type EtcdStoreOptions,
-  type Store,
-} from '@wasabidyke/platform';
+import {EtcdStore, type EtcdStoreOptions, type Store} from '@wasabidyke/store';
 import {
   MetricRegistry,
   Reporter,
--- a/features/support/store-work.ts
+++ b/features/support/store-work.ts
@@ -7,7 +7,7 @@
   type StoreError,
   type SubmissionOutcome,
   type SwapAnswer,
-} from '@wasabidyke/platform';
+} from '@wasabidyke/store';
 import {SystemClock, type Result} from '@wasabidyke/shared';
 import {createSampleManifest} from './sample-manifest.js';
 
--- a/packages-private/prove/src/weakened/short-leases.ts
+++ b/packages-private/prove/src/weakened/short-leases.ts
@@ -5,7 +5,7 @@
   type EntryContainer,
   type EntryCradle,
 } from '@wasabidyke/entry';
-import {NumberedLease} from '@wasabidyke/platform';
+import {NumberedLease} from '@wasabidyke/store';
 import {asFunction} from 'awilix';
 
 const TIME_TO_LIVE_SECONDS = 2;
--- /dev/null
+++ b/packages/balancer/src/balancer-settings.ts
@@ -0,0 +1,93 @@
+/** The settings of a balancer: JSON with comments, checked whole. */
+
+import {parse, printParseErrorCode, type ParseError} from 'jsonc-parser';
+import {Err, Ok, type Result} from '@wasabidyke/shared';
+import {z} from 'zod';
+
+const UNITS_MS: Readonly<Record<string, number>> = {ms: 1, s: 1_000};
+
+/** A duration such as `250ms` or `2.5s`, as milliseconds. */
+const durationSchema = z
+  .string()
+  .regex(/^\d+(\.\d+)?(ms|s)$/, {
+    error: 'Give a number and its unit, as 250ms or 2.5s.',
+  })
+  .transform(text => {
+    const unit = text.endsWith('ms') ? 'ms' : 's';
+    return Number(text.slice(0, -unit.length)) * UNITS_MS[unit];
+  });
+
+/** An IP address and a port. */
+const addressSchema = z
+  .string()
+  .regex(/^[\d.]+:\d{1,5}$/, {
+    error: 'Give an IP address and a port, as 192.0.2.7:8080.',
+  })
+  .transform(text => {
+    const [host, port] = text.split(':');
+    return {host, port: Number(port), text};
+  });
+
+/** Settings of a balancer. */
+export const balancerSettingsSchema = z.object({
+  /** Unique among the entries. */
+  name: z.string().min(1),
+  region: z.string().min(1),
+  zone: z.string().min(1),
+  /** The region of each availability zone. */
+  regionByZone: z.record(z.string(), z.string()),
+  listen: z.object({
+    /** Requests. */
+    callers: addressSchema,
+    /** Questions for entries. */
+    entries: addressSchema,
+    readiness: addressSchema,
+    metrics: addressSchema,
+  }),
+  store: z.object({address: addressSchema}),
+  /** Time from the signal to stop until the process is killed. */
+  stopWithin: durationSchema,
+  repeats: z.object({
+    /** Repeats per request of a service, over all entries. */
+    ratio: z.number().min(0).max(1),
+    slack: z.number().min(0),
+    window: durationSchema,
+  }),
+  /** Load queries that one upstream may get in a second, over all entries. */
+  loadQueriesPerSecond: z.number().min(0),
+  /** What a megabyte costs, as a number of answers in time. */
+  transferCosts: z.object({
+    crossZonePerMegabyte: z.number().min(0),
+    crossRegionPerMegabyte: z.number().min(0),
+  }),
+  /** How long callers may keep a list of entries. */
+  entryListAge: durationSchema,
+});
+
+/** Settings of a balancer. */
+export type BalancerSettings = z.infer<typeof balancerSettingsSchema>;
+
+/** Reads settings from their text; errors name the field and what is wrong. */
+export function parseBalancerSettings(
+  text: string,
+): Result<BalancerSettings, readonly string[]> {
+  const errors: ParseError[] = [];
+  const content: unknown = parse(text, errors, {allowTrailingComma: true});
+  if (errors.length > 0) {
+    return Err(
+      errors.map(
+        ({error, offset}) =>
+          `settings: ${printParseErrorCode(error)} at offset ${offset}`,
+      ),
+    );
+  }
+  const parsed = balancerSettingsSchema.safeParse(content);
+  if (parsed.success) {
+    return Ok(parsed.data);
+  }
+  return Err(
+    parsed.error.issues.map(
+      ({path, message}) => `settings: ${path.join('.')}: ${message}`,
+    ),
+  );
+}
--- /dev/null
+++ b/packages/balancer/src/index.ts
@@ -0,0 +1,14 @@
+/** A balancer without state of its own: it relays requests to upstreams that a store announces. */
+
+export * from './balancer.js';
+export * from './balancer-settings.js';
+export * from './exchange/header-fields.js';
+export * from './exchange/wire-protocol.js';
+export * from './members/entry-roster.js';
+export * from './members/upstream-record.js';
+export * from './reporting/decision-log.js';
+export * from './routing/routing-configuration.js';
+export * from './routing/routing-table.js';
+export * from './serving/discovery-protocol.js';
+export * from './store/record-decoder.js';
+export * from './store/record-store.js';
--- /dev/null
+++ b/packages/balancer/src/members/entry-record.ts
@@ -0,0 +1,15 @@
+/** An entry as it announces itself to the others. */
+
+import {z} from 'zod';
+
+/** What an entry announces. */
+export const entryRecordSchema = z.object({
+  name: z.string(),
+  /** Where callers connect. */
+  address: z.string(),
+  region: z.string(),
+  zone: z.string(),
+});
+
+/** What an entry announces. */
+export type EntryRecord = z.infer<typeof entryRecordSchema>;
--- /dev/null
+++ b/packages/balancer/src/members/upstream-registry.ts
@@ -0,0 +1,88 @@
+/** The upstreams that may be used now, by service. */
+
+import type {Distance} from '@wasabidyke/policy';
+import type {Clock} from '@wasabidyke/shared';
+import type {WireProtocol} from '../exchange/wire-protocol.js';
+import {UpstreamHandle} from './upstream-handle.js';
+import type {UpstreamRecord} from './upstream-record.js';
+
+/** Where this entry is, and how far other places are. */
+export interface Locality {
+  readonly region: string;
+  readonly zone: string;
+  /** The region of each availability zone. */
+  readonly regionByZone: Readonly<Record<string, string>>;
+  readonly roundTripsMs: Readonly<Record<Distance, number>>;
+}
+
+/** What a registry needs. */
+export interface UpstreamRegistryOptions {
+  readonly locality: Locality;
+  readonly protocol: WireProtocol;
+  readonly clock: Clock;
+  /** Connections that this entry may hold to one upstream of a service. */
+  readonly connectionLimit: (service: string) => number;
+}
+
+/** The upstreams that may be used now. */
+export class UpstreamRegistry {
+  readonly #options: UpstreamRegistryOptions;
+  readonly #handles = new Map<string, UpstreamHandle>();
+  readonly #byService = new Map<string, UpstreamHandle[]>();
+
+  constructor(options: UpstreamRegistryOptions) {
+    this.#options = options;
+  }
+
+  /** The upstreams of a service. */
+  list(service: string): readonly UpstreamHandle[] {
+    return this.#byService.get(service) ?? [];
+  }
+
+  get size(): number {
+    return this.#handles.size;
+  }
+
+  add(record: UpstreamRecord): void {
+    const distance = this.#distanceTo(record.zone);
+    const {locality, protocol, clock, connectionLimit} = this.#options;
+    const handle = new UpstreamHandle({
+      record,
+      distance,
+      roundTripMs: locality.roundTripsMs[distance],
+      connectionLimit: connectionLimit(record.service),
+      protocol,
+      clock,
+    });
+    this.#handles.set(record.id, handle);
+    const handles = this.#byService.get(record.service) ?? [];
+    handles.push(handle);
+    this.#byService.set(record.service, handles);
+  }
+
+  update(record: UpstreamRecord): void {
+    this.#handles.get(record.id)?.applyRecord(record);
+  }
+
+  /** The upstream gets no further requests. */
+  remove(record: UpstreamRecord): void {
+    const handle = this.#handles.get(record.id);
+    if (handle === undefined) {
+      return;
+    }
+    this.#handles.delete(record.id);
+    const handles = this.list(handle.record.service);
+    const others = handles.filter(other => other !== handle);
+    this.#byService.set(handle.record.service, others);
+    handle.leave();
+  }
+
+  #distanceTo(zone: string): Distance {
+    const {locality} = this.#options;
+    if (zone === locality.zone) {
+      return 'same-zone';
+    }
+    const region = locality.regionByZone[zone];
+    return region === locality.region ? 'same-region' : 'other-region';
+  }
+}
--- /dev/null
+++ b/packages/balancer/src/reporting/decision-log.ts
@@ -0,0 +1,132 @@
+/**
+ * Structured logs on standard output, one JSON line for each decision. Each
+ * event has a limit of lines a second; what is left out is counted and told
+ * once a second. Writing never blocks: a reader that stops costs lines.
+ */
+
+import {TokenBucket} from '@wasabidyke/policy';
+import {SECOND_MS, type Clock, type MetricRegistry} from '@wasabidyke/shared';
+import pino, {type Logger} from 'pino';
+
+/** Fields of a line. Names are the same in metrics and docs. */
+export type LogFields = Readonly<
+  Record<string, string | number | boolean | undefined>
+>;
+
+/** Takes decisions. */
+export abstract class DecisionLog {
+  /** @param event Stable name, such as `request.refused`; docs/OPERATIONS.md lists them. */
+  abstract record(event: string, fields: LogFields): void;
+
+  /** Writes what is buffered before the process ends. */
+  abstract flush(): void;
+}
+
+/** Where lines are written; tests supply their own. */
+export interface LineDestination {
+  write(line: string): void;
+  flushSync?(): void;
+}
+
+/** Lines a second of one event. Source: at 14 machines they are a few hundred a second, which one engineer's tools take. */
+const LINES_PER_SECOND = 40;
+
+/** Seconds of lines that may come at once. */
+const BURST_MS = 2 * SECOND_MS;
+
+/** Bytes that are gathered into one write. */
+const WRITE_BYTES = 4_096;
+
+/** Bytes that wait for a reader at most; further lines are dropped. */
+const MAXIMUM_WAITING_BYTES = 1_048_576;
+
+/** Longest time that a line waits to be written, in milliseconds. */
+const FLUSH_PERIOD_MS = 250;
+
+/** Opens standard output as a destination that drops lines rather than block. */
+export function openStandardOutput(onDrop: () => void): LineDestination {
+  const destination = pino.destination({
+    fd: 1,
+    sync: false,
+    minLength: WRITE_BYTES,
+    maxLength: MAXIMUM_WAITING_BYTES,
+    periodicFlush: FLUSH_PERIOD_MS,
+  });
+  destination.on('drop', onDrop);
+  return destination;
+}
+
+interface EventLimit {
+  readonly bucket: TokenBucket;
+  leftOut: number;
+}
+
+/** Writes decisions as JSON lines. */
+export class JsonDecisionLog extends DecisionLog {
+  readonly #logger: Logger;
+  readonly #destination: LineDestination;
+  readonly #clock: Clock;
+  readonly #metrics: MetricRegistry;
+  readonly #limits = new Map<string, EventLimit>();
+
+  constructor(
+    entry: string,
+    destination: LineDestination,
+    clock: Clock,
+    metrics: MetricRegistry,
+  ) {
+    super();
+    this.#destination = destination;
+    this.#clock = clock;
+    this.#metrics = metrics;
+    this.#logger = pino(
+      {base: {entry}, timestamp: pino.stdTimeFunctions.isoTime},
+      destination,
+    );
+  }
+
+  override record(event: string, fields: LogFields): void {
+    this.#metrics
+      .counter('wasabidyke_events_total', 'Decisions by event.', {event})
+      .add();
+    const limit = this.#limit(event);
+    if (!limit.bucket.take(1, this.#clock.now())) {
+      limit.leftOut += 1;
+      return;
+    }
+    const leftOut = limit.leftOut === 0 ? undefined : limit.leftOut;
+    limit.leftOut = 0;
+    this.#logger.info({event, ...fields, leftOut});
+  }
+
+  override flush(): void {
+    for (const [event, limit] of this.#limits) {
+      if (limit.leftOut > 0) {
+        this.#logger.info({
+          event: 'log.left-out',
+          of: event,
+          leftOut: limit.leftOut,
+        });
+        limit.leftOut = 0;
+      }
+    }
+    this.#destination.flushSync?.();
+  }
+
+  #limit(event: string): EventLimit {
+    const known = this.#limits.get(event);
+    if (known !== undefined) {
+      return known;
+    }
+    const nowMs = this.#clock.now();
+    const bucket = new TokenBucket({
+      ratePerSecond: LINES_PER_SECOND,
+      capacityMs: BURST_MS,
+      minimumCapacity: 1,
+      nowMs: nowMs - BURST_MS,
+    });
+    const limit = {bucket, leftOut: 0};
+    this.#limits.set(event, limit);
+    return limit;
+  }
+}
--- /dev/null
+++ b/packages/balancer/src/routing/routing-table.ts
@@ -0,0 +1,53 @@
+/** A configuration compiled for look-ups: immutable, and used whole by each request. */
+
+import type {
+  CallerLimits,
+  Route,
+  RoutingConfiguration,
+  ServiceRule,
+} from './routing-configuration.js';
+
+/** One configuration, compiled. */
+export class RoutingTable {
+  readonly version: number;
+  readonly limits: CallerLimits;
+  readonly #routesByHost = new Map<string, Route[]>();
+  readonly #services: ReadonlyMap<string, ServiceRule>;
+
+  constructor(configuration: RoutingConfiguration) {
+    this.version = configuration.version;
+    this.limits = configuration.limits;
+    this.#services = new Map(
+      configuration.services.map(service => [service.name, service]),
+    );
+    for (const route of configuration.routes) {
+      const host = toHostName(route.host);
+      const routes = this.#routesByHost.get(host) ?? [];
+      routes.push(route);
+      this.#routesByHost.set(host, routes);
+    }
+    for (const routes of this.#routesByHost.values()) {
+      routes.sort((left, right) => right.prefix.length - left.prefix.length);
+    }
+  }
+
+  /** The route with the longest prefix. @param url Path with or without a query. */
+  findRoute(host: string | undefined, url: string): Route | undefined {
+    const routes = this.#routesByHost.get(toHostName(host ?? ''));
+    const queryAt = url.indexOf('?');
+    const path = queryAt === -1 ? url : url.slice(0, queryAt);
+    return routes?.find(({prefix}) => path.startsWith(prefix));
+  }
+
+  /** What holds for all upstreams of a service. */
+  findService(name: string): ServiceRule | undefined {
+    return this.#services.get(name);
+  }
+}
+
+/** The name in a `Host` header: without a port, and in lower case. */
+function toHostName(host: string): string {
+  const portAt = host.lastIndexOf(':');
+  const hasPort = portAt > -1 && /^\d+$/.test(host.slice(portAt + 1));
+  return (hasPort ? host.slice(0, portAt) : host).toLowerCase();
+}
--- /dev/null
+++ b/packages/balancer/src/store/store-view.ts
@@ -0,0 +1,210 @@
+/**
+ * What this entry believes from the store: read whole once, then watched. A
+ * pause follows each change, so that changes in quick succession cost one
+ * call. A cheap read of the store's revision beside the watch finds a watch
+ * that has gone silent, and an outage, within about two seconds.
+ */
+
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {RandomSource} from '@wasabidyke/policy';
+import {SECOND_MS, type Clock, type Result} from '@wasabidyke/shared';
+import {Backoff} from './backoff.js';
+import type {
+  RecordChange,
+  RecordChanges,
+  RecordStore,
+  RecordStoreError,
+} from './record-store.js';
+
+/** Told of what the store holds. */
+export interface StoreViewListener {
+  /** @param mayReturn Whether the store was away, so that what vanished may return. */
+  onChange(change: RecordChange, mayReturn: boolean): void;
+  /** The store was read whole: what isn't among `keys` has vanished. */
+  onWhole(keys: ReadonlySet<string>, mayReturn: boolean): void;
+  onLost(error: RecordStoreError): void;
+  onRegained(): void;
+}
+
+/** What a view needs. */
+export interface StoreViewOptions {
+  readonly store: RecordStore;
+  readonly listener: StoreViewListener;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+}
+
+/** Longest wait of one watch. Source: the store's limit on waiting is 30 seconds. */
+const WATCH_WAIT_MS = 29_000;
+
+/** Pause after a change. Source: with a read it stays within half of the shortest bound on draining, 2.5 seconds. */
+const PAUSE_MS = 700;
+
+/** Time between reads of the revision. Source: a silent watch must be found within the bound on draining. */
+const REVISION_PERIOD_MS = 1_500;
+
+/** Shortest and longest delay between tries. */
+const FIRST_RETRY_MS = 200;
+const LAST_RETRY_MS = 800;
+
+/** Time after an outage in which vanished records may return. Source: the platform's guarantee of two seconds, and one for finding the outage. */
+const RETURN_TIME_MS = 3_000;
+
+/** Keys that vanish at once only when the store lost track of their holders. */
+const MASS_LOSS = 4;
+
+/** A view of the store. */
+export class StoreView {
+  readonly #options: StoreViewOptions;
+  readonly #backoff: Backoff;
+  #revision: number | undefined;
+  #isStopped = false;
+  #isLost = false;
+  #troubledAtMs = -Infinity;
+  #readAtMs = -Infinity;
+  #abort = new AbortController();
+
+  constructor(options: StoreViewOptions) {
+    this.#options = options;
+    this.#backoff = new Backoff(FIRST_RETRY_MS, LAST_RETRY_MS, options.random);
+  }
+
+  /** Milliseconds since the store last answered. */
+  get ageMs(): number {
+    return this.#options.clock.now() - this.#readAtMs;
+  }
+
+  get isLost(): boolean {
+    return this.#isLost;
+  }
+
+  /** Follows the store until it is stopped. */
+  start(): void {
+    void this.#follow();
+    void this.#checkRevisions();
+  }
+
+  stop(): void {
+    this.#isStopped = true;
+    this.#abort.abort();
+  }
+
+  async #follow(): Promise<void> {
+    while (!this.#isStopped) {
+      const pauseMs = await this.#step();
+      if (pauseMs > 0) {
+        await sleep(pauseMs);
+      }
+    }
+  }
+
+  /** Reads or watches once; returns how long to pause. */
+  async #step(): Promise<number> {
+    const {store} = this.#options;
+    const revision = this.#revision;
+    if (revision === undefined) {
+      const read = await store.readAll();
+      return this.#settle(read, changes => this.#applyWhole(changes));
+    }
+    this.#abort = new AbortController();
+    const watched = await store.watch(
+      revision,
+      WATCH_WAIT_MS,
+      this.#abort.signal,
+    );
+    return this.#settle(watched, changes => this.#applyChanges(changes));
+  }
+
+  #settle(
+    result: Result<RecordChanges, RecordStoreError>,
+    apply: (changes: RecordChanges) => void,
+  ): number {
+    if (this.#isStopped) {
+      return 0;
+    }
+    if (result.isErr()) {
+      return this.#onError(result.error);
+    }
+    this.#onAnswer();
+    this.#backoff.reset();
+    apply(result.value);
+    this.#revision = Math.max(this.#revision ?? 0, result.value.revision);
+    return result.value.changes.length > 0 ? PAUSE_MS : 0;
+  }
+
+  #applyWhole({changes}: RecordChanges): void {
+    const mayReturn = this.#mayReturn();
+    const keys = new Set(changes.map(({key}) => key));
+    for (const change of changes) {
+      this.#options.listener.onChange(change, mayReturn);
+    }
+    this.#options.listener.onWhole(keys, mayReturn);
+  }
+
+  #applyChanges({changes}: RecordChanges): void {
+    const vanished = changes.filter(({value}) => value === undefined).length;
+    const mayReturn = this.#mayReturn() || vanished >= MASS_LOSS;
+    for (const change of changes) {
+      this.#options.listener.onChange(change, mayReturn);
+    }
+  }
+
+  #onError(error: RecordStoreError): number {
+    if (error.kind === 'history-lost') {
+      // Changes were missed: everything is read again.
+      this.#revision = undefined;
+      return 0;
+    }
+    this.#onTrouble(error);
+    return this.#backoff.next();
+  }
+
+  /** Reads the revision now and then; a watch that is behind it is begun anew. */
+  async #checkRevisions(): Promise<void> {
+    while (!this.#isStopped) {
+      await sleep(REVISION_PERIOD_MS);
+      const before = this.#revision;
+      if (before === undefined || this.#isStopped) {
+        continue;
+      }
+      const read = await this.#options.store.readRevision();
+      if (read.isErr()) {
+        this.#onTrouble(read.error);
+        this.#abort.abort();
+        continue;
+      }
+      this.#onAnswer();
+      await this.#awaitRevision(read.value);
+    }
+  }
+
+  async #awaitRevision(revision: number): Promise<void> {
+    if ((this.#revision ?? revision) >= revision) {
+      return;
+    }
+    await sleep(PAUSE_MS + SECOND_MS / 2);
+    if (this.#revision !== undefined && this.#revision < revision) {
+      this.#abort.abort();
+    }
+  }
+
+  #mayReturn(): boolean {
+    return this.#options.clock.now() - this.#troubledAtMs < RETURN_TIME_MS;
+  }
+
+  #onTrouble(error: RecordStoreError): void {
+    this.#troubledAtMs = this.#options.clock.now();
+    if (!this.#isLost) {
+      this.#isLost = true;
+      this.#options.listener.onLost(error);
+    }
+  }
+
+  #onAnswer(): void {
+    this.#readAtMs = this.#options.clock.now();
+    if (this.#isLost) {
+      this.#isLost = false;
+      this.#options.listener.onRegained();
+    }
+  }
+}
--- a/packages/entry/src/container.ts
+++ b/packages/entry/src/container.ts
@@ -2,7 +2,7 @@
 
 import {OperatorServer, type Settings} from '@wasabidyke/operator';
 import {createIncarnation} from '@wasabidyke/peer';
-import type {Store} from '@wasabidyke/platform';
+import type {Store} from '@wasabidyke/store';
 import {
   CrashGuard,
   RetryBudget,
--- a/packages/entry/src/control-container.ts
+++ b/packages/entry/src/control-container.ts
@@ -5,7 +5,7 @@
   EtcdStore,
   NumberedLease,
   type Store,
-} from '@wasabidyke/platform';
+} from '@wasabidyke/store';
 import {asFunction, asValue} from 'awilix';
 import type {EntryContainer, EntryCradle} from './container.js';
 import {LeasedBudgetSlot, type BudgetSlot} from './control/budget-slot.js';
--- a/packages/entry/src/control/budget-slot.ts
+++ b/packages/entry/src/control/budget-slot.ts
@@ -1,6 +1,6 @@
 /** The part of the budget for watching load that this entry may spend. */
 
-import type {NumberedLease} from '@wasabidyke/platform';
+import type {NumberedLease} from '@wasabidyke/store';
 import type {ManifestKeeper} from './manifest-keeper.js';
 import type {MemberDirectory} from './member-directory.js';
 
--- a/packages/entry/src/control/departure-tracker.ts
+++ b/packages/entry/src/control/departure-tracker.ts
@@ -1,6 +1,6 @@
 /** Learns that upstreams are leaving, acts on it at once and tells the other entries. */
 
-import type {Vm} from '@wasabidyke/platform';
+import type {Vm} from '@wasabidyke/store';
 import type {Reporter} from '@wasabidyke/shared';
 import type {UpstreamHandle} from '../upstreams/upstream-handle.js';
 import type {UpstreamRegistry} from '../upstreams/upstream-registry.js';
--- a/packages/entry/src/control/store-manifest-source.ts
+++ b/packages/entry/src/control/store-manifest-source.ts
@@ -6,7 +6,7 @@
   ManifestRepository,
   ManifestWatch,
   type Store,
-} from '@wasabidyke/platform';
+} from '@wasabidyke/store';
 import {
   SECOND_MS,
   type Clock,
--- a/packages/entry/src/control/vm-watch.ts
+++ b/packages/entry/src/control/vm-watch.ts
@@ -1,6 +1,6 @@
 /** Reads the list of VMs: for entries to talk to, and for VMs that are leaving. */
 
-import type {Vm, VmList} from '@wasabidyke/platform';
+import type {Vm, VmList} from '@wasabidyke/store';
 import type {Counter, MetricRegistry} from '@wasabidyke/shared';
 
 /** Told of each reading. */
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -7,7 +7,7 @@
   parseManifest,
   type Snapshot,
 } from '@wasabidyke/manifest';
-import {MANIFEST_KEY} from '@wasabidyke/platform';
+import {MANIFEST_KEY} from '@wasabidyke/store';
 import {formatFinding, SECOND_MS} from '@wasabidyke/shared';
 import type {EntryContainer, EntryCradle} from './container.js';
 
--- a/packages/entry/src/peer-container.ts
+++ b/packages/entry/src/peer-container.ts
@@ -2,7 +2,7 @@
 
 import {parseSocketAddress, type SocketAddress} from '@wasabidyke/operator';
 import {PeerTask, type SeedPeer} from '@wasabidyke/peer';
-import {HttpVmList, type VmList} from '@wasabidyke/platform';
+import {HttpVmList, type VmList} from '@wasabidyke/store';
 import {asFunction, type AwilixContainer} from 'awilix';
 import type {EntryContainer, EntryCradle} from './container.js';
 import {PeerGroup} from './control/entry-group.js';
--- a/packages/platform/src/index.ts
+++ b/packages/store/src/index.ts
@@ -1,4 +1,4 @@
-/** The platform that the system runs on: its store and its list of VMs. */
+/** The store and the list of VMs that the product itself speaks to. */
 
 export * from './backoff.js';
 export * from './embedded-store.js';
