fix(balancer): an answer that ends with a reset is no longer taken as whole

The connection now notes the reset before the client sees it. Ruled out: cut answers with a length, which end as errors already.

--- /dev/null
+++ b/features/balancer/beliefs.feature
@@ -0,0 +1,97 @@
+Feature: What an entry believes from the store
+
+  Background:
+    Given a balancer on the platform
+
+  Scenario: Without a configuration it is not ready, and says that nothing ran
+    When a caller sends "GET /read/a" with id "r-1" and 3000 ms
+    Then the answer is 503 within 300 ms
+    And the answer says when to come back
+    And it is not ready
+
+  Scenario: An older configuration never replaces a newer one
+    Given a configuration
+    And workers "w1"
+    When the store shows an older configuration without routes
+    And 100 ms pass at the site
+    And a caller sends "GET /read/a" with id "r-1" and 3000 ms
+    Then the answer is 200 with body "w1 ran /read/a"
+
+  Scenario: A configuration that can't be read changes nothing and is told
+    Given a configuration
+    And workers "w1"
+    When the store shows a configuration that can't be read
+    Then the log has a "configuration.unreadable" line
+    When a caller sends "GET /read/a" with id "r-1" and 3000 ms
+    Then the answer is 200 with body "w1 ran /read/a"
+
+  Scenario: A worker that drains gets nothing more, even if an older announcement is read later
+    Given a configuration
+    And workers "w1, w2"
+    When worker "w1" announces that it drains
+    And worker "w1" announces an older state
+    And 10 look-ups are sent
+    Then worker "w1" got none of them
+
+  Scenario: A worker that vanishes gets nothing more
+    Given a configuration
+    And workers "w1, w2"
+    When worker "w1" vanishes from the store
+    And 10 look-ups are sent
+    Then worker "w1" got none of them
+
+  Scenario: A record that can't be read names no worker, and the others hold
+    Given a configuration
+    And workers "w1"
+    When the store shows bytes that can't be read as worker "w9"
+    Then the log has a "upstream.unreadable" line
+    When a caller sends "GET /read/a" with id "r-1" and 3000 ms
+    Then the answer is 200 with body "w1 ran /read/a"
+
+  Scenario: Workers are used on through an outage of the store, and told
+    Given a configuration
+    And workers "w1"
+    When the store is "down"
+    Then the log has a "store.lost" line
+    When a caller sends "GET /read/a" with id "r-1" and 3000 ms
+    Then the answer is 200 with body "w1 ran /read/a"
+    When the store is "none"
+    Then the log has a "store.regained" line
+
+  Scenario: Workers whose records lapsed in an outage are used until they had time to return
+    Given a configuration
+    And workers "w1"
+    When the store is "down"
+    Then the log has a "store.lost" line
+    When worker "w1" lapses from the store
+    And the store is "none"
+    Then the log has a "store.regained" line
+    When a caller sends "GET /read/a" with id "r-1" and 3000 ms
+    Then the answer is 200 with body "w1 ran /read/a"
+    And worker "w1" is no longer used after a few seconds
+
+  Scenario: A watch that goes silent is found out
+    Given a configuration
+    And workers "w1, w2"
+    When the store is "silent-watch"
+    And worker "w1" announces that it drains behind the silence
+    Then the log has a "upstream.leaving" line
+
+  Scenario: After history is lost everything is read again
+    Given a configuration
+    And workers "w1, w2"
+    When the store is "history-lost"
+    And worker "w1" vanishes from the store
+    And 10 look-ups are sent
+    Then worker "w1" got none of them
+
+  Scenario: Callers are told of entries near them, at least two where there are
+    Given a configuration
+    And the store names the entries
+      | name    | address    | region | zone   |
+      | entry-2 | 10.0.0.2:1 | home   | home-b |
+      | entry-3 | 10.0.0.3:1 | away   | away-a |
+    When a caller in "home" and "home-a" asks for entries
+    Then it is told of this entry and "10.0.0.2:1"
+    When a caller in "away" and "away-a" asks for entries
+    Then it is told of all entries
--- /dev/null
+++ b/features/steps/balancer.steps.ts
@@ -0,0 +1,422 @@
+/** Steps for a balancer on the users' platform. */
+
+import assert from 'node:assert/strict';
+import {connect} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {After, Given, Then, When, type DataTable} from '@cucumber/cucumber';
+import {BalancerSite, type CallerAnswer} from '../support/balancer-site.js';
+import {eventually} from '../support/eventually.js';
+import type {StoreFault} from '../support/memory-record-store.js';
+import type {WorkerScript} from '../support/scripted-worker.js';
+
+/** Time after which a record that vanished in an outage is taken as gone, and a second for a busy machine. */
+const RETURN_LIMIT_MS = 6_000;
+
+interface BalancerWorld {
+  balancerSite: BalancerSite;
+  answer: CallerAnswer;
+  pipelined: string;
+  named: readonly string[];
+  wasReadyWhileStopping: boolean;
+}
+
+Given('a balancer on the platform', async function (this: BalancerWorld) {
+  this.balancerSite = new BalancerSite();
+  await this.balancerSite.start();
+});
+
+After(async function (this: Partial<BalancerWorld>) {
+  await this.balancerSite?.close();
+});
+
+Given('a configuration', async function (this: BalancerWorld) {
+  const site = this.balancerSite;
+  site.configure();
+  await eventually('it is ready', async () => {
+    const {status} = await site.get(2, '/-/ready');
+    return status === 200;
+  });
+});
+
+Given('workers {string}', async function (this: BalancerWorld, names: string) {
+  for (const name of names.split(', ')) {
+    await this.balancerSite.addWorker(name);
+  }
+  await this.balancerSite.settle();
+});
+
+When(
+  'every worker {string}',
+  function (this: BalancerWorld, script: WorkerScript) {
+    for (const worker of this.balancerSite.workers) {
+      worker.script = script;
+    }
+  },
+);
+
+Given(
+  'worker {string} {string} and is the least busy',
+  function (this: BalancerWorld, id: string, script: WorkerScript) {
+    for (const worker of this.balancerSite.workers) {
+      worker.load = '4,2,4,100';
+    }
+    this.balancerSite.findWorker(id).script = script;
+    this.balancerSite.findWorker(id).load = '0,0,4,100';
+  },
+);
+
+When(
+  'a caller sends {string} with id {string} and {int} ms',
+  async function (
+    this: BalancerWorld,
+    line: string,
+    id: string,
+    deadlineMs: number,
+  ) {
+    const [method, path] = line.split(' ');
+    this.answer = await this.balancerSite.call({method, path, id, deadlineMs});
+  },
+);
+
+When(
+  'a caller sends {string} with the body {string}',
+  async function (this: BalancerWorld, line: string, body: string) {
+    const [method, path] = line.split(' ');
+    this.answer = await this.balancerSite.call({method, path, body});
+  },
+);
+
+When(
+  'a caller sends {string} with a body of {int} bytes',
+  async function (this: BalancerWorld, line: string, bytes: number) {
+    const [method, path] = line.split(' ');
+    const body = 'x'.repeat(bytes);
+    this.answer = await this.balancerSite.call({method, path, body});
+  },
+);
+
+When(
+  'a caller sends {string} and leaves after {int} ms',
+  async function (this: BalancerWorld, line: string, leaveMs: number) {
+    const socket = connect(this.balancerSite.callerPort, '127.0.0.1');
+    socket.write(
+      `${line} HTTP/1.1\r\nHost: shop.example\r\nWasabidyke-Attempt-Id: left\r\n\r\n`,
+    );
+    await eventually('the worker has it', () =>
+      this.balancerSite.workers.some(({requests}) => requests.length > 0),
+    );
+    await sleep(leaveMs);
+    socket.destroy();
+  },
+);
+
+When(
+  'a caller sends {string} one behind the other',
+  async function (this: BalancerWorld, paths: string) {
+    const socket = connect(this.balancerSite.callerPort, '127.0.0.1');
+    const requests = paths
+      .split(', ')
+      .map(
+        (path, index) =>
+          `GET ${path} HTTP/1.1\r\nHost: shop.example\r\nWasabidyke-Attempt-Id: p-${index}\r\n\r\n`,
+      );
+    let received = '';
+    socket.on('data', chunk => (received += chunk.toString('latin1')));
+    socket.write(requests.join(''));
+    const isWhole = () => received.split(' ran ').length > requests.length;
+    await eventually('all are answered', isWhole);
+    this.pipelined = received;
+    socket.destroy();
+  },
+);
+
+When(
+  'a caller sends {string} and the balancer is told to stop meanwhile',
+  async function (this: BalancerWorld, line: string) {
+    const [method, path] = line.split(' ');
+    const site = this.balancerSite;
+    const answered = site.call({method, path});
+    await eventually(
+      'the worker has it',
+      () => site.workers[0].requests.length > 0,
+    );
+    const stopped = site.balancer?.stop();
+    const {status} = await site.get(2, '/-/ready');
+    this.wasReadyWhileStopping = status === 200;
+    this.answer = await answered;
+    await stopped;
+  },
+);
+
+When('{int} ms pass at the site', async (milliseconds: number) => {
+  await sleep(milliseconds);
+});
+
+Then('the answer is {int}', function (this: BalancerWorld, status: number) {
+  assert.equal(this.answer.status, status);
+});
+
+Then(
+  'the answer is {int} with body {string}',
+  function (this: BalancerWorld, status: number, body: string) {
+    assert.deepEqual(
+      {status: this.answer.status, body: this.answer.body},
+      {status, body},
+    );
+  },
+);
+
+Then(
+  'the answer is {int} within {int} ms',
+  function (this: BalancerWorld, status: number, limitMs: number) {
+    assert.equal(this.answer.status, status);
+    assert.ok(this.answer.tookMs < limitMs, `it took ${this.answer.tookMs} ms`);
+  },
+);
+
+Then(
+  'the answer has the header {string} {string}',
+  function (this: BalancerWorld, name: string, value: string) {
+    assert.equal(this.answer.headers[name], value);
+  },
+);
+
+Then('the answer says when to come back', function (this: BalancerWorld) {
+  assert.ok(Number(this.answer.headers['retry-after']) > 0);
+});
+
+Then(
+  'worker {string} got {string} with id {string} for itself, with at most {int} ms',
+  function (
+    this: BalancerWorld,
+    worker: string,
+    line: string,
+    id: string,
+    mostMs: number,
+  ) {
+    const [request] = this.balancerSite.findWorker(worker).requests;
+    const {headers} = request;
+    assert.equal(`${request.method} ${request.path}`, line);
+    assert.equal(headers.get('wasabidyke-attempt-id'), id);
+    assert.equal(headers.get('wasabidyke-expected-instance'), worker);
+    const leftMs = Number(headers.get('wasabidyke-request-deadline-ms'));
+    assert.ok(leftMs > 0 && leftMs <= mostMs);
+  },
+);
+
+Then(
+  'worker {string} got the body {string}',
+  function (this: BalancerWorld, worker: string, body: string) {
+    assert.equal(this.balancerSite.findWorker(worker).requests[0].body, body);
+  },
+);
+
+Then(
+  'the workers got {int} request(s) in all',
+  function (this: BalancerWorld, count: number) {
+    const sent = this.balancerSite.workers.reduce(
+      (sum, {requests}) => sum + requests.length,
+      0,
+    );
+    assert.equal(sent, count);
+  },
+);
+
+Then(
+  'worker {string} sees its caller leave',
+  async function (this: BalancerWorld, id: string) {
+    const worker = this.balancerSite.findWorker(id);
+    await eventually('the connection ends', () => worker.brokenOff === 1);
+  },
+);
+
+Then('their answers come in order', function (this: BalancerWorld) {
+  const order = [...this.pipelined.matchAll(/ ran \/read\/(\w)/g)].map(
+    ([, name]) => name,
+  );
+  assert.deepEqual(order, ['a', 'b', 'c']);
+});
+
+Then(
+  'the balancer was not ready while it stopped',
+  function (this: BalancerWorld) {
+    assert.equal(this.wasReadyWhileStopping, false);
+  },
+);
+
+Then('the store no longer names it', function (this: BalancerWorld) {
+  assert.ok(!this.balancerSite.store.keys.includes('entries/entry-1'));
+});
+
+Then('it is not ready', async function (this: BalancerWorld) {
+  const {status} = await this.balancerSite.get(2, '/-/ready');
+  assert.equal(status, 503);
+});
+
+When(
+  'the store shows an older configuration without routes',
+  function (this: BalancerWorld) {
+    this.balancerSite.store.set('op/config', {
+      version: '00000001',
+      routes: {},
+      services: {},
+      limits: {
+        max_header_bytes: 1,
+        max_body_bytes: 1,
+        header_timeout: '1s',
+        idle_timeout: '1s',
+      },
+    });
+  },
+);
+
+When(
+  "the store shows a configuration that can't be read",
+  function (this: BalancerWorld) {
+    this.balancerSite.store.set('op/config', '{"version":');
+  },
+);
+
+When(
+  "the store shows bytes that can't be read as worker {string}",
+  function (this: BalancerWorld, id: string) {
+    this.balancerSite.store.set(`servers/${id}`, '\u0000{]');
+  },
+);
+
+When(
+  'worker {string} announces that it drains',
+  async function (this: BalancerWorld, id: string) {
+    this.balancerSite.announce(this.balancerSite.findWorker(id), {
+      state: 'draining',
+    });
+    await sawLeaving(this.balancerSite, id);
+  },
+);
+
+When(
+  'worker {string} announces that it drains behind the silence',
+  function (this: BalancerWorld, id: string) {
+    this.balancerSite.announce(this.balancerSite.findWorker(id), {
+      state: 'draining',
+    });
+  },
+);
+
+When(
+  'worker {string} announces an older state',
+  async function (this: BalancerWorld, id: string) {
+    this.balancerSite.announce(this.balancerSite.findWorker(id), {
+      state: 'ready',
+      seq: 0,
+    });
+    // Nothing shows that it was read but the time that a read takes, with the pause before it.
+    await sleep(1_000);
+  },
+);
+
+When(
+  'worker {string} vanishes from the store',
+  async function (this: BalancerWorld, id: string) {
+    this.balancerSite.store.set(`servers/${id}`, undefined);
+    await sawLeaving(this.balancerSite, id);
+  },
+);
+
+When(
+  'worker {string} lapses from the store',
+  function (this: BalancerWorld, id: string) {
+    this.balancerSite.store.set(`servers/${id}`, undefined);
+  },
+);
+
+When(
+  '{int} look-ups are sent',
+  async function (this: BalancerWorld, count: number) {
+    for (const worker of this.balancerSite.workers) {
+      worker.requests.length = 0;
+    }
+    for (let sent = 0; sent < count; sent++) {
+      const {status} = await this.balancerSite.call({path: '/read/a'});
+      assert.equal(status, 200);
+    }
+  },
+);
+
+Then(
+  'worker {string} got none of them',
+  function (this: BalancerWorld, id: string) {
+    assert.equal(this.balancerSite.findWorker(id).requests.length, 0);
+  },
+);
+
+Then(
+  'worker {string} is no longer used after a few seconds',
+  async function (this: BalancerWorld, id: string) {
+    const leaving = () =>
+      this.balancerSite.log.events.some(
+        ({event, upstream}) => event === 'upstream.leaving' && upstream === id,
+      );
+    assert.equal(leaving(), false);
+    await eventually('it is dropped', leaving, RETURN_LIMIT_MS);
+  },
+);
+
+When(
+  'the store is {string}',
+  function (this: BalancerWorld, fault: StoreFault) {
+    this.balancerSite.store.fault = fault;
+  },
+);
+
+Then(
+  'the log has a {string} line',
+  async function (this: BalancerWorld, name: string) {
+    const {events} = this.balancerSite.log;
+    await eventually(name, () => events.some(({event}) => event === name));
+  },
+);
+
+Given(
+  'the store names the entries',
+  async function (this: BalancerWorld, table: DataTable) {
+    for (const row of table.hashes()) {
+      this.balancerSite.store.set(`entries/${row.name}`, row);
+    }
+    await eventually('they are known', async () => {
+      const {body} = await this.balancerSite.get(2, '/metrics');
+      return body.includes(`wasabidyke_entries ${table.hashes().length + 1}\n`);
+    });
+  },
+);
+
+When(
+  'a caller in {string} and {string} asks for entries',
+  async function (this: BalancerWorld, region: string, zone: string) {
+    const {body} = await this.balancerSite.get(
+      1,
+      `/-/resolve?name=shop.example&region=${region}&zone=${zone}`,
+    );
+    this.named = JSON.parse(body).addresses;
+  },
+);
+
+Then(
+  'it is told of this entry and {string}',
+  function (this: BalancerWorld, other: string) {
+    const own = `127.0.0.1:${this.balancerSite.callerPort}`;
+    assert.deepEqual([...this.named].sort(), [own, other].sort());
+  },
+);
+
+Then('it is told of all entries', function (this: BalancerWorld) {
+  assert.equal(this.named.length, 3);
+});
+
+async function sawLeaving(site: BalancerSite, id: string): Promise<void> {
+  await eventually(`${id} is left`, () =>
+    site.log.events.some(
+      ({event, upstream}) => event === 'upstream.leaving' && upstream === id,
+    ),
+  );
+}
--- /dev/null
+++ b/features/support/balancer-site.ts
@@ -0,0 +1,237 @@
+/** A balancer in this process, with a store in memory and scripted workers. */
+
+import {once} from 'node:events';
+import {request as sendRequest, type IncomingHttpHeaders} from 'node:http';
+import {createServer, type AddressInfo} from 'node:net';
+import {
+  Balancer,
+  DecisionLog,
+  parseBalancerSettings,
+  type LogFields,
+} from '@wasabidyke/balancer';
+import {
+  PlatformDecoder,
+  PlatformDiscoveryProtocol,
+  PlatformWireProtocol,
+} from '@wasabidyke/platform';
+import {eventually} from './eventually.js';
+import {MemoryRecordStore} from './memory-record-store.js';
+import {ScriptedWorker} from './scripted-worker.js';
+
+/** A line that was logged. */
+export interface LoggedEvent extends LogFields {
+  readonly event: string;
+}
+
+/** Keeps what is logged. */
+export class MemoryLog extends DecisionLog {
+  readonly events: LoggedEvent[] = [];
+
+  override record(event: string, fields: LogFields): void {
+    this.events.push({event, ...fields});
+  }
+
+  override flush(): void {}
+}
+
+/** What a caller got. */
+export interface CallerAnswer {
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+  readonly body: string;
+  readonly tookMs: number;
+}
+
+/** What a caller sends. */
+export interface CallerRequest {
+  readonly path: string;
+  readonly method?: string;
+  readonly body?: string;
+  readonly id?: string;
+  readonly deadlineMs?: number;
+}
+
+const HOST = 'shop.example';
+const ROUTE_TIMEOUT_MS = 1_000;
+
+/** The site. */
+export class BalancerSite {
+  readonly store = new MemoryRecordStore();
+  readonly log = new MemoryLog();
+  readonly workers: ScriptedWorker[] = [];
+  balancer: Balancer | undefined;
+  #ports: readonly number[] = [];
+  #version = 1;
+  #sent = 0;
+
+  /** Starts the balancer; it waits for its configuration. */
+  async start(): Promise<void> {
+    this.#ports = await findPorts(3);
+    const [callers, entries, metrics] = this.#ports;
+    const settings = parseBalancerSettings(
+      JSON.stringify({
+        name: 'entry-1',
+        region: 'home',
+        zone: 'home-a',
+        regionByZone: {'home-a': 'home', 'home-b': 'home'},
+        listen: {
+          callers: `127.0.0.1:${callers}`,
+          entries: `127.0.0.1:${entries}`,
+          readiness: `127.0.0.1:${metrics}`,
+          metrics: `127.0.0.1:${metrics}`,
+        },
+        store: {address: '127.0.0.1:1'},
+        stopWithin: '1500ms',
+        repeats: {ratio: 0.2, slack: 20, window: '10s'},
+        loadQueriesPerSecond: 600,
+        transferCosts: {crossZonePerMegabyte: 14, crossRegionPerMegabyte: 60},
+        entryListAge: '2s',
+      }),
+    ).unwrap();
+    this.balancer = new Balancer(
+      settings,
+      {
+        store: this.store,
+        decoder: new PlatformDecoder(),
+        wireProtocol: new PlatformWireProtocol(),
+        discoveryProtocol: new PlatformDiscoveryProtocol(),
+      },
+      this.log,
+    );
+    await this.balancer.start();
+  }
+
+  /** Writes a configuration; idempotent requests go to `/read/`, others to `/write/`. */
+  configure(changes: object = {}): void {
+    this.#version += 1;
+    const route = {
+      host: HOST,
+      timeout: `${ROUTE_TIMEOUT_MS}ms`,
+      target_latency: '200ms',
+      priority: 1,
+      max_attempts: 2,
+      service: 'shop',
+    };
+    this.store.set('op/config', {
+      version: this.#version.toString(16).padStart(8, '0'),
+      routes: {
+        read: {...route, prefix: '/read/', kind: 'safe'},
+        write: {...route, prefix: '/write/', kind: 'unsafe'},
+        ...changes,
+      },
+      services: {shop: {health_path: '/load', max_connections: 200}},
+      limits: {
+        max_header_bytes: 8192,
+        max_body_bytes: 100_000,
+        header_timeout: '3000ms',
+        idle_timeout: '15000ms',
+      },
+    });
+  }
+
+  /** Starts a worker and announces it. */
+  async addWorker(id: string): Promise<ScriptedWorker> {
+    const worker = new ScriptedWorker(id);
+    await worker.listen();
+    this.workers.push(worker);
+    this.announce(worker, {});
+    return worker;
+  }
+
+  /** Announces a worker, with changes to what it says. */
+  announce(worker: ScriptedWorker, status: object, born = 1): void {
+    this.#sent += 1;
+    this.store.set(`servers/${worker.id}`, {
+      address: worker.address,
+      born,
+      info: {service: 'shop', version: 'v1', zone: 'home-a', slots: 4},
+      status: {state: 'ready', seq: this.#sent, warmup_left: '0ms', ...status},
+    });
+  }
+
+  findWorker(id: string): ScriptedWorker {
+    const worker = this.workers.find(candidate => candidate.id === id);
+    if (worker === undefined) {
+      throw new Error(`no worker ${id}`);
+    }
+    return worker;
+  }
+
+  get callerPort(): number {
+    return this.#ports[0];
+  }
+
+  /** Waits until the balancer uses the workers that are announced. */
+  async settle(): Promise<void> {
+    await eventually('the workers are known', async () => {
+      const {body} = await this.get(2, '/metrics');
+      const known = /^wasabidyke_upstreams (\d+)$/m.exec(body)?.[1];
+      const announced = this.store.keys.filter(key =>
+        key.startsWith('servers/'),
+      );
+      return Number(known) === announced.length;
+    });
+  }
+
+  /** Sends a caller's request. */
+  async call(request: CallerRequest): Promise<CallerAnswer> {
+    this.#sent += 1;
+    const headers = {
+      host: HOST,
+      'wasabidyke-attempt-id': request.id ?? `request-${this.#sent}`,
+      'wasabidyke-request-deadline-ms': String(request.deadlineMs ?? 3_000),
+    };
+    return send(this.callerPort, request, headers);
+  }
+
+  /** Asks a question at one of the ports: 1 names entries, 2 tells readiness and metrics. */
+  get(port: 1 | 2, path: string): Promise<CallerAnswer> {
+    return send(this.#ports[port], {path}, {});
+  }
+
+  async close(): Promise<void> {
+    await this.balancer?.stop();
+    for (const worker of this.workers) {
+      worker.close();
+    }
+  }
+}
+
+async function findPorts(count: number): Promise<readonly number[]> {
+  const servers = Array.from({length: count}, () => createServer());
+  for (const server of servers) {
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+  }
+  const ports = servers.map(server => (server.address() as AddressInfo).port);
+  await Promise.all(servers.map(server => once(server.close(), 'close')));
+  return ports;
+}
+
+function send(
+  port: number,
+  {path, method = 'GET', body}: CallerRequest,
+  headers: Record<string, string>,
+): Promise<CallerAnswer> {
+  const startMs = performance.now();
+  return new Promise((resolve, reject) => {
+    const request = sendRequest(
+      {host: '127.0.0.1', port, path, method, headers, agent: false},
+      response => {
+        const chunks: Buffer[] = [];
+        response.on('data', (chunk: Buffer) => chunks.push(chunk));
+        response.on('error', reject);
+        response.on('end', () =>
+          resolve({
+            status: response.statusCode ?? 0,
+            headers: response.headers,
+            body: Buffer.concat(chunks).toString('latin1'),
+            tookMs: performance.now() - startMs,
+          }),
+        );
+      },
+    );
+    request.on('error', reject);
+    request.end(body);
+  });
+}
--- /dev/null
+++ b/features/support/memory-record-store.ts
@@ -0,0 +1,170 @@
+/** A store of records in memory, with the faults that a real one has. */
+
+import {
+  RecordStore,
+  type RecordChange,
+  type RecordChanges,
+  type RecordLease,
+  type RecordStoreError,
+} from '@wasabidyke/balancer';
+import {Err, Ok, type Result} from '@wasabidyke/shared';
+
+/** How the store misbehaves. */
+export type StoreFault = 'none' | 'down' | 'silent-watch' | 'history-lost';
+
+interface Event extends RecordChange {
+  readonly revision: number;
+}
+
+const UNAVAILABLE = {kind: 'unavailable', message: 'down'} as const;
+
+/** The store. */
+export class MemoryRecordStore extends RecordStore {
+  fault: StoreFault = 'none';
+  /** Calls that were made, by name. */
+  readonly calls = new Map<string, number>();
+  readonly #records = new Map<string, Buffer>();
+  readonly #events: Event[] = [];
+  readonly #leases = new Map<number, string[]>();
+  readonly #waiting = new Set<() => void>();
+  #revision = 1;
+  #lastLease = 0;
+
+  /** Writes a record, or deletes it. */
+  set(key: string, value: object | string | undefined): void {
+    this.#revision += 1;
+    const text = typeof value === 'object' ? JSON.stringify(value) : value;
+    const bytes = text === undefined ? undefined : Buffer.from(text);
+    if (bytes === undefined) {
+      this.#records.delete(key);
+    } else {
+      this.#records.set(key, bytes);
+    }
+    this.#events.push({key, value: bytes, revision: this.#revision});
+    for (const wake of [...this.#waiting]) {
+      wake();
+    }
+  }
+
+  /** Keys that stand now. */
+  get keys(): readonly string[] {
+    return [...this.#records.keys()];
+  }
+
+  override async readAll(): Promise<Result<RecordChanges, RecordStoreError>> {
+    this.#count('read-all');
+    if (this.fault === 'down') {
+      return Err(UNAVAILABLE);
+    }
+    if (this.fault === 'history-lost') {
+      this.fault = 'none';
+    }
+    const changes = [...this.#records].map(([key, value]) => ({key, value}));
+    return Ok({changes, revision: this.#revision});
+  }
+
+  override async watch(
+    afterRevision: number,
+    waitMs: number,
+    signal: AbortSignal,
+  ): Promise<Result<RecordChanges, RecordStoreError>> {
+    this.#count('watch');
+    if (this.fault === 'down') {
+      return Err(UNAVAILABLE);
+    }
+    if (this.fault === 'history-lost') {
+      return Err({kind: 'history-lost', message: 'compacted'});
+    }
+    const isSilent = this.fault === 'silent-watch';
+    if (isSilent) {
+      // Only connections that are open go silent; new ones work.
+      this.fault = 'none';
+    }
+    if (isSilent || !this.#hasNews(afterRevision)) {
+      await this.#wait(waitMs, signal, isSilent);
+    }
+    if (signal.aborted) {
+      return Err({kind: 'unavailable', message: 'aborted'});
+    }
+    const changes = this.#events.filter(
+      ({revision}) => revision > afterRevision,
+    );
+    return Ok({changes, revision: this.#revision});
+  }
+
+  override async readRevision(): Promise<Result<number, RecordStoreError>> {
+    this.#count('read-revision');
+    return this.fault === 'down' ? Err(UNAVAILABLE) : Ok(this.#revision);
+  }
+
+  override async put(
+    key: string,
+    value: Buffer,
+    lease: RecordLease,
+  ): Promise<Result<void, RecordStoreError>> {
+    if (this.fault === 'down') {
+      return Err(UNAVAILABLE);
+    }
+    this.set(key, value.toString('utf8'));
+    this.#leases.get(lease.id)?.push(key);
+    return Ok(undefined);
+  }
+
+  override async grantLease(
+    lifetimeMs: number,
+  ): Promise<Result<RecordLease, RecordStoreError>> {
+    if (this.fault === 'down') {
+      return Err(UNAVAILABLE);
+    }
+    this.#lastLease += 1;
+    this.#leases.set(this.#lastLease, []);
+    return Ok({id: this.#lastLease, lifetimeMs});
+  }
+
+  override async keepLease(
+    lease: RecordLease,
+  ): Promise<Result<void, RecordStoreError>> {
+    if (this.fault === 'down') {
+      return Err(UNAVAILABLE);
+    }
+    return this.#leases.has(lease.id)
+      ? Ok(undefined)
+      : Err({kind: 'no-lease', message: 'ended'});
+  }
+
+  override async endLease(
+    lease: RecordLease,
+  ): Promise<Result<void, RecordStoreError>> {
+    for (const key of this.#leases.get(lease.id) ?? []) {
+      this.set(key, undefined);
+    }
+    this.#leases.delete(lease.id);
+    return Ok(undefined);
+  }
+
+  override async close(): Promise<void> {}
+
+  #hasNews(afterRevision: number): boolean {
+    return this.#events.some(({revision}) => revision > afterRevision);
+  }
+
+  /** Waits until something changes, the time is over or the caller gives up. */
+  #wait(waitMs: number, signal: AbortSignal, isSilent: boolean): Promise<void> {
+    return new Promise(resolve => {
+      const end = () => {
+        clearTimeout(timer);
+        this.#waiting.delete(end);
+        resolve();
+      };
+      const timer = setTimeout(end, waitMs);
+      signal.addEventListener('abort', end);
+      if (!isSilent) {
+        this.#waiting.add(end);
+      }
+    });
+  }
+
+  #count(call: string): void {
+    this.calls.set(call, (this.calls.get(call) ?? 0) + 1);
+  }
+}
--- /dev/null
+++ b/features/support/scripted-worker.ts
@@ -0,0 +1,209 @@
+/** A worker of the users' platform whose answers follow a script, byte by byte. */
+
+import {once} from 'node:events';
+import {
+  createServer,
+  type AddressInfo,
+  type Server,
+  type Socket,
+} from 'node:net';
+
+/** How the worker answers requests. */
+export type WorkerScript =
+  | 'answers'
+  | 'slow'
+  | 'hangs'
+  | 'sheds'
+  | 'resets'
+  | 'truncates'
+  | 'unframed'
+  | 'unframed-reset'
+  | 'foreign'
+  | 'extra'
+  | 'early'
+  | 'error'
+  | 'other-worker'
+  | 'unsigned';
+
+/** A request as the worker read it. */
+export interface WorkerRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: ReadonlyMap<string, string>;
+  readonly body: string;
+}
+
+/** Time that a slow answer takes, in milliseconds. */
+const SLOW_MS = 300;
+
+const HEAD_END = '\r\n\r\n';
+
+/** The worker. */
+export class ScriptedWorker {
+  readonly id: string;
+  script: WorkerScript = 'answers';
+  /** The load that it reports: running, waiting, slots, pace. */
+  load = '0,0,4,100';
+  /** Whether load queries are answered. */
+  isTalking = true;
+  readonly requests: WorkerRequest[] = [];
+  /** Connections that ended while a request ran. */
+  brokenOff = 0;
+  readonly #server: Server;
+  readonly #sockets = new Set<Socket>();
+
+  constructor(id: string) {
+    this.id = id;
+    this.#server = createServer(socket => this.#serve(socket));
+  }
+
+  async listen(): Promise<void> {
+    this.#server.listen(0, '127.0.0.1');
+    await once(this.#server, 'listening');
+  }
+
+  get address(): string {
+    const {port} = this.#server.address() as AddressInfo;
+    return `127.0.0.1:${port}`;
+  }
+
+  /** Connections that are open. */
+  get connections(): number {
+    return this.#sockets.size;
+  }
+
+  close(): void {
+    this.#server.close();
+    for (const socket of this.#sockets) {
+      socket.destroy();
+    }
+  }
+
+  #serve(socket: Socket): void {
+    let received: Buffer = Buffer.alloc(0);
+    this.#sockets.add(socket);
+    socket.on('error', () => socket.destroy());
+    socket.on('close', () => this.#sockets.delete(socket));
+    socket.on('data', chunk => {
+      received = Buffer.concat([received, chunk]);
+      received = this.#read(socket, received);
+    });
+  }
+
+  /** Answers the requests in `received`; returns what is left. */
+  #read(socket: Socket, received: Buffer): Buffer {
+    const headEnd = received.indexOf(HEAD_END);
+    if (headEnd === -1) {
+      return received;
+    }
+    const request = parseHead(received.subarray(0, headEnd).toString('latin1'));
+    const length = Number(request.headers.get('content-length') ?? 0);
+    const bodyAt = headEnd + HEAD_END.length;
+    const isEarly = this.script === 'early' && length > 0;
+    if (received.length < bodyAt + length && !isEarly) {
+      return received;
+    }
+    const body = received.subarray(bodyAt, bodyAt + length).toString('latin1');
+    if (request.path === '/load') {
+      this.#answerLoad(socket);
+    } else {
+      this.requests.push({...request, body});
+      this.#answer(socket, {...request, body});
+    }
+    return received.subarray(bodyAt + length);
+  }
+
+  #answerLoad(socket: Socket): void {
+    if (this.isTalking) {
+      const head = `HTTP/1.1 200 OK\r\nWasabidyke-Instance-Id: ${this.id}\r\nWasabidyke-Server-Load: ${this.load}`;
+      socket.write(`${head}\r\nContent-Length: 0${HEAD_END}`);
+    }
+  }
+
+  #answer(socket: Socket, request: WorkerRequest): void {
+    const requestId = request.headers.get('wasabidyke-attempt-id') ?? '';
+    const body = `${this.id} ran ${request.path}`;
+    const signed = `Wasabidyke-Attempt-Id: ${requestId}\r\nWasabidyke-Server-Seal: seal-of-${this.id}\r\n`;
+    const length = `Content-Length: ${body.length}`;
+    const whole = `HTTP/1.1 200 OK\r\n${signed}${length}${HEAD_END}${body}`;
+    const onClose = () => (this.brokenOff += 1);
+    socket.once('close', onClose);
+    const done = () => socket.off('close', onClose);
+    switch (this.script) {
+      case 'answers':
+        socket.write(whole);
+        break;
+      case 'slow':
+        setTimeout(() => {
+          done();
+          socket.write(whole);
+        }, SLOW_MS);
+        return;
+      case 'hangs':
+        return;
+      case 'sheds':
+        socket.write(
+          `HTTP/1.1 503 Busy\r\nWasabidyke-Not-Executed: 1\r\nContent-Length: 0${HEAD_END}`,
+        );
+        break;
+      case 'resets':
+        socket.resetAndDestroy();
+        break;
+      case 'truncates':
+        socket.end(whole.slice(0, -3));
+        break;
+      case 'unframed':
+        socket.end(
+          `HTTP/1.1 200 OK\r\n${signed}Connection: close${HEAD_END}${body}`,
+        );
+        break;
+      case 'unframed-reset':
+        socket.write(
+          `HTTP/1.1 200 OK\r\n${signed}Connection: close${HEAD_END}${body.slice(0, 3)}`,
+          () => setTimeout(() => socket.resetAndDestroy(), SLOW_MS / 10),
+        );
+        break;
+      case 'foreign':
+        socket.write(whole.replace(requestId, 'another'));
+        break;
+      case 'extra':
+        socket.write(whole);
+        setTimeout(() => socket.write(whole), SLOW_MS / 10);
+        break;
+      case 'early':
+        socket.write(
+          `HTTP/1.1 413 Too Large\r\n${signed}Content-Length: 0${HEAD_END}`,
+        );
+        break;
+      case 'error':
+        socket.write(
+          `HTTP/1.1 500 Failed\r\n${signed}Content-Length: 0${HEAD_END}`,
+        );
+        break;
+      case 'other-worker':
+        socket.write(
+          `HTTP/1.1 421 Misdirected\r\nWasabidyke-Instance-Id: another\r\nContent-Length: 0${HEAD_END}`,
+        );
+        break;
+      case 'unsigned':
+        socket.write(`HTTP/1.1 200 OK\r\n${length}${HEAD_END}${body}`);
+        break;
+    }
+    done();
+  }
+}
+
+function parseHead(head: string): Omit<WorkerRequest, 'body'> {
+  const [line, ...fields] = head.split('\r\n');
+  const [method, path] = line.split(' ');
+  const headers = new Map(
+    fields.map(field => {
+      const at = field.indexOf(':');
+      return [
+        field.slice(0, at).toLowerCase(),
+        field.slice(at + 1).trim(),
+      ] as const;
+    }),
+  );
+  return {method, path, headers};
+}
--- a/packages/balancer/src/balancer.ts
+++ b/packages/balancer/src/balancer.ts
@@ -193,6 +193,9 @@
     await Promise.race([this.#callers.stop(), sleep(leftMs)]);
     this.#view.stop();
     clearInterval(this.#periodTimer);
+    await this.#discovery.close();
+    this.#registry.close();
+    await this.#site.store.close();
     this.#state = 'stopped';
     this.#log.record('process.stopped', {inFlight: this.#callers.inFlight});
     this.#log.flush();
--- a/packages/balancer/src/exchange/connection-pool.ts
+++ b/packages/balancer/src/exchange/connection-pool.ts
@@ -1,6 +1,6 @@
 /** Connections to one upstream, each of which carries one request at a time. */
 
-import {Client, type Dispatcher} from 'undici';
+import {buildConnector, Client, type Dispatcher} from 'undici';
 
 /** Time allowed to open a connection, in milliseconds: three round trips between regions and a handshake that waits. */
 const CONNECT_TIMEOUT_MS = 300;
@@ -11,15 +11,18 @@
 /** Margin before the time that the upstream states: a request that crosses its close would be lost. */
 const IDLE_MARGIN_MS = 1_500;
 
+const connect = buildConnector({timeout: CONNECT_TIMEOUT_MS});
+
 /** A connection that carries one request at a time. */
 export class UpstreamConnection {
   readonly #client: Client;
   #isBroken = false;
+  #isReset = false;
 
   constructor(origin: string) {
     this.#client = new Client(origin, {
       pipelining: 1,
-      connect: {timeout: CONNECT_TIMEOUT_MS},
+      connect: (options, callback) => this.#connect(options, callback),
       headersTimeout: 0,
       bodyTimeout: 0,
       keepAliveTimeout: IDLE_MS,
@@ -34,6 +37,11 @@
     return this.#isBroken || this.#client.destroyed;
   }
 
+  /** Whether an error ended it: an answer that ends with the connection is then cut. */
+  get isReset(): boolean {
+    return this.#isReset;
+  }
+
   dispatch(
     options: Dispatcher.DispatchOptions,
     handler: Dispatcher.DispatchHandler,
@@ -41,6 +49,17 @@
     this.#client.dispatch(options, handler);
   }
 
+  /** The client takes some resets for the end of an answer, so they are noted before it sees them. */
+  #connect(
+    options: buildConnector.Options,
+    callback: buildConnector.Callback,
+  ): void {
+    connect(options, (...result) => {
+      result[1]?.once('error', () => (this.#isReset = true));
+      callback(...result);
+    });
+  }
+
   /** Closes it at once. */
   destroy(): void {
     this.#isBroken = true;
--- a/packages/balancer/src/exchange/exchange.ts
+++ b/packages/balancer/src/exchange/exchange.ts
@@ -60,6 +60,7 @@
   #controller: Dispatcher.DispatchController | undefined;
   #isSent = false;
   #isEnded = false;
+  #isWhole = false;
   #meaning: AnswerMeaning | undefined;
   #status = 0;
   #headers: IncomingHttpHeaders = {};
@@ -84,8 +85,6 @@
     return this.#meaning !== undefined && this.#isWhole;
   }
 
-  #isWhole = false;
-
   start(): void {
     const {method} = this.#request;
     try {
@@ -162,6 +161,10 @@
 
   /** @internal */
   onResponseEnd(): void {
+    if (this.#connection.isReset) {
+      this.onResponseError(undefined, new Error('reset within the answer'));
+      return;
+    }
     this.#isWhole = true;
     if (this.#isRefusal()) {
       return;
--- a/packages/balancer/src/members/upstream-registry.ts
+++ b/packages/balancer/src/members/upstream-registry.ts
@@ -77,6 +77,13 @@
     handle.leave();
   }
 
+  /** Closes the connections to all upstreams. */
+  close(): void {
+    for (const handle of this.#handles.values()) {
+      handle.leave();
+    }
+  }
+
   #distanceTo(zone: string): Distance {
     const {locality} = this.#options;
     if (zone === locality.zone) {
--- a/packages/balancer/src/serving/discovery-server.ts
+++ b/packages/balancer/src/serving/discovery-server.ts
@@ -37,7 +37,10 @@
 
   /** Starts to listen at the addresses, which may be the same. @throws When one can't be had. */
   async listen(addresses: readonly ListenAddress[]): Promise<void> {
-    for (const address of addresses) {
+    const distinct = new Map(
+      addresses.map(address => [`${address.host}:${address.port}`, address]),
+    );
+    for (const address of distinct.values()) {
       const server = this.#createServer();
       this.#servers.push(server);
       await server.listen(address);
