--- a/packages/balancer/src/balancer-settings.ts
+++ b/packages/balancer/src/balancer-settings.ts
@@ -2,38 +2,45 @@
 
 import {parse, printParseErrorCode, type ParseError} from 'jsonc-parser';
 import {Err, Ok, type Result} from '@wasabidyke/shared';
-import {z} from 'zod';
+import * as z from 'zod/mini';
 
 const UNITS_MS: Readonly<Record<string, number>> = {ms: 1, s: 1_000};
 
 /** A duration such as `250ms` or `2.5s`, as milliseconds. */
-const durationSchema = z
-  .string()
-  .regex(/^\d+(\.\d+)?(ms|s)$/, {
-    error: 'Give a number and its unit, as 250ms or 2.5s.',
-  })
-  .transform(text => {
+const durationSchema = z.pipe(
+  z.string().check(
+    z.regex(/^\d+(\.\d+)?(ms|s)$/, {
+      error: 'Give a number and its unit, as 250ms or 2.5s.',
+    }),
+  ),
+  z.transform(text => {
     const unit = text.endsWith('ms') ? 'ms' : 's';
     return Number(text.slice(0, -unit.length)) * UNITS_MS[unit];
-  });
+  }),
+);
 
 /** An IP address and a port. */
-const addressSchema = z
-  .string()
-  .regex(/^[\d.]+:\d{1,5}$/, {
-    error: 'Give an IP address and a port, as 192.0.2.7:8080.',
-  })
-  .transform(text => {
+const addressSchema = z.pipe(
+  z.string().check(
+    z.regex(/^[\d.]+:\d{1,5}$/, {
+      error: 'Give an IP address and a port, as 192.0.2.7:8080.',
+    }),
+  ),
+  z.transform(text => {
     const [host, port] = text.split(':');
     return {host, port: Number(port), text};
-  });
+  }),
+);
+
+const nameSchema = z.string().check(z.minLength(1));
+const amountSchema = z.number().check(z.minimum(0));
 
 /** Settings of a balancer. */
 export const balancerSettingsSchema = z.object({
   /** Unique among the entries. */
-  name: z.string().min(1),
-  region: z.string().min(1),
-  zone: z.string().min(1),
+  name: nameSchema,
+  region: nameSchema,
+  zone: nameSchema,
   /** The region of each availability zone. */
   regionByZone: z.record(z.string(), z.string()),
   listen: z.object({
@@ -49,16 +56,16 @@
   stopWithin: durationSchema,
   repeats: z.object({
     /** Repeats per request of a service, over all entries. */
-    ratio: z.number().min(0).max(1),
-    slack: z.number().min(0),
+    ratio: z.number().check(z.minimum(0), z.maximum(1)),
+    slack: amountSchema,
     window: durationSchema,
   }),
   /** Load queries that one upstream may get in a second, over all entries. */
-  loadQueriesPerSecond: z.number().min(0),
+  loadQueriesPerSecond: amountSchema,
   /** What a megabyte costs, as a number of answers in time. */
   transferCosts: z.object({
-    crossZonePerMegabyte: z.number().min(0),
-    crossRegionPerMegabyte: z.number().min(0),
+    crossZonePerMegabyte: amountSchema,
+    crossRegionPerMegabyte: amountSchema,
   }),
   /** How long callers may keep a list of entries. */
   entryListAge: durationSchema,
--- a/packages/balancer/src/balancer.ts
+++ b/packages/balancer/src/balancer.ts
@@ -69,7 +69,7 @@
 
 /** A balancer process. */
 export class Balancer {
-  readonly #settings: BalancerSettings;
+  #settings: BalancerSettings;
   readonly #site: SiteParts;
   readonly #log: DecisionLog;
   readonly #clock: Clock;
@@ -80,6 +80,7 @@
   readonly #view: StoreView;
   readonly #presence: EntryPresence;
   readonly #queryBudget: TokenBucket;
+  readonly #chooser: Chooser;
   readonly #callers: CallerServer;
   readonly #discovery: DiscoveryServer;
   #state: BalancerState = 'starting';
@@ -129,6 +130,7 @@
       minimumCapacity: 1,
       nowMs: clock.now(),
     });
+    this.#chooser = this.#createChooser();
     this.#callers = this.#createCallers(metrics);
     this.#discovery = new DiscoveryServer({
       protocol: site.discoveryProtocol,
@@ -174,6 +176,13 @@
     });
   }
 
+  /** Takes over changed settings; addresses hold until the next start. */
+  applySettings(settings: BalancerSettings): void {
+    this.#settings = settings;
+    this.#chooser.applyCosts(settings.transferCosts);
+    this.#discovery.applyMaximumAge(settings.entryListAge);
+  }
+
   /** Stops without cutting off a request: callers are sent elsewhere first. */
   async stop(): Promise<void> {
     if (this.#state === 'stopping' || this.#state === 'stopped') {
@@ -193,7 +202,7 @@
     await Promise.race([this.#callers.stop(), sleep(leftMs)]);
     this.#view.stop();
     clearInterval(this.#periodTimer);
-    await this.#discovery.close();
+    this.#discovery.close();
     this.#registry.close();
     await this.#site.store.close();
     this.#state = 'stopped';
@@ -238,23 +247,25 @@
     return Math.max(FEWEST_CONNECTIONS, part);
   }
 
-  #createCallers(metrics: MetricRegistry): CallerServer {
-    const {repeats, transferCosts} = this.#settings;
-    const memory = new RouteMemory(this.#random, () => ({
-      ratio: repeats.ratio,
-      slack: repeats.slack,
-      windowMs: repeats.window,
-      entries: Math.ceil(this.#entries.size * JOINING_SHARE),
-    }));
-    const chooser = new Chooser({
+  #createChooser(): Chooser {
+    return new Chooser({
       registry: this.#registry,
       clock: this.#clock,
       random: this.#random,
-      costs: transferCosts,
+      costs: this.#settings.transferCosts,
       queryBudget: this.#queryBudget,
     });
+  }
+
+  #createCallers(metrics: MetricRegistry): CallerServer {
+    const memory = new RouteMemory(this.#random, () => ({
+      ratio: this.#settings.repeats.ratio,
+      slack: this.#settings.repeats.slack,
+      windowMs: this.#settings.repeats.window,
+      entries: Math.ceil(this.#entries.size * JOINING_SHARE),
+    }));
     return new CallerServer({
-      chooser,
+      chooser: this.#chooser,
       memory,
       metrics,
       registry: this.#registry,
--- a/packages/balancer/src/index.ts
+++ b/packages/balancer/src/index.ts
@@ -11,4 +11,5 @@
 export * from './routing/routing-table.js';
 export * from './serving/discovery-protocol.js';
 export * from './store/record-decoder.js';
+export * from './settings-file.js';
 export * from './store/record-store.js';
--- a/packages/balancer/src/members/entry-record.ts
+++ b/packages/balancer/src/members/entry-record.ts
@@ -1,6 +1,6 @@
 /** An entry as it announces itself to the others. */
 
-import {z} from 'zod';
+import * as z from 'zod/mini';
 
 /** What an entry announces. */
 export const entryRecordSchema = z.object({
--- a/packages/balancer/src/members/upstream-record.ts
+++ b/packages/balancer/src/members/upstream-record.ts
@@ -1,24 +1,24 @@
 /** An upstream as it announces itself. */
 
-import {z} from 'zod';
+import * as z from 'zod/mini';
 
 /** What an upstream announces. */
 export const upstreamRecordSchema = z.object({
   /** Changes with each start, but for those that start again under their former identity. */
   id: z.string(),
   /** Time of its start; tells two starts under one identity apart. */
-  startedAtEpochMs: z.number().optional(),
+  startedAtEpochMs: z.optional(z.number()),
   /** Rises with each announcement of one start. */
   sequence: z.number(),
   service: z.string(),
   /** IP address and port. */
   address: z.string(),
   zone: z.string(),
-  slots: z.number().int().min(1),
+  slots: z.int().check(z.minimum(1)),
   /** Whether it takes no new requests. */
   isDraining: z.boolean(),
   /** How much longer it is slow after its start, in milliseconds. */
-  warmUpLeftMs: z.number().min(0),
+  warmUpLeftMs: z.number().check(z.minimum(0)),
 });
 
 /** What an upstream announces. */
--- a/packages/balancer/src/routing/routing-configuration.ts
+++ b/packages/balancer/src/routing/routing-configuration.ts
@@ -1,6 +1,6 @@
 /** What operators configure: routes, services and the limits of callers. */
 
-import {z} from 'zod';
+import * as z from 'zod/mini';
 
 /** Where the requests below one prefix of one host go, and by which rules. */
 export const routeSchema = z.object({
@@ -11,17 +11,17 @@
   /** An idempotent request may run more than once, any other at most once. */
   kind: z.enum(['idempotent', 'at-most-once']),
   /** Longest time that a caller is kept waiting, in milliseconds. */
-  timeoutMs: z.number().positive(),
+  timeoutMs: z.number().check(z.positive()),
   /** Time within which an answer is of full worth, in milliseconds. */
-  targetLatencyMs: z.number().positive(),
+  targetLatencyMs: z.number().check(z.positive()),
   /** 0 is the most urgent. */
   priority: z.number(),
   /** Upstreams that one request may be sent to. */
-  maximumAttempts: z.number().int().min(1),
+  maximumAttempts: z.int().check(z.minimum(1)),
   /** Services that share the requests by weight. */
   targets: z
-    .array(z.object({name: z.string(), weight: z.number().min(0)}))
-    .min(1),
+    .array(z.object({name: z.string(), weight: z.number().check(z.minimum(0))}))
+    .check(z.minLength(1)),
 });
 
 /** What all upstreams of a service have in common. */
@@ -30,21 +30,21 @@
   /** Path that answers at once with the load. */
   loadPath: z.string(),
   /** Connections that one upstream accepts from all entries together. */
-  connections: z.number().int().min(1),
+  connections: z.int().check(z.minimum(1)),
 });
 
 /** What a caller may send, and how long it may take. */
 export const callerLimitsSchema = z.object({
-  headerBytes: z.number().int().positive(),
-  bodyBytes: z.number().int().positive(),
-  headerTimeoutMs: z.number().positive(),
-  idleTimeoutMs: z.number().positive(),
+  headerBytes: z.int().check(z.positive()),
+  bodyBytes: z.int().check(z.positive()),
+  headerTimeoutMs: z.number().check(z.positive()),
+  idleTimeoutMs: z.number().check(z.positive()),
 });
 
 /** A whole configuration. */
 export const routingConfigurationSchema = z.object({
   /** Rises with each change. */
-  version: z.number().int().min(0),
+  version: z.int().check(z.minimum(0)),
   routes: z.array(routeSchema),
   services: z.array(serviceSchema),
   limits: callerLimitsSchema,
--- a/packages/balancer/src/serving/caller-server.ts
+++ b/packages/balancer/src/serving/caller-server.ts
@@ -1,6 +1,12 @@
 /** Takes callers' connections: reads each request whole, has it run, and writes its answer. */
 
-import type {IncomingMessage, ServerResponse} from 'node:http';
+import {once} from 'node:events';
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
 import type {Socket} from 'node:net';
 import {
   SECOND_MS,
@@ -9,7 +15,6 @@
   type DurationHistogram,
   type MetricRegistry,
 } from '@wasabidyke/shared';
-import Fastify, {type FastifyInstance} from 'fastify';
 import type {WholeAnswer} from '../exchange/exchange.js';
 import type {WireProtocol} from '../exchange/wire-protocol.js';
 import type {DecisionLog} from '../reporting/decision-log.js';
@@ -46,7 +51,7 @@
 /** Takes callers. */
 export class CallerServer {
   readonly #options: CallerServerOptions;
-  readonly #fastify: FastifyInstance;
+  readonly #server: Server;
   readonly #latency: DurationHistogram;
   readonly #requests: Counter;
   /** Requests that are read but not answered, for each connection. */
@@ -71,7 +76,7 @@
       'Requests of callers under way.',
       () => this.#inFlight,
     );
-    this.#fastify = this.#createFastify();
+    this.#server = this.#createServer();
   }
 
   get inFlight(): number {
@@ -80,12 +85,13 @@
 
   /** Starts to listen. @throws When the address can't be had. */
   async listen(host: string, port: number): Promise<void> {
-    await this.#fastify.listen({host, port});
+    this.#server.listen(port, host);
+    await once(this.#server, 'listening');
   }
 
   /** Takes over what the configuration says of connections. */
   applyLimits(limits: CallerLimits): void {
-    const {server} = this.#fastify;
+    const server = this.#server;
     server.keepAliveTimeout = limits.idleTimeoutMs;
     server.headersTimeout = limits.headerTimeoutMs;
   }
@@ -98,40 +104,29 @@
   /** Takes no new connections and no new requests; resolves once those under way are answered. */
   async stop(): Promise<void> {
     this.#isRefusing = true;
-    const {server} = this.#fastify;
-    server.close();
-    server.closeIdleConnections();
+    this.#server.close();
+    this.#server.closeIdleConnections();
     if (this.#inFlight > 0) {
       await new Promise<void>(resolve => (this.#onIdle = resolve));
     }
   }
 
-  #createFastify(): FastifyInstance {
-    const fastify = Fastify({
-      keepAliveTimeout: FIRST_IDLE_TIMEOUT_MS,
-      requestTimeout: 0,
-      forceCloseConnections: 'idle',
-      return503OnClosing: false,
-      exposeHeadRoutes: false,
-      clientErrorHandler: refuseMalformed,
-      frameworkErrors: (_error, request, reply) => {
-        // The router refuses some paths; the table of routes decides on them.
-        reply.hijack();
-        this.#accept(request.raw, reply.raw);
-      },
-      http: {
+  /** Node's own server: a framework would double the time that a restart takes. */
+  #createServer(): Server {
+    const server = createServer(
+      {
+        keepAliveTimeout: FIRST_IDLE_TIMEOUT_MS,
+        requestTimeout: 0,
         headersTimeout: FIRST_HEADER_TIMEOUT_MS,
         maxHeaderSize: MAXIMUM_HEADER_BYTES,
         connectionsCheckingInterval: CONNECTION_CHECK_MS,
       },
-    });
-    fastify.removeAllContentTypeParsers();
-    fastify.addContentTypeParser('*', (_request, _payload, done) => done(null));
-    fastify.addHook('onRequest', (request, reply) => {
-      reply.hijack();
-      this.#accept(request.raw, reply.raw);
-    });
-    return fastify;
+      (request, response) => this.#accept(request, response),
+    );
+    server.on('clientError', (error, socket) =>
+      refuseMalformed(error, socket as Socket),
+    );
+    return server;
   }
 
   #accept(request: IncomingMessage, response: ServerResponse): void {
--- a/packages/balancer/src/serving/chooser.ts
+++ b/packages/balancer/src/serving/chooser.ts
@@ -76,9 +76,16 @@
 /** Chooses upstreams. */
 export class Chooser {
   readonly #options: ChooserOptions;
+  #costs: TransferCosts;
 
   constructor(options: ChooserOptions) {
     this.#options = options;
+    this.#costs = options.costs;
+  }
+
+  /** Takes over changed costs. */
+  applyCosts(costs: TransferCosts): void {
+    this.#costs = costs;
   }
 
   /** The best upstream; undefined when there is none. */
@@ -123,7 +130,7 @@
       failureShare: outlook.failureShare(nowMs),
       distance: outlook.distance,
       bytes: query.bytes,
-      costs: this.#options.costs,
+      costs: this.#costs,
     });
     const bonus = outlook.hasServed ? 0 : NEWCOMER_BONUS;
     return {
--- a/packages/balancer/src/serving/discovery-server.ts
+++ b/packages/balancer/src/serving/discovery-server.ts
@@ -1,7 +1,13 @@
 /** Tells callers which entries to use, the platform whether this one is ready, and operators its metrics. */
 
+import {once} from 'node:events';
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
 import type {MetricRegistry} from '@wasabidyke/shared';
-import Fastify, {type FastifyInstance} from 'fastify';
 import type {EntryRoster} from '../members/entry-roster.js';
 import type {DiscoveryProtocol} from './discovery-protocol.js';
 
@@ -26,13 +32,24 @@
 /** How long an idle connection is kept, in milliseconds. */
 const IDLE_MS = 20_000;
 
+const METRICS_PATH = '/metrics';
+const TEXT = 'text/plain';
+const JSON_TYPE = 'application/json';
+
 /** Answers questions about entries. */
 export class DiscoveryServer {
   readonly #options: DiscoveryServerOptions;
-  readonly #servers: FastifyInstance[] = [];
+  readonly #servers: Server[] = [];
+  #maximumAgeMs: number;
 
   constructor(options: DiscoveryServerOptions) {
     this.#options = options;
+    this.#maximumAgeMs = options.maximumAgeMs;
+  }
+
+  /** Takes over how long callers may keep a list. */
+  applyMaximumAge(maximumAgeMs: number): void {
+    this.#maximumAgeMs = maximumAgeMs;
   }
 
   /** Starts to listen at the addresses, which may be the same. @throws When one can't be had. */
@@ -43,41 +60,64 @@
     for (const address of distinct.values()) {
       const server = this.#createServer();
       this.#servers.push(server);
-      await server.listen(address);
+      server.listen(address.port, address.host);
+      await once(server, 'listening');
     }
   }
 
-  async close(): Promise<void> {
-    await Promise.all(this.#servers.map(server => server.close()));
+  /** Closes all connections. */
+  close(): void {
+    for (const server of this.#servers) {
+      server.close();
+      server.closeAllConnections();
+    }
   }
 
-  #createServer(): FastifyInstance {
-    const {protocol, metrics, isReady} = this.#options;
-    const server = Fastify({
-      keepAliveTimeout: IDLE_MS,
-      forceCloseConnections: true,
-    });
-    server.get(protocol.entriesPath, (request, reply) => {
-      const query = new URL(request.url, 'http://entry').searchParams;
-      const body = this.#list(query);
-      reply.type('application/json');
-      return body === undefined ? reply.code(503).send('{}') : reply.send(body);
-    });
-    server.get(protocol.readinessPath, (_request, reply) =>
-      reply.code(isReady() ? 200 : 503).send(''),
-    );
-    server.get('/metrics', (_request, reply) =>
-      reply.type('text/plain; version=0.0.4').send(metrics.render()),
+  #createServer(): Server {
+    return createServer({keepAliveTimeout: IDLE_MS}, (request, response) =>
+      this.#answer(request, response),
     );
-    return server;
   }
 
-  #list(query: URLSearchParams): string | undefined {
-    const {protocol, roster, maximumAgeMs, isListing} = this.#options;
+  #answer(request: IncomingMessage, response: ServerResponse): void {
+    const {protocol, metrics, isReady} = this.#options;
+    const url = new URL(request.url ?? '/', 'http://entry');
+    switch (url.pathname) {
+      case protocol.entriesPath:
+        this.#sendEntries(url.searchParams, response);
+        return;
+      case protocol.readinessPath:
+        send(response, isReady() ? 200 : 503, TEXT, '');
+        return;
+      case METRICS_PATH:
+        send(response, 200, `${TEXT}; version=0.0.4`, metrics.render());
+        return;
+      default:
+        send(response, 404, TEXT, '');
+    }
+  }
+
+  #sendEntries(query: URLSearchParams, response: ServerResponse): void {
+    const {protocol, roster, isListing} = this.#options;
     const addresses = roster.list(protocol.readPlace(query));
     if (!isListing() || addresses.length === 0) {
-      return undefined;
+      send(response, 503, JSON_TYPE, '{}');
+      return;
     }
-    return protocol.writeEntries(addresses, maximumAgeMs);
+    const body = protocol.writeEntries(addresses, this.#maximumAgeMs);
+    send(response, 200, JSON_TYPE, body);
   }
 }
+
+function send(
+  response: ServerResponse,
+  status: number,
+  type: string,
+  body: string,
+): void {
+  response.writeHead(status, {
+    'content-type': type,
+    'content-length': Buffer.byteLength(body),
+  });
+  response.end(body);
+}
--- a/packages/balancer/src/store/store-view.ts
+++ b/packages/balancer/src/store/store-view.ts
@@ -38,7 +38,7 @@
 const WATCH_WAIT_MS = 29_000;
 
 /** Pause after a change. Source: with a read it stays within half of the shortest bound on draining, 2.5 seconds. */
-const PAUSE_MS = 700;
+const PAUSE_MS = 1_000;
 
 /** Time between reads of the revision. Source: a silent watch must be found within the bound on draining. */
 const REVISION_PERIOD_MS = 1_500;
