fix(balancer): a reset that looks like an ordered end is told apart by a probe

Debug runs showed an 'end' event for whole and cut answers alike. On an end, an empty line is written: the system refuses it after a reset.

--- a/packages/balancer/src/exchange/connection-pool.ts
+++ b/packages/balancer/src/exchange/connection-pool.ts
@@ -11,7 +11,22 @@
 /** Margin before the time that the upstream states: a request that crosses its close would be lost. */
 const IDLE_MARGIN_MS = 1_500;
 
-const connect = buildConnector({timeout: CONNECT_TIMEOUT_MS});
+/** Sent when the other side has ended; servers pass over empty lines between requests. */
+const PROBE_LINE = '\r\n';
+
+/** Errors by which the system tells that the other side broke off. */
+const RESET_CODES: ReadonlySet<string> = new Set([
+  'ECONNRESET',
+  'EPIPE',
+  'ECONNABORTED',
+  'ETIMEDOUT',
+]);
+
+/** Half-open connections can still be written to, which tells an ordered end from a reset. */
+const connect = buildConnector({
+  timeout: CONNECT_TIMEOUT_MS,
+  allowHalfOpen: true,
+});
 
 /** A connection that carries one request at a time. */
 export class UpstreamConnection {
@@ -49,17 +64,32 @@
     this.#client.dispatch(options, handler);
   }
 
-  /** The client takes some resets for the end of an answer, so they are noted before it sees them. */
+  /**
+   * The client takes some resets for the end of an answer, and so does the
+   * event loop when a reset follows data closely: it reports an ordered end.
+   * So resets are noted before the client sees them, and an end is probed.
+   */
   #connect(
     options: buildConnector.Options,
     callback: buildConnector.Callback,
   ): void {
     connect(options, (...result) => {
-      result[1]?.once('error', () => (this.#isReset = true));
+      const socket = result[1];
+      socket?.once('error', error => this.#noteReset(error));
+      socket?.once('end', () => {
+        socket.write(PROBE_LINE, error => this.#noteReset(error));
+      });
       callback(...result);
     });
   }
 
+  /** Other errors are the client's own, such as its closing of the connection. */
+  #noteReset(error: NodeJS.ErrnoException | null | undefined): void {
+    if (error?.code !== undefined && RESET_CODES.has(error.code)) {
+      this.#isReset = true;
+    }
+  }
+
   /** Closes it at once. */
   destroy(): void {
     this.#isBroken = true;
--- a/packages/balancer/src/exchange/exchange.ts
+++ b/packages/balancer/src/exchange/exchange.ts
@@ -161,6 +161,17 @@
 
   /** @internal */
   onResponseEnd(): void {
+    const {'content-length': length, 'transfer-encoding': encoding} =
+      this.#headers;
+    if (length === undefined && encoding === undefined) {
+      // The connection learns only after this call whether it was reset.
+      setImmediate(() => this.#onWhole());
+    } else {
+      this.#onWhole();
+    }
+  }
+
+  #onWhole(): void {
     if (this.#connection.isReset) {
       this.onResponseError(undefined, new Error('reset within the answer'));
       return;
