feat(balancer): one entry of an availability zone reads the store for the others

Followers ask the first entry of their zone, where bytes are free, and read the store at once when it fails, is silent for 1.1 s or isn't fresh itself.

--- /dev/null
+++ b/features/balancer/feed.feature
@@ -0,0 +1,30 @@
+Feature: One entry of an availability zone reads the store for the others
+
+  Background:
+    Given a store with a record
+    And entry "a" that reads the store, and entry "b" that follows it
+
+  Scenario: A follower learns of changes and asks the store for nothing
+    When the record changes
+    Then entry "b" knows of it within 1500 ms
+    And entry "b" asked the store for no changes
+
+  Scenario: A feeder that ends is replaced by the store
+    When the feeder ends
+    And the record changes
+    Then entry "b" knows of it within 2500 ms
+
+  Scenario: A feeder that is silent is replaced by the store
+    When the feeder falls silent
+    And the record changes
+    Then entry "b" knows of it within 2500 ms
+
+  Scenario: A feeder that lost the store feeds nothing old
+    When the feeder loses the store
+    And the record changes
+    Then entry "b" knows of it within 2500 ms
+
+  Scenario: A feeder that dropped its history has its followers read the store
+    When the feeder drops its history
+    And the record changes
+    Then entry "b" knows of it within 2500 ms
--- /dev/null
+++ b/features/steps/feed.steps.ts
@@ -0,0 +1,194 @@
+/** Steps for entries that feed others with records. */
+
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {createServer, type AddressInfo, type Server} from 'node:net';
+import {After, Given, Then, When} from '@cucumber/cucumber';
+import {
+  FedRecordStore,
+  FeedServer,
+  RecordHistory,
+  StoreView,
+  type EntryRecord,
+  type RecordChanges,
+  type StoreViewListener,
+} from '@wasabidyke/balancer';
+import {SeededRandom} from '@wasabidyke/policy';
+import {SystemClock} from '@wasabidyke/shared';
+import {MemoryLog} from '../support/balancer-site.js';
+import {eventually} from '../support/eventually.js';
+import {MemoryRecordStore} from '../support/memory-record-store.js';
+
+const KEY = 'servers/w1';
+const SEED = 5;
+
+/** What one entry believes of the record. */
+class Believer implements StoreViewListener {
+  readonly history = new RecordHistory();
+  value: string | undefined;
+
+  onRead(read: RecordChanges, isWhole: boolean): void {
+    this.history.apply(read, isWhole);
+    const change = read.changes.findLast(({key}) => key === KEY);
+    this.value = change?.value?.toString('utf8') ?? this.value;
+  }
+
+  onChange(): void {}
+  onWhole(): void {}
+  onLost(): void {}
+  onRegained(): void {}
+}
+
+interface Follower {
+  readonly believer: Believer;
+  readonly fed: FedRecordStore;
+  readonly view: StoreView;
+}
+
+interface FeedWorld {
+  /** What the feeder reads, and what the follower reads when it must. */
+  stores: {
+    readonly feeder: MemoryRecordStore;
+    readonly follower: MemoryRecordStore;
+  };
+  feeder: Believer;
+  feederView: StoreView;
+  isFresh: boolean;
+  feed: FeedServer;
+  feedAddress: string;
+  silent: Server | undefined;
+  follower: Follower;
+  changed: string;
+}
+
+Given('a store with a record', function (this: FeedWorld) {
+  this.stores = {
+    feeder: new MemoryRecordStore(),
+    follower: new MemoryRecordStore(),
+  };
+  write(this, 'first');
+});
+
+Given(
+  'entry {string} that reads the store, and entry {string} that follows it',
+  async function (this: FeedWorld, first: string, second: string) {
+    this.feeder = new Believer();
+    this.isFresh = true;
+    this.feederView = createView(this.stores.feeder, this.feeder);
+    this.feederView.start();
+    this.feed = new FeedServer({
+      history: this.feeder.history,
+      isFresh: () => this.isFresh,
+    });
+    const port = await findPort();
+    await this.feed.listen({host: '127.0.0.1', port});
+    this.feedAddress = `127.0.0.1:${port}`;
+    this.follower = createFollower(this, first, second);
+    this.follower.view.start();
+    await eventually('it follows', () => !this.follower.fed.isDirect);
+    this.stores.follower.calls.clear();
+  },
+);
+
+After(async function (this: Partial<FeedWorld>) {
+  this.feederView?.stop();
+  this.follower?.view.stop();
+  this.feed?.close();
+  this.silent?.close();
+  await this.follower?.fed.close();
+});
+
+When('the record changes', function (this: FeedWorld) {
+  write(this, 'changed');
+});
+
+When('the feeder ends', function (this: FeedWorld) {
+  this.feed.close();
+});
+
+When('the feeder falls silent', async function (this: FeedWorld) {
+  const [host, port] = this.feedAddress.split(':');
+  this.feed.close();
+  this.silent = createServer(() => {});
+  this.silent.listen(Number(port), host);
+  await once(this.silent, 'listening');
+});
+
+When('the feeder loses the store', function (this: FeedWorld) {
+  this.stores.feeder.fault = 'down';
+  this.feederView.stop();
+  this.isFresh = false;
+});
+
+When('the feeder drops its history', function (this: FeedWorld) {
+  const whole = this.feeder.history.readAll();
+  this.feederView.stop();
+  this.feeder.history.apply({...whole, revision: whole.revision + 100}, true);
+});
+
+Then(
+  'entry {string} knows of it within {int} ms',
+  async function (this: FeedWorld, _name: string, limitMs: number) {
+    const {believer} = this.follower;
+    const isKnown = () => believer.value === this.changed;
+    await eventually('the change is known', isKnown, limitMs);
+  },
+);
+
+Then(
+  'entry {string} asked the store for no changes',
+  function (this: FeedWorld) {
+    assert.equal(this.stores.follower.calls.get('watch'), undefined);
+    assert.equal(this.stores.follower.calls.get('read-all'), undefined);
+  },
+);
+
+function write(world: FeedWorld, value: string): void {
+  world.changed = value;
+  world.stores.feeder.set(KEY, value);
+  world.stores.follower.set(KEY, value);
+}
+
+function createView(
+  store: MemoryRecordStore | FedRecordStore,
+  listener: StoreViewListener,
+): StoreView {
+  const clock = new SystemClock();
+  return new StoreView({
+    store,
+    listener,
+    clock,
+    random: new SeededRandom(SEED),
+  });
+}
+
+function createFollower(
+  {stores, feedAddress}: FeedWorld,
+  first: string,
+  second: string,
+): Follower {
+  const place = {address: '127.0.0.1:1', region: 'home', zone: 'home-a'};
+  const feeders: EntryRecord[] = [
+    {...place, name: first, feedAddress},
+    {...place, name: second},
+  ];
+  const believer = new Believer();
+  const fed = new FedRecordStore({
+    store: stores.follower,
+    feeders: () => feeders,
+    self: second,
+    clock: new SystemClock(),
+    random: new SeededRandom(SEED),
+    log: new MemoryLog(),
+  });
+  return {believer, fed, view: createView(fed, believer)};
+}
+
+async function findPort(): Promise<number> {
+  const server = createServer().listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const {port} = server.address() as AddressInfo;
+  server.close();
+  await once(server, 'close');
+  return port;
+}
--- a/features/support/balancer-site.ts
+++ b/features/support/balancer-site.ts
@@ -66,8 +66,8 @@
 
   /** Starts the balancer; it waits for its configuration. */
   async start(): Promise<void> {
-    this.#ports = await findPorts(3);
-    const [callers, entries, metrics] = this.#ports;
+    this.#ports = await findPorts(4);
+    const [callers, entries, metrics, feed] = this.#ports;
     const settings = parseBalancerSettings(
       JSON.stringify({
         name: 'entry-1',
@@ -79,6 +79,7 @@
           entries: `127.0.0.1:${entries}`,
           readiness: `127.0.0.1:${metrics}`,
           metrics: `127.0.0.1:${metrics}`,
+          feed: `127.0.0.1:${feed}`,
         },
         store: {address: '127.0.0.1:1'},
         stopWithin: '1500ms',
--- a/features/support/memory-record-store.ts
+++ b/features/support/memory-record-store.ts
@@ -12,10 +12,6 @@
 /** How the store misbehaves. */
 export type StoreFault = 'none' | 'down' | 'silent-watch' | 'history-lost';
 
-interface Event extends RecordChange {
-  readonly revision: number;
-}
-
 const UNAVAILABLE = {kind: 'unavailable', message: 'down'} as const;
 
 /** The store. */
@@ -24,7 +20,7 @@
   /** Calls that were made, by name. */
   readonly calls = new Map<string, number>();
   readonly #records = new Map<string, Buffer>();
-  readonly #events: Event[] = [];
+  readonly #events: RecordChange[] = [];
   readonly #leases = new Map<number, string[]>();
   readonly #waiting = new Set<() => void>();
   #revision = 1;
@@ -59,7 +55,11 @@
     if (this.fault === 'history-lost') {
       this.fault = 'none';
     }
-    const changes = [...this.#records].map(([key, value]) => ({key, value}));
+    const changes = [...this.#records].map(([key, value]) => ({
+      key,
+      value,
+      revision: this.#revision,
+    }));
     return Ok({changes, revision: this.#revision});
   }
 
--- a/packages/balancer/src/balancer-settings.ts
+++ b/packages/balancer/src/balancer-settings.ts
@@ -50,6 +50,8 @@
     entries: addressSchema,
     readiness: addressSchema,
     metrics: addressSchema,
+    /** Records for the other entries of the availability zone. */
+    feed: addressSchema,
   }),
   store: z.object({address: addressSchema}),
   /** Time from the signal to stop until the process is killed. */
--- a/packages/balancer/src/balancer.ts
+++ b/packages/balancer/src/balancer.ts
@@ -12,6 +12,9 @@
 import type {BalancerSettings} from './balancer-settings.js';
 import {Beliefs} from './beliefs.js';
 import type {WireProtocol} from './exchange/wire-protocol.js';
+import {FedRecordStore} from './feed/fed-record-store.js';
+import {FeedServer} from './feed/feed-server.js';
+import {RecordHistory} from './feed/record-history.js';
 import {EntryRoster} from './members/entry-roster.js';
 import {UpstreamRegistry} from './members/upstream-registry.js';
 import type {DecisionLog} from './reporting/decision-log.js';
@@ -52,6 +55,9 @@
 /** Time before the end by which the process ends by itself, in milliseconds. */
 const END_MARGIN_MS = 400;
 
+/** Age from which on other entries don't rely on what this one has read: two reads of the revision have failed. */
+const FRESH_VIEW_MS = 3_000;
+
 /** Share of the allowed load queries that are made. */
 const QUERY_SHARE = 0.8;
 
@@ -77,6 +83,9 @@
   readonly #entries: EntryRoster;
   readonly #registry: UpstreamRegistry;
   readonly #beliefs: Beliefs;
+  readonly #history: RecordHistory;
+  readonly #store: FedRecordStore;
+  readonly #feed: FeedServer;
   readonly #view: StoreView;
   readonly #presence: EntryPresence;
   readonly #queryBudget: TokenBucket;
@@ -99,15 +108,30 @@
     this.#clock = clock;
     this.#random = new SeededRandom(randomInt(SEED_BOUND));
     const self = {
+      feedAddress: settings.listen.feed.text,
       name: settings.name,
       address: settings.listen.callers.text,
       region: settings.region,
       zone: settings.zone,
     };
     this.#entries = new EntryRoster(self);
+    this.#history = new RecordHistory();
+    this.#store = new FedRecordStore({
+      store: site.store,
+      feeders: () => this.#entries.listFeeders(),
+      self: settings.name,
+      clock,
+      random: this.#random,
+      log,
+    });
+    this.#feed = new FeedServer({
+      history: this.#history,
+      isFresh: () => this.#isFresh(),
+    });
     this.#registry = this.#createRegistry();
     this.#beliefs = new Beliefs({
       decoder: site.decoder,
+      history: this.#history,
       entries: this.#entries,
       registry: this.#registry,
       clock,
@@ -118,12 +142,12 @@
       },
     });
     this.#view = new StoreView({
-      store: site.store,
+      store: this.#store,
       listener: this.#beliefs,
       clock,
       random: this.#random,
     });
-    this.#presence = new EntryPresence(site.store, self, this.#random);
+    this.#presence = new EntryPresence(this.#store, self, this.#random);
     this.#queryBudget = new TokenBucket({
       ratePerSecond: 0,
       capacityMs: QUERY_SAVING_MS,
@@ -164,10 +188,11 @@
 
   /** Opens the listeners and begins to follow the store. @throws When an address can't be had. */
   async start(): Promise<void> {
-    const {callers, entries, readiness, metrics} = this.#settings.listen;
+    const {callers, entries, readiness, metrics, feed} = this.#settings.listen;
     this.#view.start();
     await this.#callers.listen(callers.host, callers.port);
     await this.#discovery.listen([entries, readiness, metrics]);
+    await this.#feed.listen(feed);
     this.#periodTimer = setInterval(() => this.#onPeriod(), PERIOD_MS);
     this.#log.record('process.started', {
       address: callers.text,
@@ -204,7 +229,8 @@
     clearInterval(this.#periodTimer);
     this.#discovery.close();
     this.#registry.close();
-    await this.#site.store.close();
+    this.#feed.close();
+    await this.#store.close();
     this.#state = 'stopped';
     this.#log.record('process.stopped', {inFlight: this.#callers.inFlight});
     this.#log.flush();
@@ -220,6 +246,12 @@
     }
   }
 
+  /** Whether other entries may rely on what this one has read. */
+  #isFresh(): boolean {
+    const {isLost, ageMs} = this.#view;
+    return this.#store.isDirect && !isLost && ageMs < FRESH_VIEW_MS;
+  }
+
   #onPeriod(): void {
     const nowMs = this.#clock.now();
     this.#beliefs.onPeriod(nowMs);
--- a/packages/balancer/src/beliefs.ts
+++ b/packages/balancer/src/beliefs.ts
@@ -2,6 +2,7 @@
 
 import type {Clock} from '@wasabidyke/shared';
 import {entryRecordSchema} from './members/entry-record.js';
+import type {RecordHistory} from './feed/record-history.js';
 import type {EntryRoster} from './members/entry-roster.js';
 import {UpstreamRoster} from './members/upstream-roster.js';
 import type {UpstreamRegistry} from './members/upstream-registry.js';
@@ -10,7 +11,11 @@
 import {RoutingTable} from './routing/routing-table.js';
 import {ENTRY_PREFIX} from './store/entry-presence.js';
 import type {RecordDecoder} from './store/record-decoder.js';
-import type {RecordChange, RecordStoreError} from './store/record-store.js';
+import type {
+  RecordChange,
+  RecordChanges,
+  RecordStoreError,
+} from './store/record-store.js';
 import type {StoreViewListener} from './store/store-view.js';
 
 /** What beliefs need. */
@@ -21,6 +26,8 @@
   readonly clock: Clock;
   readonly log: DecisionLog;
   readonly onTable: (table: RoutingTable) => void;
+  /** Keeps what was read for the entries that follow this one. */
+  readonly history: RecordHistory;
 }
 
 /** What this entry believes. */
@@ -61,6 +68,10 @@
     return this.#table;
   }
 
+  onRead(read: RecordChanges, isWhole: boolean): void {
+    this.#options.history.apply(read, isWhole);
+  }
+
   onChange({key, value}: RecordChange, mayReturn: boolean): void {
     if (key.startsWith(ENTRY_PREFIX)) {
       this.#onEntry(key.slice(ENTRY_PREFIX.length), value, mayReturn);
--- /dev/null
+++ b/packages/balancer/src/feed/fed-record-store.ts
@@ -0,0 +1,214 @@
+/**
+ * A store whose changes come from another entry of the availability zone where
+ * there is one that reads the store itself. The first entry by name does; an
+ * entry whose feeder fails or is silent reads the store itself at once, and
+ * tries a feeder again after a while.
+ */
+
+import type {RandomSource} from '@wasabidyke/policy';
+import {Err, Ok, type Clock, type Result} from '@wasabidyke/shared';
+import {Pool} from 'undici';
+import type {EntryRecord} from '../members/entry-record.js';
+import type {DecisionLog} from '../reporting/decision-log.js';
+import {
+  RecordStore,
+  type RecordChanges,
+  type RecordLease,
+  type RecordStoreError,
+} from '../store/record-store.js';
+import {FEED_PATH, feedSchema, readFeed} from './feed-messages.js';
+
+/** What the store needs. */
+export interface FedRecordStoreOptions {
+  readonly store: RecordStore;
+  /** The entries of this availability zone in the order in which they feed, this one included once it is announced. */
+  readonly feeders: () => readonly EntryRecord[];
+  /** Name of this entry. */
+  readonly self: string;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly log: DecisionLog;
+}
+
+/** Wait of one question to a feeder, in milliseconds. Source: a silent one must be found within half of the shortest bound on draining. */
+const FEED_WAIT_MS = 800;
+
+/** Time beyond its wait for the answer of a feeder, in milliseconds. */
+const FEED_MARGIN_MS = 300;
+
+/** Time to open a connection within the availability zone, in milliseconds. */
+const CONNECT_TIMEOUT_MS = 200;
+
+/** Shortest time for which the store is read directly after a feeder failed, in milliseconds, and the random part beside it. */
+const DIRECT_MS = 3_000;
+const DIRECT_SPREAD_MS = 2_000;
+
+/** Time for which a feeder that failed isn't asked, in milliseconds. */
+const AVOID_MS = 8_000;
+
+interface Feeder {
+  readonly name: string;
+  readonly pool: Pool;
+}
+
+/** A store whose changes come from another entry where possible. */
+export class FedRecordStore extends RecordStore {
+  readonly #options: FedRecordStoreOptions;
+  readonly #avoidedUntilMs = new Map<string, number>();
+  #feeder: Feeder | undefined;
+  #directUntilMs = -Infinity;
+  #isDirect = true;
+
+  constructor(options: FedRecordStoreOptions) {
+    super();
+    this.#options = options;
+  }
+
+  /** Whether this entry reads the store itself. */
+  get isDirect(): boolean {
+    return this.#isDirect;
+  }
+
+  override readAll(): Promise<Result<RecordChanges, RecordStoreError>> {
+    this.#isDirect = true;
+    return this.#options.store.readAll();
+  }
+
+  override async watch(
+    afterRevision: number,
+    waitMs: number,
+    signal: AbortSignal,
+  ): Promise<Result<RecordChanges, RecordStoreError>> {
+    const feeder = this.#chooseFeeder();
+    if (feeder !== undefined) {
+      const fed = await this.#follow(feeder, afterRevision);
+      if (fed.isOk()) {
+        this.#isDirect = false;
+        return fed;
+      }
+      this.#onFailure(feeder, fed.error);
+    }
+    this.#isDirect = true;
+    const limitMs = Math.min(waitMs, this.#directLeftMs());
+    return this.#options.store.watch(afterRevision, limitMs, signal);
+  }
+
+  /** Questions to a feeder cost nothing. */
+  override get isPaidFor(): boolean {
+    return this.#isDirect;
+  }
+
+  /** While a feeder is followed, its silence is found by the questions to it. */
+  override async readRevision(): Promise<Result<number, RecordStoreError>> {
+    return this.#isDirect ? this.#options.store.readRevision() : Ok(0);
+  }
+
+  override put(
+    key: string,
+    value: Buffer,
+    lease: RecordLease,
+  ): Promise<Result<void, RecordStoreError>> {
+    return this.#options.store.put(key, value, lease);
+  }
+
+  override grantLease(
+    lifetimeMs: number,
+  ): Promise<Result<RecordLease, RecordStoreError>> {
+    return this.#options.store.grantLease(lifetimeMs);
+  }
+
+  override keepLease(
+    lease: RecordLease,
+  ): Promise<Result<void, RecordStoreError>> {
+    return this.#options.store.keepLease(lease);
+  }
+
+  override endLease(
+    lease: RecordLease,
+  ): Promise<Result<void, RecordStoreError>> {
+    return this.#options.store.endLease(lease);
+  }
+
+  override async close(): Promise<void> {
+    await this.#feeder?.pool.destroy();
+    await this.#options.store.close();
+  }
+
+  /** The entry to follow; undefined when this one reads the store itself. */
+  #chooseFeeder(): Feeder | undefined {
+    const nowMs = this.#options.clock.now();
+    if (nowMs < this.#directUntilMs) {
+      return undefined;
+    }
+    const first = this.#options
+      .feeders()
+      .find(({name}) => (this.#avoidedUntilMs.get(name) ?? 0) <= nowMs);
+    const address = first?.feedAddress;
+    if (
+      first === undefined ||
+      first.name === this.#options.self ||
+      address === undefined
+    ) {
+      return undefined;
+    }
+    return this.#connect(first.name, address);
+  }
+
+  /** How long the store is still read directly though there may be a feeder; infinite when none is awaited. */
+  #directLeftMs(): number {
+    const leftMs = this.#directUntilMs - this.#options.clock.now();
+    return leftMs > 0 ? Math.ceil(leftMs) : Infinity;
+  }
+
+  #connect(name: string, address: string): Feeder {
+    if (this.#feeder?.name === name) {
+      return this.#feeder;
+    }
+    this.#feeder?.pool.destroy().catch(() => {});
+    const pool = new Pool(`http://${address}`, {
+      connections: 1,
+      pipelining: 1,
+      connect: {timeout: CONNECT_TIMEOUT_MS},
+    });
+    this.#feeder = {name, pool};
+    return this.#feeder;
+  }
+
+  async #follow(
+    {pool}: Feeder,
+    afterRevision: number,
+  ): Promise<Result<RecordChanges, RecordStoreError>> {
+    const path = `${FEED_PATH}?after=${afterRevision}&waitMs=${FEED_WAIT_MS}`;
+    try {
+      const signal = AbortSignal.timeout(FEED_WAIT_MS + FEED_MARGIN_MS);
+      const answer = await pool.request({method: 'GET', path, signal});
+      const text = await answer.body.text();
+      if (answer.statusCode !== 200) {
+        return unavailable(`status ${answer.statusCode}`);
+      }
+      const parsed = feedSchema.safeParse(JSON.parse(text));
+      return parsed.success
+        ? Ok(readFeed(parsed.data))
+        : unavailable(parsed.error.message);
+    } catch (error) {
+      return unavailable(String(error));
+    }
+  }
+
+  #onFailure(feeder: Feeder, error: RecordStoreError): void {
+    const nowMs = this.#options.clock.now();
+    const spreadMs = this.#options.random.nextBelow(DIRECT_SPREAD_MS);
+    this.#directUntilMs = nowMs + DIRECT_MS + spreadMs;
+    this.#avoidedUntilMs.set(feeder.name, nowMs + AVOID_MS);
+    feeder.pool.destroy().catch(() => {});
+    this.#feeder = undefined;
+    this.#options.log.record('feeder.lost', {
+      feeder: feeder.name,
+      cause: error.message,
+    });
+  }
+}
+
+function unavailable(message: string): Result<never, RecordStoreError> {
+  return Err({kind: 'unavailable', message});
+}
--- a/packages/balancer/src/members/entry-record.ts
+++ b/packages/balancer/src/members/entry-record.ts
@@ -7,6 +7,8 @@
   name: z.string(),
   /** Where callers connect. */
   address: z.string(),
+  /** Where other entries of its availability zone ask it for records. */
+  feedAddress: z.optional(z.string()),
   region: z.string(),
   zone: z.string(),
 });
--- a/packages/balancer/src/members/entry-roster.ts
+++ b/packages/balancer/src/members/entry-roster.ts
@@ -43,6 +43,19 @@
     this.#isSelfListed = false;
   }
 
+  /** The other entries of this one's availability zone that feed records, and this one: in the order in which they are asked. */
+  listFeeders(): readonly EntryRecord[] {
+    const {zone, name} = this.#self;
+    const others = [...this.#members.values()]
+      .map(({record}) => record)
+      .filter(record => record.zone === zone && record.name !== name)
+      .filter(({feedAddress}) => feedAddress !== undefined);
+    const own = this.#members.has(name) ? [this.#self] : [];
+    return [...others, ...own].sort((left, right) =>
+      left.name < right.name ? -1 : 1,
+    );
+  }
+
   onRecord(record: EntryRecord): void {
     this.#members.set(record.name, {record, goneAtMs: undefined});
   }
--- a/packages/balancer/src/store/record-store.ts
+++ b/packages/balancer/src/store/record-store.ts
@@ -15,6 +15,8 @@
   readonly key: string;
   /** Undefined when the key was deleted. */
   readonly value: Buffer | undefined;
+  /** The store's revision of this change. */
+  readonly revision: number;
 }
 
 /** Changes up to a revision of the store. */
@@ -31,6 +33,11 @@
 
 /** A store with ranges, watches and leases. Every call has a deadline of its own. */
 export abstract class RecordStore {
+  /** Whether watches are paid for, so that changes are better gathered. */
+  get isPaidFor(): boolean {
+    return true;
+  }
+
   /** Reads every record; `revision` is one from which a watch misses nothing. */
   abstract readAll(): Promise<Result<RecordChanges, RecordStoreError>>;
 
--- a/packages/balancer/src/store/store-view.ts
+++ b/packages/balancer/src/store/store-view.ts
@@ -18,6 +18,8 @@
 
 /** Told of what the store holds. */
 export interface StoreViewListener {
+  /** Everything that was read at once, before its changes are told one by one. */
+  onRead(read: RecordChanges, isWhole: boolean): void;
   /** @param mayReturn Whether the store was away, so that what vanished may return. */
   onChange(change: RecordChange, mayReturn: boolean): void;
   /** The store was read whole: what isn't among `keys` has vanished. */
@@ -45,7 +47,7 @@
 
 /** Shortest and longest delay between tries. */
 const FIRST_RETRY_MS = 200;
-const LAST_RETRY_MS = 800;
+const LAST_RETRY_MS = 1_200;
 
 /** Time after an outage in which vanished records may return. Source: the platform's guarantee of two seconds, and one for finding the outage. */
 const RETURN_TIME_MS = 3_000;
@@ -129,10 +131,14 @@
     this.#backoff.reset();
     apply(result.value);
     this.#revision = Math.max(this.#revision ?? 0, result.value.revision);
-    return result.value.changes.length > 0 ? PAUSE_MS : 0;
+    const mayGather =
+      this.#options.store.isPaidFor && result.value.changes.length > 0;
+    return mayGather ? PAUSE_MS : 0;
   }
 
-  #applyWhole({changes}: RecordChanges): void {
+  #applyWhole(read: RecordChanges): void {
+    const {changes} = read;
+    this.#options.listener.onRead(read, true);
     const mayReturn = this.#mayReturn();
     const keys = new Set(changes.map(({key}) => key));
     for (const change of changes) {
@@ -141,7 +147,9 @@
     this.#options.listener.onWhole(keys, mayReturn);
   }
 
-  #applyChanges({changes}: RecordChanges): void {
+  #applyChanges(read: RecordChanges): void {
+    const {changes} = read;
+    this.#options.listener.onRead(read, false);
     const vanished = changes.filter(({value}) => value === undefined).length;
     const mayReturn = this.#mayReturn() || vanished >= MASS_LOSS;
     for (const change of changes) {
