perf(balancer): own upstreams first, feeders by age, and shorter waits after a cut

Entries use six upstreams of their region first, in an order of their own. The oldest entry of a zone feeds.

--- a/features/balancer/feed.feature
+++ b/features/balancer/feed.feature
@@ -24,7 +24,7 @@
     And the record changes
     Then entry "b" knows of it within 2500 ms
 
-  Scenario: A feeder that dropped its history has its followers read the store
-    When the feeder drops its history
-    And the record changes
+  Scenario: A feeder that starts anew has its followers read everything again from it
+    When the record changes while the feeder starts anew
     Then entry "b" knows of it within 2500 ms
+    And entry "b" asked the store for no changes
--- a/features/steps/feed.steps.ts
+++ b/features/steps/feed.steps.ts
@@ -120,11 +120,15 @@
   this.isFresh = false;
 });
 
-When('the feeder drops its history', function (this: FeedWorld) {
-  const whole = this.feeder.history.readAll();
-  this.feederView.stop();
-  this.feeder.history.apply({...whole, revision: whole.revision + 100}, true);
-});
+When(
+  'the record changes while the feeder starts anew',
+  async function (this: FeedWorld) {
+    this.feederView.stop();
+    write(this, 'changed');
+    const whole = (await this.stores.feeder.readAll()).unwrap();
+    this.feeder.onRead(whole, true);
+  },
+);
 
 Then(
   'entry {string} knows of it within {int} ms',
@@ -137,7 +141,7 @@
 
 Then(
   'entry {string} asked the store for no changes',
-  function (this: FeedWorld) {
+  function (this: FeedWorld, _name: string) {
     assert.equal(this.stores.follower.calls.get('watch'), undefined);
     assert.equal(this.stores.follower.calls.get('read-all'), undefined);
   },
--- a/packages/balancer/src/balancer.ts
+++ b/packages/balancer/src/balancer.ts
@@ -263,6 +263,7 @@
   #createRegistry(): UpstreamRegistry {
     const {region, zone, regionByZone} = this.#settings;
     return new UpstreamRegistry({
+      entry: this.#settings.name,
       locality: {region, zone, regionByZone, roundTripsMs: ROUND_TRIPS_MS},
       protocol: this.#site.wireProtocol,
       clock: this.#clock,
--- a/packages/balancer/src/beliefs.ts
+++ b/packages/balancer/src/beliefs.ts
@@ -72,9 +72,10 @@
     this.#options.history.apply(read, isWhole);
   }
 
-  onChange({key, value}: RecordChange, mayReturn: boolean): void {
+  onChange(change: RecordChange, mayReturn: boolean): void {
+    const {key, value} = change;
     if (key.startsWith(ENTRY_PREFIX)) {
-      this.#onEntry(key.slice(ENTRY_PREFIX.length), value, mayReturn);
+      this.#onEntry(key.slice(ENTRY_PREFIX.length), change, mayReturn);
       return;
     }
     const fact = this.#options.decoder.decode(key, value);
@@ -165,7 +166,11 @@
     }
   }
 
-  #onEntry(name: string, value: Buffer | undefined, mayReturn: boolean): void {
+  #onEntry(
+    name: string,
+    {value, revision}: RecordChange,
+    mayReturn: boolean,
+  ): void {
     const {entries, clock} = this.#options;
     if (value === undefined) {
       entries.onVanished(name, clock.now(), mayReturn);
@@ -173,7 +178,7 @@
     }
     const parsed = entryRecordSchema.safeParse(parseJson(value));
     if (parsed.success && parsed.data.name === name) {
-      entries.onRecord(parsed.data);
+      entries.onRecord(parsed.data, revision);
     } else {
       this.#options.log.record('entry.unreadable', {subject: name});
     }
--- a/packages/balancer/src/feed/fed-record-store.ts
+++ b/packages/balancer/src/feed/fed-record-store.ts
@@ -46,6 +46,15 @@
 /** Time for which a feeder that failed isn't asked, in milliseconds. */
 const AVOID_MS = 8_000;
 
+/** Feeders that are asked for one change. */
+const FEEDER_TRIES = 2;
+
+/** A feeder that fails within this time, in milliseconds, leaves time to ask another one. */
+const QUICK_FAILURE_MS = 200;
+
+/** The feeder no longer keeps what was asked for. */
+const HISTORY_LOST_STATUS = 410;
+
 interface Feeder {
   readonly name: string;
   readonly pool: Pool;
@@ -69,7 +78,15 @@
     return this.#isDirect;
   }
 
-  override readAll(): Promise<Result<RecordChanges, RecordStoreError>> {
+  override async readAll(): Promise<Result<RecordChanges, RecordStoreError>> {
+    const feeder = this.#chooseFeeder();
+    if (feeder !== undefined) {
+      const fed = await this.#ask(feeder, FEED_PATH, FEED_MARGIN_MS);
+      if (fed.isOk()) {
+        return fed;
+      }
+      this.#onFailure(feeder, fed.error);
+    }
     this.#isDirect = true;
     return this.#options.store.readAll();
   }
@@ -79,14 +96,25 @@
     waitMs: number,
     signal: AbortSignal,
   ): Promise<Result<RecordChanges, RecordStoreError>> {
-    const feeder = this.#chooseFeeder();
-    if (feeder !== undefined) {
+    for (let tries = 0; tries < FEEDER_TRIES; tries++) {
+      const feeder = this.#chooseFeeder();
+      if (feeder === undefined) {
+        break;
+      }
+      const startedAtMs = this.#options.clock.now();
       const fed = await this.#follow(feeder, afterRevision);
-      if (fed.isOk()) {
+      if (fed.isOk() || fed.error.kind === 'history-lost') {
         this.#isDirect = false;
         return fed;
       }
       this.#onFailure(feeder, fed.error);
+      const tookMs = this.#options.clock.now() - startedAtMs;
+      if (tookMs > QUICK_FAILURE_MS) {
+        this.#readDirectly();
+      }
+    }
+    if (this.#chooseFeeder() !== undefined) {
+      this.#readDirectly();
     }
     this.#isDirect = true;
     const limitMs = Math.min(waitMs, this.#directLeftMs());
@@ -174,15 +202,26 @@
     return this.#feeder;
   }
 
-  async #follow(
-    {pool}: Feeder,
+  #follow(
+    feeder: Feeder,
     afterRevision: number,
   ): Promise<Result<RecordChanges, RecordStoreError>> {
     const path = `${FEED_PATH}?after=${afterRevision}&waitMs=${FEED_WAIT_MS}`;
+    return this.#ask(feeder, path, FEED_WAIT_MS + FEED_MARGIN_MS);
+  }
+
+  async #ask(
+    {pool}: Feeder,
+    path: string,
+    timeoutMs: number,
+  ): Promise<Result<RecordChanges, RecordStoreError>> {
     try {
-      const signal = AbortSignal.timeout(FEED_WAIT_MS + FEED_MARGIN_MS);
+      const signal = AbortSignal.timeout(timeoutMs);
       const answer = await pool.request({method: 'GET', path, signal});
       const text = await answer.body.text();
+      if (answer.statusCode === HISTORY_LOST_STATUS) {
+        return Err({kind: 'history-lost', message: 'not kept by the feeder'});
+      }
       if (answer.statusCode !== 200) {
         return unavailable(`status ${answer.statusCode}`);
       }
@@ -197,9 +236,8 @@
 
   #onFailure(feeder: Feeder, error: RecordStoreError): void {
     const nowMs = this.#options.clock.now();
-    const spreadMs = this.#options.random.nextBelow(DIRECT_SPREAD_MS);
-    this.#directUntilMs = nowMs + DIRECT_MS + spreadMs;
     this.#avoidedUntilMs.set(feeder.name, nowMs + AVOID_MS);
+    // Questions under way end with the failure that is told here.
     feeder.pool.destroy().catch(() => {});
     this.#feeder = undefined;
     this.#options.log.record('feeder.lost', {
@@ -207,6 +245,13 @@
       cause: error.message,
     });
   }
+
+  /** Reads the store directly for a while. */
+  #readDirectly(): void {
+    const spreadMs = this.#options.random.nextBelow(DIRECT_SPREAD_MS);
+    const nowMs = this.#options.clock.now();
+    this.#directUntilMs = nowMs + DIRECT_MS + spreadMs;
+  }
 }
 
 function unavailable(message: string): Result<never, RecordStoreError> {
--- a/packages/balancer/src/members/entry-roster.ts
+++ b/packages/balancer/src/members/entry-roster.ts
@@ -19,6 +19,8 @@
 
 interface Member {
   readonly record: EntryRecord;
+  /** The store's revision at which it announced itself. */
+  readonly revision: number;
   goneAtMs: number | undefined;
 }
 
@@ -43,21 +45,18 @@
     this.#isSelfListed = false;
   }
 
-  /** The other entries of this one's availability zone that feed records, and this one: in the order in which they are asked. */
+  /** The entries of this one's availability zone that feed records, oldest first: one that joins takes over from none. */
   listFeeders(): readonly EntryRecord[] {
-    const {zone, name} = this.#self;
-    const others = [...this.#members.values()]
-      .map(({record}) => record)
-      .filter(record => record.zone === zone && record.name !== name)
-      .filter(({feedAddress}) => feedAddress !== undefined);
-    const own = this.#members.has(name) ? [this.#self] : [];
-    return [...others, ...own].sort((left, right) =>
-      left.name < right.name ? -1 : 1,
-    );
+    return [...this.#members.values()]
+      .filter(({record}) => record.zone === this.#self.zone)
+      .filter(({record}) => record.feedAddress !== undefined)
+      .sort((left, right) => left.revision - right.revision)
+      .map(({record}) => record);
   }
 
-  onRecord(record: EntryRecord): void {
-    this.#members.set(record.name, {record, goneAtMs: undefined});
+  /** @param revision The store's revision at which it announced itself. */
+  onRecord(record: EntryRecord, revision: number): void {
+    this.#members.set(record.name, {record, revision, goneAtMs: undefined});
   }
 
   onVanished(name: string, nowMs: number, mayReturn: boolean): void {
--- a/packages/balancer/src/members/upstream-registry.ts
+++ b/packages/balancer/src/members/upstream-registry.ts
@@ -1,5 +1,6 @@
 /** The upstreams that may be used now, by service. */
 
+import {createHash} from 'node:crypto';
 import type {Distance} from '@wasabidyke/policy';
 import type {Clock} from '@wasabidyke/shared';
 import type {WireProtocol} from '../exchange/wire-protocol.js';
@@ -17,6 +18,8 @@
 
 /** What a registry needs. */
 export interface UpstreamRegistryOptions {
+  /** Name of this entry. */
+  readonly entry: string;
   readonly locality: Locality;
   readonly protocol: WireProtocol;
   readonly clock: Clock;
@@ -24,6 +27,12 @@
   readonly connectionLimit: (service: string) => number;
 }
 
+const DISTANCE_RANKS: Readonly<Record<Distance, number>> = {
+  'same-zone': 0,
+  'same-region': 1,
+  'other-region': 2,
+};
+
 /** The upstreams that may be used now. */
 export class UpstreamRegistry {
   readonly #options: UpstreamRegistryOptions;
@@ -57,7 +66,7 @@
     this.#handles.set(record.id, handle);
     const handles = this.#byService.get(record.service) ?? [];
     handles.push(handle);
-    this.#byService.set(record.service, handles);
+    this.#byService.set(record.service, this.#order(handles));
   }
 
   update(record: UpstreamRecord): void {
@@ -84,6 +93,20 @@
     }
   }
 
+  /** Nearest first; upstreams that are as near stand in another order for each entry, so that each has its own first ones. */
+  #order(handles: readonly UpstreamHandle[]): UpstreamHandle[] {
+    const {entry} = this.#options;
+    const ranked = handles.map(handle => ({
+      handle,
+      rank: DISTANCE_RANKS[handle.outlook.distance],
+      weight: toWeight(entry, handle.id),
+    }));
+    ranked.sort(
+      (left, right) => left.rank - right.rank || left.weight - right.weight,
+    );
+    return ranked.map(({handle}) => handle);
+  }
+
   #distanceTo(zone: string): Distance {
     const {locality} = this.#options;
     if (zone === locality.zone) {
@@ -93,3 +116,11 @@
     return region === locality.region ? 'same-region' : 'other-region';
   }
 }
+
+const WEIGHT_BYTES = 6;
+
+/** A number that is different for each pair, and always the same for one (rendezvous hashing). */
+function toWeight(entry: string, upstream: string): number {
+  const hash = createHash('sha1').update(`${entry} ${upstream}`).digest();
+  return hash.readUIntBE(0, WEIGHT_BYTES);
+}
--- a/packages/balancer/src/members/upstream-roster.ts
+++ b/packages/balancer/src/members/upstream-roster.ts
@@ -16,8 +16,8 @@
   onLeaving(record: UpstreamRecord, reason: LeavingReason): void;
 }
 
-/** Time that upstreams have to announce themselves again after an outage of the store. Source: the platform's guarantee, two seconds, and half a second for the way. */
-const RETURN_TIME_MS = 2_500;
+/** Time that upstreams have to announce themselves again after an outage of the store. Source: the platform's guarantee of about two seconds. */
+const RETURN_TIME_MS = 2_000;
 
 interface Member {
   record: UpstreamRecord;
--- a/packages/balancer/src/serving/chooser.ts
+++ b/packages/balancer/src/serving/chooser.ts
@@ -52,7 +52,13 @@
 /** Age from which on a report is asked for anew, in milliseconds: a tenth of the time in which neighbours come and go. */
 const FRESH_REPORT_MS = 40;
 
-/** Upstreams of this region that are asked for one request. */
+/** Upstreams that an entry uses first: few, so that its connections to them stay open. */
+const HOME_UPSTREAMS = 6;
+
+/** Expected loss from which on the other upstreams of the region are asked. */
+const LEAVE_LOSS = 0.12;
+
+/** Other upstreams of this region that are asked for one request. */
 const NEAR_QUERIES = 6;
 
 /** Upstreams of other regions that are asked for one request. */
@@ -90,25 +96,35 @@
 
   /** The best upstream; undefined when there is none. */
   async choose(query: ChoiceQuery): Promise<Choice | undefined> {
-    const near = this.#list(query, ['same-zone', 'same-region']);
-    await this.#ask(near, query.loadPath, NEAR_QUERIES, NEAR_WAIT_MS);
-    const best = this.#pick(query);
-    if (best !== undefined && best.loss < FAR_LOSS) {
-      return best;
+    const usable = this.#options.registry
+      .list(query.service)
+      .filter(handle => isUsable(handle, query));
+    const near = usable.filter(({outlook}) => isNear(outlook.distance));
+    const home = near.slice(0, HOME_UPSTREAMS);
+    await this.#ask(home, query.loadPath, HOME_UPSTREAMS, NEAR_WAIT_MS);
+    const atHome = this.#pick(home, query);
+    if (atHome !== undefined && atHome.loss < LEAVE_LOSS) {
+      return atHome;
     }
-    const far = this.#list(query, ['other-region']);
-    if (far.length === 0) {
-      return best;
+    const others = near.slice(HOME_UPSTREAMS);
+    await this.#ask(others, query.loadPath, NEAR_QUERIES, NEAR_WAIT_MS);
+    const atNear = this.#pick(near, query);
+    const far = usable.filter(({outlook}) => !isNear(outlook.distance));
+    const isGood = atNear !== undefined && atNear.loss < FAR_LOSS;
+    if (isGood || far.length === 0) {
+      return atNear;
     }
     const waitMs = far[0].outlook.roundTripMs + FAR_MARGIN_MS;
     await this.#ask(far, query.loadPath, FAR_QUERIES, waitMs);
-    return this.#pick(query);
+    return this.#pick(usable, query);
   }
 
-  /** The best upstream by what is known now. */
-  #pick(query: ChoiceQuery): Choice | undefined {
-    const choices = this.#options.registry
-      .list(query.service)
+  /** The best upstream by what is known now; undefined when none can be used any more. */
+  #pick(
+    handles: readonly UpstreamHandle[],
+    query: ChoiceQuery,
+  ): Choice | undefined {
+    const choices = handles
       .filter(handle => isUsable(handle, query))
       .map(handle => this.#judge(handle, query));
     if (choices.length === 0) {
@@ -141,13 +157,6 @@
     };
   }
 
-  #list(query: ChoiceQuery, distances: readonly Distance[]): UpstreamHandle[] {
-    return this.#options.registry
-      .list(query.service)
-      .filter(handle => isUsable(handle, query))
-      .filter(({outlook}) => distances.includes(outlook.distance));
-  }
-
   /** Asks those with old reports, oldest last, for at most `waitMs`. */
   async #ask(
     handles: readonly UpstreamHandle[],
@@ -170,6 +179,10 @@
   }
 }
 
+function isNear(distance: Distance): boolean {
+  return distance !== 'other-region';
+}
+
 function isUsable(handle: UpstreamHandle, {excluded}: ChoiceQuery): boolean {
   const {connections} = handle;
   const hasConnection = connections.idle > 0 || !connections.isFull;
--- a/packages/balancer/src/store/entry-presence.ts
+++ b/packages/balancer/src/store/entry-presence.ts
@@ -10,10 +10,10 @@
 export const ENTRY_PREFIX = 'entries/';
 
 /** How long an entry that says nothing is still announced. */
-const LEASE_MS = 6_000;
+const LEASE_MS = 10_000;
 
-/** Time between renewals: three may fail before the lease ends. */
-const RENEWAL_MS = 1_500;
+/** Time between renewals: two may fail before the lease ends. */
+const RENEWAL_MS = 3_000;
 
 const FIRST_RETRY_MS = 300;
 const LAST_RETRY_MS = 1_500;
