fix(balancer): a watch that was begun in an outage is begun anew after it; logs never block

An entry that finds the store again begins its watch anew, and one that is behind a revision by 0.4 s too (1.5 s before). Ruled out: the feeder, which was left in time.

A reader that stops reading held up a process that ended: writes to a pipe now never block, and lines beyond 1 MB are dropped and counted. The command 'wasabidyke explain' tells the story of a request from log files.

--- a/features/balancer/beliefs.feature
+++ b/features/balancer/beliefs.feature
@@ -70,6 +70,27 @@
     Then the answer is 200 with body "w1 ran /read/a"
     And worker "w1" is no longer used after a few seconds
 
+  Scenario: An entry that was cut off drops what left meanwhile within three seconds
+    Given a configuration
+    And workers "w1, w2"
+    When the store is "down"
+    Then the log has a "store.lost" line
+    When worker "w1" lapses from the store
+    And 1500 ms pass at the site
+    And the store is "none"
+    Then worker "w1" is no longer used after 3000 ms
+
+  Scenario: A watch that was begun in an outage is begun anew after it
+    Given a configuration
+    And workers "w1, w2"
+    When the store is "swallowing"
+    Then the log has a "store.lost" line
+    When 1000 ms pass at the site
+    And the store is "none"
+    Then the log has a "store.regained" line
+    When worker "w1" announces that it drains behind the silence
+    Then worker "w1" is no longer used after 1000 ms
+
   Scenario: A watch that goes silent is found out
     Given a configuration
     And workers "w1, w2"
--- a/features/balancer/feed.feature
+++ b/features/balancer/feed.feature
@@ -6,25 +6,25 @@
 
   Scenario: A follower learns of changes and asks the store for nothing
     When the record changes
-    Then entry "b" knows of it within 1500 ms
-    And entry "b" asked the store for no changes
+    Then its follower knows of it within 1500 ms
+    And its follower asked the store for no changes
 
   Scenario: A feeder that ends is replaced by the store
     When the feeder ends
     And the record changes
-    Then entry "b" knows of it within 2500 ms
+    Then its follower knows of it within 2500 ms
 
   Scenario: A feeder that is silent is replaced by the store
     When the feeder falls silent
     And the record changes
-    Then entry "b" knows of it within 2500 ms
+    Then its follower knows of it within 2500 ms
 
   Scenario: A feeder that lost the store feeds nothing old
     When the feeder loses the store
     And the record changes
-    Then entry "b" knows of it within 2500 ms
+    Then its follower knows of it within 2500 ms
 
   Scenario: A feeder that starts anew has its followers read everything again from it
     When the record changes while the feeder starts anew
-    Then entry "b" knows of it within 2500 ms
-    And entry "b" asked the store for no changes
+    Then its follower knows of it within 2500 ms
+    And its follower asked the store for no changes
--- /dev/null
+++ b/features/balancer/log.feature
@@ -0,0 +1,19 @@
+Feature: The log explains a failure and never holds up the process
+
+  Scenario: Lines of one event are limited, and what is left out is told
+    Given a log
+    When 500 lines of "request.refused" are recorded at once
+    Then at most 80 lines of "request.refused" are written
+    When 5000 ms pass for the log
+    And 1 lines of "request.refused" are recorded at once
+    Then the last line tells of at least 420 lines that were left out
+    And the counter of "request.refused" stands at 501
+
+  Scenario: A reader that stops costs lines, not time
+    Given a process that logs 40000 lines to a reader that doesn't read
+    Then it ends within 20 s and has dropped lines
+
+  Scenario: The story of one request is told over all processes
+    Given log files of two entries that a request went through
+    When the story of request "r-7" is asked for
+    Then its lines come in order of time, with the beliefs that were in force
--- a/features/steps/balancer.steps.ts
+++ b/features/steps/balancer.steps.ts
@@ -362,6 +362,13 @@
   },
 );
 
+Then(
+  'worker {string} is no longer used after {int} ms',
+  async function (this: BalancerWorld, id: string, limitMs: number) {
+    await sawLeaving(this.balancerSite, id, limitMs);
+  },
+);
+
 When(
   'the store is {string}',
   function (this: BalancerWorld, fault: StoreFault) {
@@ -413,10 +420,14 @@
   assert.equal(this.named.length, 3);
 });
 
-async function sawLeaving(site: BalancerSite, id: string): Promise<void> {
-  await eventually(`${id} is left`, () =>
+async function sawLeaving(
+  site: BalancerSite,
+  id: string,
+  limitMs?: number,
+): Promise<void> {
+  const isLeft = () =>
     site.log.events.some(
       ({event, upstream}) => event === 'upstream.leaving' && upstream === id,
-    ),
-  );
+    );
+  await eventually(`${id} is left`, isLeft, limitMs);
 }
--- a/features/steps/feed.steps.ts
+++ b/features/steps/feed.steps.ts
@@ -131,21 +131,18 @@
 );
 
 Then(
-  'entry {string} knows of it within {int} ms',
-  async function (this: FeedWorld, _name: string, limitMs: number) {
+  'its follower knows of it within {int} ms',
+  async function (this: FeedWorld, limitMs: number) {
     const {believer} = this.follower;
     const isKnown = () => believer.value === this.changed;
     await eventually('the change is known', isKnown, limitMs);
   },
 );
 
-Then(
-  'entry {string} asked the store for no changes',
-  function (this: FeedWorld, _name: string) {
-    assert.equal(this.stores.follower.calls.get('watch'), undefined);
-    assert.equal(this.stores.follower.calls.get('read-all'), undefined);
-  },
-);
+Then('its follower asked the store for no changes', function (this: FeedWorld) {
+  assert.equal(this.stores.follower.calls.get('watch'), undefined);
+  assert.equal(this.stores.follower.calls.get('read-all'), undefined);
+});
 
 function write(world: FeedWorld, value: string): void {
   world.changed = value;
--- a/features/support/memory-record-store.ts
+++ b/features/support/memory-record-store.ts
@@ -10,7 +10,13 @@
 import {Err, Ok, type Result} from '@wasabidyke/shared';
 
 /** How the store misbehaves. */
-export type StoreFault = 'none' | 'down' | 'silent-watch' | 'history-lost';
+export type StoreFault =
+  | 'none'
+  | 'down'
+  /** Calls are taken and never answered. */
+  | 'swallowing'
+  | 'silent-watch'
+  | 'history-lost';
 
 const UNAVAILABLE = {kind: 'unavailable', message: 'down'} as const;
 
@@ -75,8 +81,9 @@
     if (this.fault === 'history-lost') {
       return Err({kind: 'history-lost', message: 'compacted'});
     }
-    const isSilent = this.fault === 'silent-watch';
-    if (isSilent) {
+    const isSilent =
+      this.fault === 'silent-watch' || this.fault === 'swallowing';
+    if (this.fault === 'silent-watch') {
       // Only connections that are open go silent; new ones work.
       this.fault = 'none';
     }
@@ -94,7 +101,8 @@
 
   override async readRevision(): Promise<Result<number, RecordStoreError>> {
     this.#count('read-revision');
-    return this.fault === 'down' ? Err(UNAVAILABLE) : Ok(this.#revision);
+    const isAway = this.fault === 'down' || this.fault === 'swallowing';
+    return isAway ? Err(UNAVAILABLE) : Ok(this.#revision);
   }
 
   override async put(
--- a/packages/balancer/src/index.ts
+++ b/packages/balancer/src/index.ts
@@ -11,6 +11,7 @@
 export * from './members/entry-roster.js';
 export * from './members/upstream-record.js';
 export * from './reporting/decision-log.js';
+export * from './reporting/line-destination.js';
 export * from './routing/routing-configuration.js';
 export * from './routing/routing-table.js';
 export * from './serving/discovery-protocol.js';
--- a/packages/balancer/src/reporting/decision-log.ts
+++ b/packages/balancer/src/reporting/decision-log.ts
@@ -7,6 +7,7 @@
 import {TokenBucket} from '@wasabidyke/policy';
 import {SECOND_MS, type Clock, type MetricRegistry} from '@wasabidyke/shared';
 import pino, {type Logger} from 'pino';
+import type {LineDestination} from './line-destination.js';
 
 /** Fields of a line. Names are the same in metrics and docs. */
 export type LogFields = Readonly<
@@ -22,40 +23,12 @@
   abstract flush(): void;
 }
 
-/** Where lines are written; tests supply their own. */
-export interface LineDestination {
-  write(line: string): void;
-  flushSync?(): void;
-}
-
 /** Lines a second of one event. Source: at 14 machines they are a few hundred a second, which one engineer's tools take. */
 const LINES_PER_SECOND = 40;
 
 /** Seconds of lines that may come at once. */
 const BURST_MS = 2 * SECOND_MS;
 
-/** Bytes that are gathered into one write. */
-const WRITE_BYTES = 4_096;
-
-/** Bytes that wait for a reader at most; further lines are dropped. */
-const MAXIMUM_WAITING_BYTES = 1_048_576;
-
-/** Longest time that a line waits to be written, in milliseconds. */
-const FLUSH_PERIOD_MS = 250;
-
-/** Opens standard output as a destination that drops lines rather than block. */
-export function openStandardOutput(onDrop: () => void): LineDestination {
-  const destination = pino.destination({
-    fd: 1,
-    sync: false,
-    minLength: WRITE_BYTES,
-    maxLength: MAXIMUM_WAITING_BYTES,
-    periodicFlush: FLUSH_PERIOD_MS,
-  });
-  destination.on('drop', onDrop);
-  return destination;
-}
-
 interface EventLimit {
   readonly bucket: TokenBucket;
   leftOut: number;
@@ -110,7 +83,7 @@
         limit.leftOut = 0;
       }
     }
-    this.#destination.flushSync?.();
+    this.#destination.flush();
   }
 
   #limit(event: string): EventLimit {
--- a/packages/balancer/src/store/store-view.ts
+++ b/packages/balancer/src/store/store-view.ts
@@ -7,7 +7,7 @@
 
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {RandomSource} from '@wasabidyke/policy';
-import {SECOND_MS, type Clock, type Result} from '@wasabidyke/shared';
+import {type Clock, type Result} from '@wasabidyke/shared';
 import {Backoff} from './backoff.js';
 import type {
   RecordChange,
@@ -45,6 +45,9 @@
 /** Time between reads of the revision. Source: a silent watch must be found within the bound on draining. */
 const REVISION_PERIOD_MS = 1_500;
 
+/** Time that a watch has to tell of a revision that was read beside it, in milliseconds: a slow store answers within it. */
+const CATCH_UP_MS = 400;
+
 /** Shortest and longest delay between tries. Source: with the time to connect and that for vanished records to return they stay within three seconds, after which an entry that was cut off must be up to date. */
 const FIRST_RETRY_MS = 200;
 const LAST_RETRY_MS = 450;
@@ -108,12 +111,13 @@
       const read = await store.readAll();
       return this.#settle(read, changes => this.#applyWhole(changes));
     }
-    this.#abort = new AbortController();
-    const watched = await store.watch(
-      revision,
-      WATCH_WAIT_MS,
-      this.#abort.signal,
-    );
+    const abort = new AbortController();
+    this.#abort = abort;
+    const watched = await store.watch(revision, WATCH_WAIT_MS, abort.signal);
+    if (abort.signal.aborted) {
+      // Begun anew at once; what led to it was told where it was found.
+      return 0;
+    }
     return this.#settle(watched, changes => this.#applyChanges(changes));
   }
 
@@ -190,7 +194,7 @@
     if ((this.#revision ?? revision) >= revision) {
       return;
     }
-    await sleep(PAUSE_MS + SECOND_MS / 2);
+    await sleep(CATCH_UP_MS);
     if (this.#revision !== undefined && this.#revision < revision) {
       this.#abort.abort();
     }
@@ -212,6 +216,8 @@
     this.#readAtMs = this.#options.clock.now();
     if (this.#isLost) {
       this.#isLost = false;
+      // A watch that was begun in the outage may never be answered.
+      this.#abort.abort();
       this.#options.listener.onRegained();
     }
   }
--- a/packages/command/src/program.ts
+++ b/packages/command/src/program.ts
@@ -2,6 +2,7 @@
 
 import {Command, CommanderError} from 'commander';
 import {formatExamples, type CommandContext} from './command-context.js';
+import {addExplainCommand} from './commands/explain.js';
 import {addManifestCommands} from './commands/manifest.js';
 import {addSettingsCommands} from './commands/settings.js';
 import {addTimeLineCommand} from './commands/time-line.js';
@@ -66,6 +67,7 @@
   addView(program, upstreamsView, context);
   addView(program, loadWatchView, context);
   addTimeLineCommand(program, context);
+  addExplainCommand(program, context);
   addSettingsCommands(program, context);
   return program;
 }
--- a/packages/entry/src/control/store-manifest-source.ts
+++ b/packages/entry/src/control/store-manifest-source.ts
@@ -2,11 +2,7 @@
 
 import type {ManifestRecord} from '@wasabidyke/manifest';
 import type {ManifestSubmission, SubmissionAnswer} from '@wasabidyke/operator';
-import {
-  ManifestRepository,
-  ManifestWatch,
-  type Store,
-} from '@wasabidyke/store';
+import {ManifestRepository, ManifestWatch, type Store} from '@wasabidyke/store';
 import {
   SECOND_MS,
   type Clock,
