--- a/packages/balancer/src/feed/fed-record-store.ts
+++ b/packages/balancer/src/feed/fed-record-store.ts
@@ -5,6 +5,7 @@
  * tries a feeder again after a while.
  */
 
+import {setTimeout as sleep} from 'node:timers/promises';
 import type {RandomSource} from '@wasabidyke/policy';
 import {Err, Ok, type Clock, type Result} from '@wasabidyke/shared';
 import {Pool} from 'undici';
@@ -46,6 +47,12 @@
 /** Time for which a feeder that failed isn't asked, in milliseconds. */
 const AVOID_MS = 8_000;
 
+/** Time after its start in which an entry that knows no other one polls, in milliseconds. */
+const START_MS = 15_000;
+
+/** Time between polls, in milliseconds: ten of them cost as much as one watch. */
+const POLL_PERIOD_MS = 700;
+
 /** Feeders that are asked for one change. */
 const FEEDER_TRIES = 2;
 
@@ -67,10 +74,12 @@
   #feeder: Feeder | undefined;
   #directUntilMs = -Infinity;
   #isDirect = true;
+  readonly #createdAtMs: number;
 
   constructor(options: FedRecordStoreOptions) {
     super();
     this.#options = options;
+    this.#createdAtMs = options.clock.now();
   }
 
   /** Whether this entry reads the store itself. */
@@ -78,7 +87,9 @@
     return this.#isDirect;
   }
 
-  override async readAll(): Promise<Result<RecordChanges, RecordStoreError>> {
+  override async readAll(
+    mayBeOld: boolean,
+  ): Promise<Result<RecordChanges, RecordStoreError>> {
     const feeder = this.#chooseFeeder();
     if (feeder !== undefined) {
       const fed = await this.#ask(feeder, FEED_PATH, FEED_MARGIN_MS);
@@ -88,7 +99,7 @@
       this.#onFailure(feeder, fed.error);
     }
     this.#isDirect = true;
-    return this.#options.store.readAll();
+    return this.#options.store.readAll(mayBeOld);
   }
 
   override async watch(
@@ -117,13 +128,34 @@
       this.#readDirectly();
     }
     this.#isDirect = true;
+    if (this.#isStarting) {
+      return this.#poll(afterRevision);
+    }
     const limitMs = Math.min(waitMs, this.#directLeftMs());
     return this.#options.store.watch(afterRevision, limitMs, signal);
   }
 
-  /** Questions to a feeder cost nothing. */
+  /** Until entries are announced, at the start of the whole system, all would watch at once. */
+  get #isStarting(): boolean {
+    const ageMs = this.#options.clock.now() - this.#createdAtMs;
+    return ageMs < START_MS && this.#options.feeders().length === 0;
+  }
+
+  /** Reads records that may be old. The revision stays, so that a later watch tells of deletions too. */
+  async #poll(
+    afterRevision: number,
+  ): Promise<Result<RecordChanges, RecordStoreError>> {
+    await sleep(POLL_PERIOD_MS);
+    const read = await this.#options.store.readAll(true);
+    return read.map(({changes}) => ({
+      changes: changes.filter(({revision}) => revision > afterRevision),
+      revision: afterRevision,
+    }));
+  }
+
+  /** Questions to a feeder cost nothing, and a poll next to nothing. */
   override get isPaidFor(): boolean {
-    return this.#isDirect;
+    return this.#isDirect && !this.#isStarting;
   }
 
   /** While a feeder is followed, its silence is found by the questions to it. */
--- a/packages/balancer/src/reporting/decision-log.ts
+++ b/packages/balancer/src/reporting/decision-log.ts
@@ -5,7 +5,12 @@
  */
 
 import {TokenBucket} from '@wasabidyke/policy';
-import {SECOND_MS, type Clock, type MetricRegistry} from '@wasabidyke/shared';
+import {
+  SECOND_MS,
+  type Clock,
+  type Labels,
+  type MetricRegistry,
+} from '@wasabidyke/shared';
 import pino, {type Logger} from 'pino';
 import type {LineDestination} from './line-destination.js';
 
@@ -29,6 +34,8 @@
 /** Seconds of lines that may come at once. */
 const BURST_MS = 2 * SECOND_MS;
 
+const EVENTS_HELP = 'Decisions by event, and by reason where there is one.';
+
 interface EventLimit {
   readonly bucket: TokenBucket;
   leftOut: number;
@@ -60,7 +67,7 @@
 
   override record(event: string, fields: LogFields): void {
     this.#metrics
-      .counter('wasabidyke_events_total', 'Decisions by event.', {event})
+      .counter('wasabidyke_events_total', EVENTS_HELP, toLabels(event, fields))
       .add();
     const limit = this.#limit(event);
     if (!limit.bucket.take(1, this.#clock.now())) {
@@ -103,3 +110,8 @@
     return limit;
   }
 }
+
+function toLabels(event: string, {reason, result}: LogFields): Labels {
+  const why = reason ?? result;
+  return typeof why === 'string' ? {event, reason: why} : {event};
+}
--- a/packages/balancer/src/serving/chooser.ts
+++ b/packages/balancer/src/serving/chooser.ts
@@ -37,6 +37,10 @@
   readonly estimateMs: number;
   readonly loss: number;
   readonly reportAgeMs: number;
+  /** How many times as long as usual its work was believed to take. */
+  readonly slowdown: number;
+  readonly freeSlots: number;
+  readonly failureShare: number;
 }
 
 /** What a chooser needs. */
@@ -139,11 +143,12 @@
     const nowMs = this.#options.clock.now();
     const {outlook} = handle;
     const estimateMs = outlook.estimateMs({nowMs, workMs: query.work.workMs});
+    const failureShare = outlook.failureShare(nowMs);
     const loss = expectedLoss({
       estimateMs,
       targetLeftMs: query.targetAtMs - nowMs,
       leftMs: query.deadlineMs - nowMs,
-      failureShare: outlook.failureShare(nowMs),
+      failureShare,
       distance: outlook.distance,
       bytes: query.bytes,
       costs: this.#costs,
@@ -154,23 +159,24 @@
       estimateMs,
       loss: loss - bonus,
       reportAgeMs: outlook.reportAgeMs(nowMs),
+      slowdown: outlook.slowdown(nowMs),
+      freeSlots: outlook.freeSlots(nowMs),
+      failureShare,
     };
   }
 
-  /** Asks those with old reports, oldest last, for at most `waitMs`. */
+  /** Asks the first ones, which stay the same so that connections to them stay open, for at most `waitMs`. */
   async #ask(
     handles: readonly UpstreamHandle[],
     loadPath: string,
     most: number,
     waitMs: number,
   ): Promise<void> {
-    const {clock, queryBudget, random} = this.#options;
+    const {clock, queryBudget} = this.#options;
     const nowMs = clock.now();
-    const old = handles.filter(
-      ({outlook}) => outlook.reportAgeMs(nowMs) > FRESH_REPORT_MS,
-    );
-    const asked = shuffle(old, random).slice(0, most);
-    const answers = asked
+    const answers = handles
+      .slice(0, most)
+      .filter(({outlook}) => outlook.reportAgeMs(nowMs) > FRESH_REPORT_MS)
       .filter(() => queryBudget.take(1, nowMs))
       .map(handle => handle.queryLoad(loadPath));
     if (answers.length > 0) {
@@ -189,15 +195,6 @@
   return !handle.isLeaving && !excluded.has(handle) && hasConnection;
 }
 
-function shuffle<Item>(items: readonly Item[], random: RandomSource): Item[] {
-  const shuffled = [...items];
-  for (let last = shuffled.length - 1; last > 0; last--) {
-    const index = random.nextBelow(last + 1);
-    [shuffled[last], shuffled[index]] = [shuffled[index], shuffled[last]];
-  }
-  return shuffled;
-}
-
 async function withinTime(
   work: Promise<unknown>,
   limitMs: number,
--- a/packages/balancer/src/serving/request-run.ts
+++ b/packages/balancer/src/serving/request-run.ts
@@ -375,14 +375,20 @@
   }
 
   #record({choice, startedAtMs}: Attempt, result: ExchangeResult): void {
+    const nowMs = this.#options.clock.now();
+    const {arrivedAtMs, route, requestId} = this.#call;
+    const isLate = nowMs - arrivedAtMs > route.targetLatencyMs;
     const isPlain =
       result.kind === 'answered' && result.answer.status < FIRST_ERROR_STATUS;
-    if (isPlain && this.#sent === 1) {
+    if (isPlain && this.#sent === 1 && !isLate) {
       return;
     }
     this.#options.log.record('attempt.ended', {
-      request: this.#call.requestId,
+      request: requestId,
+      route: route.name,
+      version: this.#call.configurationVersion,
       attempt: this.#sent,
+      isLate,
       upstream: choice.handle.id,
       address: choice.handle.record.address,
       result: result.kind,
@@ -390,11 +396,20 @@
       cause: 'message' in result ? result.message : undefined,
       estimateMs: Math.round(choice.estimateMs),
       reportAgeMs: Math.round(choice.reportAgeMs),
-      tookMs: Math.round(this.#options.clock.now() - startedAtMs),
+      slowdown: round(choice.slowdown),
+      freeSlots: choice.freeSlots,
+      failureShare: round(choice.failureShare),
+      tookMs: Math.round(nowMs - startedAtMs),
     });
   }
 }
 
+const HUNDREDTHS = 100;
+
+function round(value: number): number {
+  return Math.round(value * HUNDREDTHS) / HUNDREDTHS;
+}
+
 function toEnd(result: ExchangeResult): OutlookEnd {
   switch (result.kind) {
     case 'answered':
--- a/packages/balancer/src/store/record-store.ts
+++ b/packages/balancer/src/store/record-store.ts
@@ -38,8 +38,13 @@
     return true;
   }
 
-  /** Reads every record; `revision` is one from which a watch misses nothing. */
-  abstract readAll(): Promise<Result<RecordChanges, RecordStoreError>>;
+  /**
+   * Reads every record; `revision` is one from which a watch misses nothing.
+   * @param mayBeOld Whether records that are seconds old will do, which costs a fraction.
+   */
+  abstract readAll(
+    mayBeOld: boolean,
+  ): Promise<Result<RecordChanges, RecordStoreError>>;
 
   /** Waits for changes after a revision; none when `waitMs` has passed. */
   abstract watch(
--- a/packages/balancer/src/store/store-view.ts
+++ b/packages/balancer/src/store/store-view.ts
@@ -64,6 +64,7 @@
   readonly #backoff: Backoff;
   #revision: number | undefined;
   #isStopped = false;
+  #wasRead = false;
   #isLost = false;
   #troubledAtMs = -Infinity;
   #readAtMs = -Infinity;
@@ -108,7 +109,8 @@
     const {store} = this.#options;
     const revision = this.#revision;
     if (revision === undefined) {
-      const read = await store.readAll();
+      // Old records will do at first: the watch tells what has changed since.
+      const read = await store.readAll(!this.#wasRead);
       return this.#settle(read, changes => this.#applyWhole(changes));
     }
     const abort = new AbortController();
@@ -132,6 +134,7 @@
       return this.#onError(result.error);
     }
     this.#onAnswer();
+    this.#wasRead = true;
     this.#backoff.reset();
     apply(result.value);
     this.#revision = Math.max(this.#revision ?? 0, result.value.revision);
