--- a/features/steps/feed.steps.ts
+++ b/features/steps/feed.steps.ts
@@ -155,12 +155,7 @@
   listener: StoreViewListener,
 ): StoreView {
   const clock = new SystemClock();
-  return new StoreView({
-    store,
-    listener,
-    clock,
-    random: new SeededRandom(SEED),
-  });
+  return new StoreView({store, listener, clock});
 }
 
 function createFollower(
--- a/packages/balancer/src/balancer.ts
+++ b/packages/balancer/src/balancer.ts
@@ -145,9 +145,8 @@
       store: this.#store,
       listener: this.#beliefs,
       clock,
-      random: this.#random,
     });
-    this.#presence = new EntryPresence(this.#store, self, this.#random);
+    this.#presence = new EntryPresence(this.#store, self);
     this.#queryBudget = new TokenBucket({
       ratePerSecond: 0,
       capacityMs: QUERY_SAVING_MS,
--- a/packages/balancer/src/exchange/exchange.ts
+++ b/packages/balancer/src/exchange/exchange.ts
@@ -4,9 +4,9 @@
  */
 
 import type {IncomingHttpHeaders} from 'node:http';
+import type {HeaderFields} from '@wasabidyke/shared';
 import type {Dispatcher} from 'undici';
 import type {UpstreamConnection} from './connection-pool.js';
-import type {HeaderFields} from './header-fields.js';
 import type {AnswerMeaning} from './wire-protocol.js';
 
 /** What is sent. */
--- a/packages/balancer/src/exchange/wire-protocol.ts
+++ b/packages/balancer/src/exchange/wire-protocol.ts
@@ -2,7 +2,7 @@
 
 import type {IncomingHttpHeaders} from 'node:http';
 import type {OccupancyReport} from '@wasabidyke/policy';
-import type {HeaderFields} from './header-fields.js';
+import type {HeaderFields} from '@wasabidyke/shared';
 
 /** What a caller says of its request. */
 export interface CallerStatement {
--- a/packages/balancer/src/index.ts
+++ b/packages/balancer/src/index.ts
@@ -2,7 +2,6 @@
 
 export * from './balancer.js';
 export * from './balancer-settings.js';
-export * from './exchange/header-fields.js';
 export * from './exchange/wire-protocol.js';
 export * from './feed/fed-record-store.js';
 export * from './feed/feed-server.js';
--- a/packages/balancer/src/serving/request-run.ts
+++ b/packages/balancer/src/serving/request-run.ts
@@ -1,10 +1,6 @@
 /** Brings one request to an answer: one attempt after another, or two side by side. */
 
-import {
-  comeBackMs,
-  type OutlookEnd,
-  type RandomSource,
-} from '@wasabidyke/policy';
+import {comeBackMs, type RandomSource} from '@wasabidyke/policy';
 import type {Clock} from '@wasabidyke/shared';
 import {
   Exchange,
@@ -15,6 +11,7 @@
 import type {UpstreamHandle} from '../members/upstream-handle.js';
 import type {UpstreamRegistry} from '../members/upstream-registry.js';
 import type {DecisionLog} from '../reporting/decision-log.js';
+import {AttemptReview, isErrorAnswer, type Attempt} from './attempt-review.js';
 import type {Call, Refusal, RefusalReason} from './call.js';
 import type {Choice, Chooser} from './chooser.js';
 import type {RouteMemory} from './route-memory.js';
@@ -39,9 +36,6 @@
 /** Sends that may fail before any byte has left: they cost upstreams nothing. */
 const MAXIMUM_UNSENT = 4;
 
-/** Answers from here on are failures of the upstream. */
-const FIRST_ERROR_STATUS = 500;
-
 /** A second attempt starts once the first takes this many times its estimate. */
 const HEDGE_FACTOR = 1.6;
 
@@ -54,16 +48,11 @@
 /** Bytes of a usual answer with its headers, for what a transfer costs. */
 const USUAL_ANSWER_BYTES = 1_200;
 
-interface Attempt {
-  readonly choice: Choice;
-  readonly exchange: Exchange;
-  readonly startedAtMs: number;
-}
-
 /** One request under way. */
 export class RequestRun {
   readonly #call: Call;
   readonly #options: RequestRunOptions;
+  readonly #review: AttemptReview;
   readonly #excluded = new Set<UpstreamHandle>();
   readonly #active = new Set<Attempt>();
   readonly #finish: (result: RunResult) => void;
@@ -81,6 +70,7 @@
   constructor(call: Call, options: RequestRunOptions) {
     this.#call = call;
     this.#options = options;
+    this.#review = new AttemptReview(call, options);
     let finish: (result: RunResult) => void = () => {};
     this.result = new Promise(resolve => (finish = resolve));
     this.#finish = finish;
@@ -183,11 +173,11 @@
 
   #onAttemptEnd(attempt: Attempt, result: ExchangeResult): void {
     this.#active.delete(attempt);
-    this.#learn(attempt, result);
+    this.#review.learn(attempt, result);
     if (this.#isFinished) {
       return;
     }
-    this.#record(attempt, result);
+    this.#review.record(attempt, result, this.#sent);
     switch (result.kind) {
       case 'answered':
         this.#onAnswer(result.answer);
@@ -212,8 +202,7 @@
 
   #onAnswer(answer: WholeAnswer): void {
     this.#hasRun = true;
-    const isError = answer.status >= FIRST_ERROR_STATUS;
-    if (!isError) {
+    if (!isErrorAnswer(answer)) {
       this.#end({kind: 'answer', answer});
       return;
     }
@@ -350,79 +339,4 @@
     }
     this.#finish(result);
   }
-
-  /** Lets the result correct what is believed of the upstream and of the work. */
-  #learn({choice, startedAtMs}: Attempt, result: ExchangeResult): void {
-    const nowMs = this.#options.clock.now();
-    const {outlook} = choice.handle;
-    outlook.onEnd(toEnd(result), nowMs);
-    if (
-      result.kind === 'answered' &&
-      result.answer.status < FIRST_ERROR_STATUS
-    ) {
-      const tookMs = nowMs - startedAtMs;
-      const factor = tookMs / Math.max(choice.estimateMs, 1);
-      outlook.onPace(factor, nowMs);
-      const work = this.#options.memory.work(this.#call.route);
-      work.onAnswer(work.workMs * factor);
-      const occupancy = this.#options.protocol.readOccupancy(
-        result.answer.headers,
-      );
-      if (occupancy !== undefined) {
-        outlook.onReport(occupancy, nowMs);
-      }
-    }
-  }
-
-  #record({choice, startedAtMs}: Attempt, result: ExchangeResult): void {
-    const nowMs = this.#options.clock.now();
-    const {arrivedAtMs, route, requestId} = this.#call;
-    const isLate = nowMs - arrivedAtMs > route.targetLatencyMs;
-    const isPlain =
-      result.kind === 'answered' && result.answer.status < FIRST_ERROR_STATUS;
-    if (isPlain && this.#sent === 1 && !isLate) {
-      return;
-    }
-    this.#options.log.record('attempt.ended', {
-      request: requestId,
-      route: route.name,
-      version: this.#call.configurationVersion,
-      attempt: this.#sent,
-      isLate,
-      upstream: choice.handle.id,
-      address: choice.handle.record.address,
-      result: result.kind,
-      status: result.kind === 'answered' ? result.answer.status : undefined,
-      cause: 'message' in result ? result.message : undefined,
-      estimateMs: Math.round(choice.estimateMs),
-      reportAgeMs: Math.round(choice.reportAgeMs),
-      slowdown: round(choice.slowdown),
-      freeSlots: choice.freeSlots,
-      failureShare: round(choice.failureShare),
-      tookMs: Math.round(nowMs - startedAtMs),
-    });
-  }
-}
-
-const HUNDREDTHS = 100;
-
-function round(value: number): number {
-  return Math.round(value * HUNDREDTHS) / HUNDREDTHS;
-}
-
-function toEnd(result: ExchangeResult): OutlookEnd {
-  switch (result.kind) {
-    case 'answered':
-      return result.answer.status >= FIRST_ERROR_STATUS
-        ? 'error-answer'
-        : 'answered';
-    case 'not-run':
-    case 'other-upstream':
-      return 'refused';
-    case 'given-up':
-      return 'cancelled';
-    case 'not-sent':
-    case 'broken':
-      return 'failed';
-  }
 }
--- a/packages/balancer/src/store/entry-presence.ts
+++ b/packages/balancer/src/store/entry-presence.ts
@@ -1,9 +1,8 @@
 /** Announces this entry under a lease for as long as it takes callers. */
 
 import {setTimeout as sleep} from 'node:timers/promises';
-import type {RandomSource} from '@wasabidyke/policy';
+import {Backoff} from '@wasabidyke/shared';
 import type {EntryRecord} from '../members/entry-record.js';
-import {Backoff} from './backoff.js';
 import type {RecordLease, RecordStore} from './record-store.js';
 
 /** Keys of announcements begin with this. */
@@ -26,10 +25,13 @@
   #lease: RecordLease | undefined;
   #isStopped = false;
 
-  constructor(store: RecordStore, record: EntryRecord, random: RandomSource) {
+  constructor(store: RecordStore, record: EntryRecord) {
     this.#store = store;
     this.#record = record;
-    this.#backoff = new Backoff(FIRST_RETRY_MS, LAST_RETRY_MS, random);
+    this.#backoff = new Backoff({
+      minimumMs: FIRST_RETRY_MS,
+      maximumMs: LAST_RETRY_MS,
+    });
   }
 
   /** Announces this entry, and keeps it announced until it is stopped. */
@@ -39,7 +41,7 @@
       if (isAnnounced) {
         this.#backoff.reset();
       }
-      await sleep(isAnnounced ? RENEWAL_MS : this.#backoff.next());
+      await sleep(isAnnounced ? RENEWAL_MS : this.#backoff.nextDelayMs());
     }
   }
 
--- a/packages/balancer/src/store/store-view.ts
+++ b/packages/balancer/src/store/store-view.ts
@@ -6,9 +6,7 @@
  */
 
 import {setTimeout as sleep} from 'node:timers/promises';
-import type {RandomSource} from '@wasabidyke/policy';
-import {type Clock, type Result} from '@wasabidyke/shared';
-import {Backoff} from './backoff.js';
+import {Backoff, type Clock, type Result} from '@wasabidyke/shared';
 import type {
   RecordChange,
   RecordChanges,
@@ -33,7 +31,6 @@
   readonly store: RecordStore;
   readonly listener: StoreViewListener;
   readonly clock: Clock;
-  readonly random: RandomSource;
 }
 
 /** Longest wait of one watch. Source: the store's limit on waiting is 30 seconds. */
@@ -72,7 +69,10 @@
 
   constructor(options: StoreViewOptions) {
     this.#options = options;
-    this.#backoff = new Backoff(FIRST_RETRY_MS, LAST_RETRY_MS, options.random);
+    this.#backoff = new Backoff({
+      minimumMs: FIRST_RETRY_MS,
+      maximumMs: LAST_RETRY_MS,
+    });
   }
 
   /** Milliseconds since the store last answered. */
@@ -171,7 +171,7 @@
       return 0;
     }
     this.#onTrouble(error);
-    return this.#backoff.next();
+    return this.#backoff.nextDelayMs();
   }
 
   /** Reads the revision now and then; a watch that is behind it is begun anew. */
--- a/packages/entry/src/data-path/headers.ts
+++ b/packages/entry/src/data-path/headers.ts
@@ -2,9 +2,9 @@
 
 import type {IncomingHttpHeaders} from 'node:http';
 import {LOAD_REPORT_HEADER} from '@wasabidyke/policy';
+import {copyHeaders, type HeaderFields} from '@wasabidyke/shared';
 
-/** Header names in lower case, with their values. */
-export type HeaderFields = Record<string, string | string[] | undefined>;
+export type {HeaderFields};
 
 /** Whether the request was run: on every answer that the system itself makes. */
 export const OUTCOME_HEADER = 'wasabidyke-outcome';
@@ -30,19 +30,6 @@
 /** An upstream says with it that it is leaving. */
 export const UPSTREAM_STATE_HEADER = 'wasabidyke-upstream-state';
 
-/** Headers that concern one connection alone. Source: RFC 9110, section 7.6.1. */
-const HOP_BY_HOP_HEADERS: ReadonlySet<string> = new Set([
-  'connection',
-  'keep-alive',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-]);
-
 /** Headers of requests that the entry answers for itself. */
 const CONSUMED_REQUEST_HEADERS: ReadonlySet<string> = new Set([
   'expect',
@@ -86,28 +73,4 @@
   return Math.min(Number(text), maximum);
 }
 
-function copyHeaders(
-  headers: IncomingHttpHeaders,
-  consumed: ReadonlySet<string>,
-): HeaderFields {
-  const named = toConnectionHeaders(headers.connection);
-  const copy: HeaderFields = {};
-  for (const name in headers) {
-    const isDropped =
-      HOP_BY_HOP_HEADERS.has(name) || consumed.has(name) || named.has(name);
-    if (!isDropped) {
-      copy[name] = headers[name];
-    }
-  }
-  return copy;
-}
-
 const NO_HEADERS: ReadonlySet<string> = new Set();
-
-function toConnectionHeaders(value: string | undefined): ReadonlySet<string> {
-  if (value === undefined || /^(keep-alive|close)$/i.test(value)) {
-    return NO_HEADERS;
-  }
-  const names = value.split(',').map(name => name.trim().toLowerCase());
-  return new Set(names);
-}
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -1,10 +1,12 @@
 /** What every other package stands on. */
 
 export * from './address.js';
+export * from './backoff.js';
 export * from './clock.js';
 export * from './document.js';
 export type {Draft} from './draft.js';
 export * from './finding.js';
+export * from './header-fields.js';
 export * from './life-cycle.js';
 export * from './metrics.js';
 export * from './outcome.js';
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -1,6 +1,5 @@
 /** The store and the list of VMs that the product itself speaks to. */
 
-export * from './backoff.js';
 export * from './embedded-store.js';
 export {EtcdStore, type EtcdStoreOptions} from './etcd-store.js';
 export * from './fixed-vm-list.js';
--- a/packages/store/src/manifest-repository.ts
+++ b/packages/store/src/manifest-repository.ts
@@ -10,8 +10,7 @@
   parseManifestRecord,
   type ManifestRecord,
 } from '@wasabidyke/manifest';
-import {Err, Ok, type Clock, type Result} from '@wasabidyke/shared';
-import {Backoff} from './backoff.js';
+import {Backoff, Err, Ok, type Clock, type Result} from '@wasabidyke/shared';
 import {
   checkSubmission,
   judgeSubmission,
--- a/packages/store/src/manifest-watch.ts
+++ b/packages/store/src/manifest-watch.ts
@@ -2,13 +2,14 @@
 
 import type {ManifestRecord} from '@wasabidyke/manifest';
 import {
+  Backoff,
+  type BackoffOptions,
   Chart,
   LifeCycle,
   Task,
   type MetricRegistry,
   type Reporter,
 } from '@wasabidyke/shared';
-import {Backoff, type BackoffOptions} from './backoff.js';
 import {ManifestIntake, type ManifestListener} from './manifest-intake.js';
 import {MANIFEST_KEY} from './manifest-repository.js';
 import type {Store, StoreError, StoreValue, Watch} from './store.js';
