perf(balancer): load queries keep idle connections open and tested

Load queries now take the one that was idle longest; requests still take the one that answered last, so a connection that an upstream forgot fails a query, not an order.

--- /dev/null
+++ b/features/balancer/connections.feature
@@ -0,0 +1,21 @@
+Feature: Connections to an upstream are few, stay open and are known to work
+
+  Background:
+    Given a pool of at most 3 connections
+
+  Scenario: A request takes the connection that answered last
+    When connections 1 and 2 are taken and given back in that order
+    Then a request takes connection 2
+
+  Scenario: A load query takes the connection that was idle for longest
+    When connections 1 and 2 are taken and given back in that order
+    Then a load query takes connection 1
+
+  Scenario: No more connections are opened than allowed
+    When 3 connections are taken
+    Then a request takes no connection
+
+  Scenario: A connection that was given up is never taken again
+    When connections 1 and 2 are taken and given back in that order
+    And connection 2 is given up
+    Then a request takes connection 1
--- a/packages/balancer/src/exchange/connection-pool.ts
+++ b/packages/balancer/src/exchange/connection-pool.ts
@@ -130,8 +130,19 @@
 
   /** The idle connection that was used last, or a new one; undefined at the limit. */
   take(): UpstreamConnection | undefined {
+    return this.#take(() => this.#idle.pop());
+  }
+
+  /** The idle connection that was idle for longest, or a new one: it shows whether it still works, and stays open. */
+  takeOldest(): UpstreamConnection | undefined {
+    return this.#take(() => this.#idle.shift());
+  }
+
+  #take(
+    next: () => UpstreamConnection | undefined,
+  ): UpstreamConnection | undefined {
     for (;;) {
-      const connection = this.#idle.pop();
+      const connection = next();
       if (connection === undefined) {
         break;
       }
--- a/packages/balancer/src/index.ts
+++ b/packages/balancer/src/index.ts
@@ -2,6 +2,7 @@
 
 export * from './balancer.js';
 export * from './balancer-settings.js';
+export * from './exchange/connection-pool.js';
 export * from './exchange/wire-protocol.js';
 export * from './feed/fed-record-store.js';
 export * from './feed/feed-server.js';
--- a/packages/balancer/src/members/upstream-handle.ts
+++ b/packages/balancer/src/members/upstream-handle.ts
@@ -72,7 +72,7 @@
   }
 
   async #runQuery(path: string): Promise<void> {
-    const connection = this.connections.take();
+    const connection = this.connections.takeOldest();
     if (connection === undefined) {
       return;
     }
