fix(balancer): less time between a change in the store and what a follower knows

The sum of the pause after a change, the wait for a silent feeder and the tries was too near to the bound. The pause is 0.6 s in place of 1.0, a feeder is silent after 0.85 s in place of 1.1.

--- a/packages/balancer/src/feed/fed-record-store.ts
+++ b/packages/balancer/src/feed/fed-record-store.ts
@@ -32,10 +32,10 @@
 }
 
 /** Wait of one question to a feeder, in milliseconds. Source: a silent one must be found within half of the shortest bound on draining. */
-const FEED_WAIT_MS = 800;
+const FEED_WAIT_MS = 600;
 
 /** Time beyond its wait for the answer of a feeder, in milliseconds. */
-const FEED_MARGIN_MS = 300;
+const FEED_MARGIN_MS = 250;
 
 /** Time to open a connection within the availability zone, in milliseconds. */
 const CONNECT_TIMEOUT_MS = 200;
--- a/packages/balancer/src/store/store-view.ts
+++ b/packages/balancer/src/store/store-view.ts
@@ -36,8 +36,8 @@
 /** Longest wait of one watch. Source: the store's limit on waiting is 30 seconds. */
 const WATCH_WAIT_MS = 29_000;
 
-/** Pause after a change. Source: with a read it stays within half of the shortest bound on draining, 2.5 seconds. */
-const PAUSE_MS = 1_000;
+/** Pause after a change. Source: with the time that finds a silent feeder and a read it stays within the shortest bound on draining, 2.5 seconds, by half. */
+const PAUSE_MS = 600;
 
 /** Time between reads of the revision. Source: a silent watch must be found within the bound on draining. */
 const REVISION_PERIOD_MS = 1_500;
