fix(balancer): upstreams that vanish together are gone at once while the store answers

Only an outage that the entry has seen counts now.

Test that failed before: 'Workers that vanish together while the store answers are gone at once'.

--- a/features/balancer/beliefs.feature
+++ b/features/balancer/beliefs.feature
@@ -40,6 +40,12 @@
     And 10 look-ups are sent
     Then worker "w1" got none of them
 
+  Scenario: Workers that vanish together while the store answers are gone at once
+    Given a configuration
+    And workers "w1, w2, w3, w4, w5, w6"
+    When workers "w1, w2, w3, w4, w5" lapse from the store together
+    Then worker "w5" is no longer used after 1500 ms
+
   Scenario: A record that can't be read names no worker, and the others hold
     Given a configuration
     And workers "w1"
--- a/features/steps/balancer.steps.ts
+++ b/features/steps/balancer.steps.ts
@@ -362,6 +362,15 @@
   },
 );
 
+When(
+  'workers {string} lapse from the store together',
+  function (this: BalancerWorld, ids: string) {
+    for (const id of ids.split(', ')) {
+      this.balancerSite.store.set(`servers/${id}`, undefined);
+    }
+  },
+);
+
 Then(
   'worker {string} is no longer used after {int} ms',
   async function (this: BalancerWorld, id: string, limitMs: number) {
--- a/packages/balancer/src/store/store-view.ts
+++ b/packages/balancer/src/store/store-view.ts
@@ -52,9 +52,6 @@
 /** Time after an outage in which vanished records may return. Source: the platform's guarantee of two seconds, and one for finding the outage. */
 const RETURN_TIME_MS = 3_000;
 
-/** Keys that vanish at once only when the store lost track of their holders. */
-const MASS_LOSS = 4;
-
 /** A view of the store. */
 export class StoreView {
   readonly #options: StoreViewOptions;
@@ -157,8 +154,7 @@
   #applyChanges(read: RecordChanges): void {
     const {changes} = read;
     this.#options.listener.onRead(read, false);
-    const vanished = changes.filter(({value}) => value === undefined).length;
-    const mayReturn = this.#mayReturn() || vanished >= MASS_LOSS;
+    const mayReturn = this.#mayReturn();
     for (const change of changes) {
       this.#options.listener.onChange(change, mayReturn);
     }
