fix(balancer): an entry that was cut off finds the store again sooner

After a cut the time to connect (0.4 s), the delay between tries (0.45 s) and the two seconds in which a vanished upstream may return came to three seconds, after which the entry counts as in touch. Ruled out: a shorter wait for the return, which the platform's guarantee sets.

--- a/packages/balancer/src/store/store-view.ts
+++ b/packages/balancer/src/store/store-view.ts
@@ -46,8 +46,8 @@
 const CATCH_UP_MS = 400;
 
 /** Shortest and longest delay between tries. Source: with the time to connect and that for vanished records to return they stay within three seconds, after which an entry that was cut off must be up to date. */
-const FIRST_RETRY_MS = 200;
-const LAST_RETRY_MS = 450;
+const FIRST_RETRY_MS = 150;
+const LAST_RETRY_MS = 250;
 
 /** Time after an outage in which vanished records may return. Source: the platform's guarantee of two seconds, and one for finding the outage. */
 const RETURN_TIME_MS = 3_000;
