refactor: dead members of the balancer go, and two comments say what is so

UpstreamRoster.missing, ConnectionPool.size and applyLimit and UpstreamOutlook.inFlight had no callers; both kinds of failure share one update. The bundle writes no metafile.

--- a/packages/balancer/src/exchange/connection-pool.ts
+++ b/packages/balancer/src/exchange/connection-pool.ts
@@ -110,11 +110,6 @@
     this.#limit = limit;
   }
 
-  /** Connections that are open, whether used or not. */
-  get size(): number {
-    return this.#open.size;
-  }
-
   get idle(): number {
     return this.#idle.length;
   }
@@ -124,10 +119,6 @@
     return this.#open.size >= this.#limit;
   }
 
-  applyLimit(limit: number): void {
-    this.#limit = limit;
-  }
-
   /** The idle connection that was used last, or a new one; undefined at the limit. */
   take(): UpstreamConnection | undefined {
     return this.#take(() => this.#idle.pop());
--- a/packages/balancer/src/feed/fed-record-store.ts
+++ b/packages/balancer/src/feed/fed-record-store.ts
@@ -1,7 +1,7 @@
 /**
  * A store whose changes come from another entry of the availability zone where
- * there is one that reads the store itself. The first entry by name does; an
- * entry whose feeder fails or is silent reads the store itself at once, and
+ * there is one that reads the store itself. The oldest entry does; an entry
+ * whose feeder fails or is silent reads the store itself at once, and
  * tries a feeder again after a while.
  */
 
--- a/packages/balancer/src/members/upstream-roster.ts
+++ b/packages/balancer/src/members/upstream-roster.ts
@@ -34,15 +34,6 @@
     this.#listener = listener;
   }
 
-  /** Upstreams whose announcements are missing for now. */
-  get missing(): number {
-    let count = 0;
-    for (const {goneAtMs} of this.#members.values()) {
-      count += Number(goneAtMs !== undefined);
-    }
-    return count;
-  }
-
   /** An announcement was read. */
   onRecord(record: UpstreamRecord): void {
     const member = this.#members.get(record.id);
--- a/packages/policy/src/upstream-outlook.ts
+++ b/packages/policy/src/upstream-outlook.ts
@@ -83,11 +83,6 @@
     this.slots = slots;
   }
 
-  /** Requests of this entry that are under way there. */
-  get inFlight(): number {
-    return this.#inFlight;
-  }
-
   /** Whether any request of this entry was answered there. */
   get hasServed(): boolean {
     return this.#hasServed;
@@ -124,17 +119,12 @@
       return;
     }
     this.#hasServed ||= end === 'answered';
-    const share = this.failureShare(nowMs);
-    const isFailure = end !== 'answered';
-    this.#failureShare = share + FAILURE_WEIGHT * (Number(isFailure) - share);
-    this.#failureAtMs = nowMs;
+    this.#onOutcome(end !== 'answered', nowMs);
   }
 
   /** It can't be reached, or doesn't answer a load query. */
   onSilence(nowMs: number): void {
-    const share = this.failureShare(nowMs);
-    this.#failureShare = share + FAILURE_WEIGHT * (1 - share);
-    this.#failureAtMs = nowMs;
+    this.#onOutcome(true, nowMs);
   }
 
   /** An answer took `factor` times as long as its estimate. */
@@ -183,6 +173,12 @@
     return this.roundTripMs + runMs * (1 + queued / Math.max(1, this.slots));
   }
 
+  #onOutcome(isFailure: boolean, nowMs: number): void {
+    const share = this.failureShare(nowMs);
+    this.#failureShare = share + FAILURE_WEIGHT * (Number(isFailure) - share);
+    this.#failureAtMs = nowMs;
+  }
+
   #reportedSlowdown(nowMs: number): number {
     if (this.#report === undefined) {
       return USUAL_SLOWDOWN;
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,10 +1,9 @@
 /**
- * Bundles the entry for the users' platform into target/, from the sources of
- * all packages, together with its compiled code: a restart reads two files and
- * compiles next to nothing.
+ * Bundles the entry for the users' platform into one file under target/, from
+ * the sources of all packages, so that a restart reads one small file.
  */
 
-import {readdirSync, writeFileSync} from 'node:fs';
+import {readdirSync} from 'node:fs';
 import {build} from 'esbuild';
 
 const packages = readdirSync('packages').map(name => [
@@ -40,8 +39,5 @@
   mainFields: ['module', 'main'],
   minifySyntax: true,
   minifyWhitespace: true,
-  metafile: true,
   logLevel: 'warning',
-}).then(({metafile}) =>
-  writeFileSync('target/bundle.json', JSON.stringify(metafile)),
-);
+});
