feat(balancer): one entry reads the store for all availability zones

A follower also had no second feeder: only entries that read the store themselves fed others.

Change: entries follow older ones only. The oldest reads the store, the oldest of each zone follows it, the rest follow within their zone; any of them feeds others while what it knows is fresh. The age of what is known travels with it, so that entries that follow each other in a circle find out. A cut watch is begun anew and counts as an outage only if it fails twice. The revision is checked every 0.4 s instead of 1.5 s, with 0.7 s for the answer: an entry that feeds others and is cut off from the store is found out within 1.1 s, where it took up to 2.5 s, the whole bound on draining.

Ruled out: longer leases, since callers try entries that are gone for as long.

--- a/features/balancer/beliefs.feature
+++ b/features/balancer/beliefs.feature
@@ -104,6 +104,14 @@
     And worker "w1" announces that it drains behind the silence
     Then the log has a "upstream.leaving" line
 
+  Scenario: A watch that is cut is begun anew, and the store isn't taken for lost
+    Given a configuration
+    And workers "w1, w2"
+    When the next watch of the store is cut
+    And 10 look-ups are sent
+    And worker "w1" announces that it drains
+    Then the log has no "store.lost" line
+
   Scenario: After history is lost everything is read again
     Given a configuration
     And workers "w1, w2"
--- a/features/balancer/connections.feature
+++ b/features/balancer/connections.feature
@@ -19,3 +19,20 @@
     When connections 1 and 2 are taken and given back in that order
     And connection 2 is given up
     Then a request takes connection 1
+
+  Scenario: A worker that answers load queries late keeps its connections
+    Given a balancer on the platform
+    And a configuration
+    And workers "w1"
+    When worker "w1" answers load queries after 200 ms
+    And 20 look-ups are sent, one each 50 ms
+    Then worker "w1" saw at most 3 connections
+
+  Scenario: A worker that refuses connections isn't asked for its load with each request
+    Given a balancer on the platform
+    And a configuration
+    And workers "w1, w2"
+    When worker "w1" resets each connection
+    And 30 look-ups are sent, one each 20 ms
+    Then worker "w1" saw at most 4 connections
+    And the workers got 30 requests in all
--- a/features/steps/balancer.steps.ts
+++ b/features/steps/balancer.steps.ts
@@ -148,6 +148,57 @@
   },
 );
 
+When(
+  'worker {string} answers load queries after {int} ms',
+  function (this: BalancerWorld, id: string, delayMs: number) {
+    this.balancerSite.findWorker(id).talkDelayMs = delayMs;
+  },
+);
+
+When(
+  'worker {string} resets each connection',
+  function (this: BalancerWorld, id: string) {
+    this.balancerSite.findWorker(id).reset();
+  },
+);
+
+When(
+  '{int} look-ups are sent, one each {int} ms',
+  async function (this: BalancerWorld, count: number, gapMs: number) {
+    for (let sent = 0; sent < count; sent++) {
+      await this.balancerSite.call({path: '/read/a'});
+      await sleep(gapMs);
+    }
+  },
+);
+
+Then(
+  'worker {string} saw at most {int} connections',
+  function (this: BalancerWorld, id: string, most: number) {
+    const {opened} = this.balancerSite.findWorker(id);
+    assert.ok(opened <= most, `${opened} connections`);
+  },
+);
+
+When(
+  'the next watch of the store is cut',
+  async function (this: BalancerWorld) {
+    const {store, workers} = this.balancerSite;
+    store.fault = 'cut-watch';
+    // A change ends the watch that waits; the one after it is cut.
+    this.balancerSite.announce(workers[0], {});
+    await eventually('it was cut', () => store.fault === 'none');
+  },
+);
+
+Then(
+  'the log has no {string} line',
+  function (this: BalancerWorld, event: string) {
+    const {events} = this.balancerSite.log;
+    assert.equal(events.filter(line => line.event === event).length, 0);
+  },
+);
+
 When('{int} ms pass at the site', async (milliseconds: number) => {
   await sleep(milliseconds);
 });
--- a/features/steps/feed.steps.ts
+++ b/features/steps/feed.steps.ts
@@ -9,7 +9,6 @@
   FeedServer,
   RecordHistory,
   StoreView,
-  type EntryRecord,
   type RecordChanges,
   type StoreViewListener,
 } from '@wasabidyke/balancer';
@@ -43,6 +42,9 @@
   readonly believer: Believer;
   readonly fed: FedRecordStore;
   readonly view: StoreView;
+  readonly store: MemoryRecordStore;
+  /** Addresses of those that it may follow. */
+  feedAddresses: readonly string[];
 }
 
 interface FeedWorld {
@@ -50,6 +52,7 @@
   stores: {
     readonly feeder: MemoryRecordStore;
     readonly follower: MemoryRecordStore;
+    readonly third: MemoryRecordStore;
   };
   feeder: Believer;
   feederView: StoreView;
@@ -58,6 +61,9 @@
   feedAddress: string;
   silent: Server | undefined;
   follower: Follower;
+  third: Follower;
+  /** Feeds of the followers. */
+  further: FeedServer[];
   changed: string;
 }
 
@@ -65,32 +71,60 @@
   this.stores = {
     feeder: new MemoryRecordStore(),
     follower: new MemoryRecordStore(),
+    third: new MemoryRecordStore(),
   };
   write(this, 'first');
 });
 
 Given(
-  'entry {string} that reads the store, and entry {string} that follows it',
-  async function (this: FeedWorld, first: string, second: string) {
+  'entry {string} that reads the store, and another one that follows it',
+  async function (this: FeedWorld, first: string) {
     this.feeder = new Believer();
     this.isFresh = true;
     this.feederView = createView(this.stores.feeder, this.feeder);
     this.feederView.start();
     this.feed = new FeedServer({
       history: this.feeder.history,
-      isFresh: () => this.isFresh,
+      ageMs: () => (this.isFresh ? 0 : Infinity),
     });
     const port = await findPort();
     await this.feed.listen({host: '127.0.0.1', port});
     this.feedAddress = `127.0.0.1:${port}`;
-    this.follower = createFollower(this, first, second);
+    this.further = [];
+    this.follower = createFollower(this.stores.follower, first, [
+      this.feedAddress,
+    ]);
     this.follower.view.start();
     await eventually('it follows', () => !this.follower.fed.isDirect);
     this.stores.follower.calls.clear();
   },
 );
 
+Given(
+  'a third entry that follows the second',
+  async function (this: FeedWorld) {
+    const address = await feedFrom(this, this.follower);
+    this.third = createFollower(this.stores.third, 'second', [address]);
+    this.third.view.start();
+    await eventually('the third follows', () => !this.third.fed.isDirect);
+    this.stores.third.calls.clear();
+  },
+);
+
+When(
+  'the second entry follows the third instead',
+  async function (this: FeedWorld) {
+    this.follower.feedAddresses = [await feedFrom(this, this.third)];
+    this.feed.close();
+  },
+);
+
 After(async function (this: Partial<FeedWorld>) {
+  for (const feed of this.further ?? []) {
+    feed.close();
+  }
+  this.third?.view.stop();
+  await this.third?.fed.close();
   this.feederView?.stop();
   this.follower?.view.stop();
   this.feed?.close();
@@ -131,23 +165,47 @@
 );
 
 Then(
-  'its follower knows of it within {int} ms',
-  async function (this: FeedWorld, limitMs: number) {
-    const {believer} = this.follower;
+  /^(its follower|the third entry) knows of it within (\d+) ms$/,
+  async function (this: FeedWorld, which: string, limitMs: string) {
+    const {believer} = toFollower(this, which);
     const isKnown = () => believer.value === this.changed;
-    await eventually('the change is known', isKnown, limitMs);
+    await eventually('the change is known', isKnown, Number(limitMs));
   },
 );
 
-Then('its follower asked the store for no changes', function (this: FeedWorld) {
-  assert.equal(this.stores.follower.calls.get('watch'), undefined);
-  assert.equal(this.stores.follower.calls.get('read-all'), undefined);
-});
+Then(
+  /^(its follower|the third entry) asked the store for no changes$/,
+  function (this: FeedWorld, which: string) {
+    const {calls} = toFollower(this, which).store;
+    assert.equal(calls.get('watch'), undefined);
+    assert.equal(calls.get('read-all'), undefined);
+  },
+);
+
+function toFollower(world: FeedWorld, which: string): Follower {
+  return which === 'its follower' ? world.follower : world.third;
+}
+
+/** Lets a follower feed others; returns its address. */
+async function feedFrom(
+  world: FeedWorld,
+  {believer, fed}: Follower,
+): Promise<string> {
+  const feed = new FeedServer({
+    history: believer.history,
+    ageMs: () => fed.ageMs,
+  });
+  const port = await findPort();
+  await feed.listen({host: '127.0.0.1', port});
+  world.further.push(feed);
+  return `127.0.0.1:${port}`;
+}
 
 function write(world: FeedWorld, value: string): void {
   world.changed = value;
   world.stores.feeder.set(KEY, value);
   world.stores.follower.set(KEY, value);
+  world.stores.third.set(KEY, value);
 }
 
 function createView(
@@ -159,25 +217,28 @@
 }
 
 function createFollower(
-  {stores, feedAddress}: FeedWorld,
-  first: string,
-  second: string,
+  store: MemoryRecordStore,
+  feeder: string,
+  feedAddresses: readonly string[],
 ): Follower {
   const place = {address: '127.0.0.1:1', region: 'home', zone: 'home-a'};
-  const feeders: EntryRecord[] = [
-    {...place, name: first, feedAddress},
-    {...place, name: second},
-  ];
   const believer = new Believer();
   const fed = new FedRecordStore({
-    store: stores.follower,
-    feeders: () => feeders,
-    self: second,
+    store,
+    feeders: () =>
+      follower.feedAddresses.map(feedAddress => ({
+        ...place,
+        name: `${feeder} at ${feedAddress}`,
+        feedAddress,
+      })),
+    isFirst: () => false,
     clock: new SystemClock(),
     random: new SeededRandom(SEED),
     log: new MemoryLog(),
   });
-  return {believer, fed, view: createView(fed, believer)};
+  const view = createView(fed, believer);
+  const follower: Follower = {believer, fed, view, store, feedAddresses};
+  return follower;
 }
 
 async function findPort(): Promise<number> {
--- a/features/support/memory-record-store.ts
+++ b/features/support/memory-record-store.ts
@@ -16,6 +16,8 @@
   /** Calls are taken and never answered. */
   | 'swallowing'
   | 'silent-watch'
+  /** One watch is cut; all other calls work. */
+  | 'cut-watch'
   | 'history-lost';
 
 const UNAVAILABLE = {kind: 'unavailable', message: 'down'} as const;
@@ -81,6 +83,10 @@
     if (this.fault === 'history-lost') {
       return Err({kind: 'history-lost', message: 'compacted'});
     }
+    if (this.fault === 'cut-watch') {
+      this.fault = 'none';
+      return Err({kind: 'unavailable', message: 'cut'});
+    }
     const isSilent =
       this.fault === 'silent-watch' || this.fault === 'swallowing';
     if (this.fault === 'silent-watch') {
--- a/features/support/scripted-worker.ts
+++ b/features/support/scripted-worker.ts
@@ -46,9 +46,14 @@
   load = '0,0,4,100';
   /** Whether load queries are answered. */
   isTalking = true;
+  /** Time after which they are answered, in milliseconds. */
+  talkDelayMs = 0;
+  /** Connections that were opened. */
+  opened = 0;
   readonly requests: WorkerRequest[] = [];
   /** Connections that ended while a request ran. */
   brokenOff = 0;
+  #isResetting = false;
   readonly #server: Server;
   readonly #sockets = new Set<Socket>();
 
@@ -72,6 +77,14 @@
     return this.#sockets.size;
   }
 
+  /** From now on, each connection is reset as soon as it is open. */
+  reset(): void {
+    this.#isResetting = true;
+    for (const socket of this.#sockets) {
+      socket.resetAndDestroy();
+    }
+  }
+
   close(): void {
     this.#server.close();
     for (const socket of this.#sockets) {
@@ -82,6 +95,10 @@
   #serve(socket: Socket): void {
     let received: Buffer = Buffer.alloc(0);
     this.#sockets.add(socket);
+    this.opened += 1;
+    if (this.#isResetting) {
+      socket.resetAndDestroy();
+    }
     socket.on('error', () => socket.destroy());
     socket.on('close', () => this.#sockets.delete(socket));
     socket.on('data', chunk => {
@@ -116,7 +133,8 @@
   #answerLoad(socket: Socket): void {
     if (this.isTalking) {
       const head = `HTTP/1.1 200 OK\r\nWasabidyke-Instance-Id: ${this.id}\r\nWasabidyke-Server-Load: ${this.load}`;
-      socket.write(`${head}\r\nContent-Length: 0${HEAD_END}`);
+      const answer = `${head}\r\nContent-Length: 0${HEAD_END}`;
+      setTimeout(() => socket.write(answer), this.talkDelayMs);
     }
   }
 
--- a/packages/balancer/src/balancer.ts
+++ b/packages/balancer/src/balancer.ts
@@ -55,9 +55,6 @@
 /** Time before the end by which the process ends by itself, in milliseconds. */
 const END_MARGIN_MS = 400;
 
-/** Age from which on other entries don't rely on what this one has read: two reads of the revision have failed. */
-const FRESH_VIEW_MS = 3_000;
-
 /** Share of the allowed load queries that are made. */
 const QUERY_SHARE = 0.8;
 
@@ -119,14 +116,14 @@
     this.#store = new FedRecordStore({
       store: site.store,
       feeders: () => this.#entries.listFeeders(),
-      self: settings.name,
+      isFirst: () => this.#entries.isEmpty,
       clock,
       random: this.#random,
       log,
     });
     this.#feed = new FeedServer({
       history: this.#history,
-      isFresh: () => this.#isFresh(),
+      ageMs: () => (this.#view.isLost ? Infinity : this.#store.ageMs),
     });
     this.#registry = this.#createRegistry();
     this.#beliefs = new Beliefs({
@@ -245,12 +242,6 @@
     }
   }
 
-  /** Whether other entries may rely on what this one has read. */
-  #isFresh(): boolean {
-    const {isLost, ageMs} = this.#view;
-    return this.#store.isDirect && !isLost && ageMs < FRESH_VIEW_MS;
-  }
-
   #onPeriod(): void {
     const nowMs = this.#clock.now();
     this.#beliefs.onPeriod(nowMs);
--- a/packages/balancer/src/beliefs.ts
+++ b/packages/balancer/src/beliefs.ts
@@ -108,6 +108,7 @@
   }
 
   onLost(error: RecordStoreError): void {
+    this.#options.history.wake();
     this.#options.log.record('store.lost', {
       cause: error.message,
       kind: error.kind,
--- a/packages/balancer/src/feed/fed-record-store.ts
+++ b/packages/balancer/src/feed/fed-record-store.ts
@@ -1,8 +1,9 @@
 /**
- * A store whose changes come from another entry of the availability zone where
- * there is one that reads the store itself. The oldest entry does; an entry
- * whose feeder fails or is silent reads the store itself at once, and
- * tries a feeder again after a while.
+ * A store whose changes come from an older entry where there is one, so that
+ * the oldest of all reads the store, the oldest of each availability zone
+ * follows that one, and the rest follow within their zone. An entry whose
+ * feeders fail, are silent or know only what is old reads the store itself,
+ * and tries a feeder again after a while.
  */
 
 import {setTimeout as sleep} from 'node:timers/promises';
@@ -22,33 +23,36 @@
 /** What the store needs. */
 export interface FedRecordStoreOptions {
   readonly store: RecordStore;
-  /** The entries of this availability zone in the order in which they feed, this one included once it is announced. */
+  /** The entries that may feed this one, best first; none where it reads the store itself. */
   readonly feeders: () => readonly EntryRecord[];
-  /** Name of this entry. */
-  readonly self: string;
+  /** Whether no entry at all is announced yet. */
+  readonly isFirst: () => boolean;
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly log: DecisionLog;
 }
 
-/** Wait of one question to a feeder, in milliseconds. Source: a silent one must be found within half of the shortest bound on draining. */
-const FEED_WAIT_MS = 600;
+/** Wait of one question to a feeder, in milliseconds. Source: two of them in a chain, and the time between reads of the revision, stay within the age up to which entries feed. */
+const FEED_WAIT_MS = 500;
 
 /** Time beyond its wait for the answer of a feeder, in milliseconds. */
 const FEED_MARGIN_MS = 250;
 
-/** Time to open a connection within the availability zone, in milliseconds. */
+/** Time to open a connection to a feeder, in milliseconds: several round trips between regions. */
 const CONNECT_TIMEOUT_MS = 200;
 
 /** Shortest time for which the store is read directly after a feeder failed, in milliseconds, and the random part beside it. */
-const DIRECT_MS = 3_000;
-const DIRECT_SPREAD_MS = 2_000;
+const DIRECT_MS = 1_000;
+const DIRECT_SPREAD_MS = 1_000;
 
 /** Time for which a feeder that failed isn't asked, in milliseconds. */
 const AVOID_MS = 8_000;
 
 /** Time after its start in which an entry that knows no other one polls, in milliseconds. */
-const START_MS = 15_000;
+const FIRST_START_MS = 15_000;
+
+/** Time after its start in which an entry whose feeders don't answer yet polls, in milliseconds: after a restart of all, they do within it. */
+const START_MS = 1_500;
 
 /** Time between polls, in milliseconds: ten of them cost as much as one watch. */
 const POLL_PERIOD_MS = 700;
@@ -74,6 +78,7 @@
   #feeder: Feeder | undefined;
   #directUntilMs = -Infinity;
   #isDirect = true;
+  #readAtMs = -Infinity;
   readonly #createdAtMs: number;
 
   constructor(options: FedRecordStoreOptions) {
@@ -87,6 +92,11 @@
     return this.#isDirect;
   }
 
+  /** Time since the store itself told that nothing is missing, in milliseconds, over all entries in between. */
+  get ageMs(): number {
+    return this.#options.clock.now() - this.#readAtMs;
+  }
+
   override async readAll(
     mayBeOld: boolean,
   ): Promise<Result<RecordChanges, RecordStoreError>> {
@@ -99,7 +109,8 @@
       this.#onFailure(feeder, fed.error);
     }
     this.#isDirect = true;
-    return this.#options.store.readAll(mayBeOld);
+    const read = await this.#options.store.readAll(mayBeOld);
+    return mayBeOld ? read : this.#noteAnswer(read);
   }
 
   override async watch(
@@ -132,13 +143,28 @@
       return this.#poll(afterRevision);
     }
     const limitMs = Math.min(waitMs, this.#directLeftMs());
-    return this.#options.store.watch(afterRevision, limitMs, signal);
+    return this.#noteAnswer(
+      await this.#options.store.watch(afterRevision, limitMs, signal),
+    );
   }
 
-  /** Until entries are announced, at the start of the whole system, all would watch at once. */
+  /** When all entries start together, all would watch until there are feeders that answer. */
   get #isStarting(): boolean {
-    const ageMs = this.#options.clock.now() - this.#createdAtMs;
-    return ageMs < START_MS && this.#options.feeders().length === 0;
+    const {clock, feeders, isFirst} = this.#options;
+    const ageMs = clock.now() - this.#createdAtMs;
+    if (isFirst()) {
+      return ageMs < FIRST_START_MS;
+    }
+    return feeders().length > 0 && ageMs < START_MS;
+  }
+
+  #noteAnswer<Value>(
+    result: Result<Value, RecordStoreError>,
+  ): Result<Value, RecordStoreError> {
+    if (result.isOk()) {
+      this.#readAtMs = this.#options.clock.now();
+    }
+    return result;
   }
 
   /** Reads records that may be old. The revision stays, so that a later watch tells of deletions too. */
@@ -158,9 +184,8 @@
     return this.#isDirect && !this.#isStarting;
   }
 
-  /** While a feeder is followed, its silence is found by the questions to it. */
   override async readRevision(): Promise<Result<number, RecordStoreError>> {
-    return this.#isDirect ? this.#options.store.readRevision() : Ok(0);
+    return this.#noteAnswer(await this.#options.store.readRevision());
   }
 
   override put(
@@ -203,15 +228,9 @@
     const first = this.#options
       .feeders()
       .find(({name}) => (this.#avoidedUntilMs.get(name) ?? 0) <= nowMs);
-    const address = first?.feedAddress;
-    if (
-      first === undefined ||
-      first.name === this.#options.self ||
-      address === undefined
-    ) {
-      return undefined;
-    }
-    return this.#connect(first.name, address);
+    return first?.feedAddress === undefined
+      ? undefined
+      : this.#connect(first.name, first.feedAddress);
   }
 
   /** How long the store is still read directly though there may be a feeder; infinite when none is awaited. */
@@ -258,9 +277,11 @@
         return unavailable(`status ${answer.statusCode}`);
       }
       const parsed = feedSchema.safeParse(JSON.parse(text));
-      return parsed.success
-        ? Ok(readFeed(parsed.data))
-        : unavailable(parsed.error.message);
+      if (!parsed.success) {
+        return unavailable(parsed.error.message);
+      }
+      this.#readAtMs = this.#options.clock.now() - parsed.data.ageMs;
+      return Ok(readFeed(parsed.data));
     } catch (error) {
       return unavailable(String(error));
     }
--- a/packages/balancer/src/feed/feed-server.ts
+++ b/packages/balancer/src/feed/feed-server.ts
@@ -1,7 +1,7 @@
 /**
- * Feeds the records that this entry has read to the other entries of its
- * availability zone, so that not each of them has to watch the store. It does
- * so only while it reads the store itself and the store answers.
+ * Feeds the records that this entry knows to younger entries, so that not each
+ * of them has to watch the store. It does so only while what it knows is fresh,
+ * whether it reads the store itself or is fed.
  */
 
 import {once} from 'node:events';
@@ -12,7 +12,7 @@
   type ServerResponse,
 } from 'node:http';
 import type {ListenAddress} from '../serving/discovery-server.js';
-import {FEED_PATH, writeFeed} from './feed-messages.js';
+import {FEED_MAXIMUM_AGE_MS, FEED_PATH, writeFeed} from './feed-messages.js';
 import type {RecordHistory} from './record-history.js';
 
 /** Longest wait of one question, in milliseconds. */
@@ -24,8 +24,8 @@
 /** What the server needs. */
 export interface FeedServerOptions {
   readonly history: RecordHistory;
-  /** Whether what is known comes from the store itself, and is fresh. */
-  readonly isFresh: () => boolean;
+  /** Time since the store itself told that nothing is missing, in milliseconds; infinite while it is lost. */
+  readonly ageMs: () => number;
 }
 
 /** Feeds records. */
@@ -71,8 +71,9 @@
   }
 
   #sendRecords(response: ServerResponse, after: number | undefined): void {
-    const {history, isFresh} = this.#options;
-    if (!isFresh()) {
+    const {history} = this.#options;
+    const ageMs = this.#options.ageMs();
+    if (ageMs > FEED_MAXIMUM_AGE_MS) {
       send(response, 503, '{}');
       return;
     }
@@ -81,7 +82,7 @@
     if (read === undefined) {
       send(response, 410, '{}');
     } else {
-      send(response, 200, writeFeed(read));
+      send(response, 200, writeFeed(read, ageMs));
     }
   }
 }
--- a/packages/balancer/src/feed/record-history.ts
+++ b/packages/balancer/src/feed/record-history.ts
@@ -41,8 +41,13 @@
       ...surplus.map(({revision}) => revision),
     );
     this.#revision = Math.max(this.#revision, read.revision);
-    for (const wake of [...this.#waiting]) {
-      wake();
+    this.wake();
+  }
+
+  /** Has all who wait look again: something changed, or nothing that is known can be relied on any more. */
+  wake(): void {
+    for (const end of [...this.#waiting]) {
+      end();
     }
   }
 
@@ -60,7 +65,7 @@
     return {changes, revision: this.#revision};
   }
 
-  /** Resolves when there is something after a revision, or when `waitMs` has passed. */
+  /** Resolves when there is something after a revision, when `waitMs` has passed, or with `wake`. */
   async waitAfter(revision: number, waitMs: number): Promise<void> {
     if (this.#revision > revision) {
       return;
--- a/packages/balancer/src/members/entry-roster.ts
+++ b/packages/balancer/src/members/entry-roster.ts
@@ -45,13 +45,29 @@
     this.#isSelfListed = false;
   }
 
-  /** The entries of this one's availability zone that feed records, oldest first: one that joins takes over from none. */
+  /** Whether any entry is announced. */
+  get isEmpty(): boolean {
+    return this.#members.size === 0;
+  }
+
+  /**
+   * The entries that may feed records to this one, best first. All are older,
+   * so that nobody feeds in a circle, and one that joins takes over from none:
+   * those of its availability zone; for the oldest there, the oldest of all.
+   * One that isn't announced yet asks nobody beyond its zone: when all start
+   * together, they would read everything over links that are paid for.
+   */
   listFeeders(): readonly EntryRecord[] {
-    return [...this.#members.values()]
-      .filter(({record}) => record.zone === this.#self.zone)
+    const {name, zone} = this.#self;
+    const ownRevision = this.#members.get(name)?.revision ?? Infinity;
+    const older = [...this.#members.values()]
+      .filter(({revision}) => revision < ownRevision)
       .filter(({record}) => record.feedAddress !== undefined)
       .sort((left, right) => left.revision - right.revision)
       .map(({record}) => record);
+    const near = older.filter(record => record.zone === zone);
+    const isOldestHere = near.length === 0 && ownRevision < Infinity;
+    return isOldestHere ? older : near;
   }
 
   /** @param revision The store's revision at which it announced itself. */
--- a/packages/balancer/src/store/store-view.ts
+++ b/packages/balancer/src/store/store-view.ts
@@ -2,7 +2,7 @@
  * What this entry believes from the store: read whole once, then watched. A
  * pause follows each change, so that changes in quick succession cost one
  * call. A cheap read of the store's revision beside the watch finds a watch
- * that has gone silent, and an outage, within about two seconds.
+ * that has gone silent, and an outage, within about a second.
  */
 
 import {setTimeout as sleep} from 'node:timers/promises';
@@ -39,12 +39,15 @@
 /** Pause after a change. Source: with the time that finds a silent feeder and a read it stays within the shortest bound on draining, 2.5 seconds, by half. */
 const PAUSE_MS = 600;
 
-/** Time between reads of the revision. Source: a silent watch must be found within the bound on draining. */
-const REVISION_PERIOD_MS = 1_500;
+/** Time between reads of the revision. Source: with the age that entries between the store and a follower add, it stays within that up to which they feed. */
+const REVISION_PERIOD_MS = 400;
 
 /** Time that a watch has to tell of a revision that was read beside it, in milliseconds: a slow store answers within it. */
 const CATCH_UP_MS = 400;
 
+/** Watches that fail in a row before the store counts as lost: one that waits may be cut at any time. */
+const LOST_WATCHES = 2;
+
 /** Shortest and longest delay between tries. Source: with the time to connect and that for vanished records to return they stay within three seconds, after which an entry that was cut off must be up to date. */
 const FIRST_RETRY_MS = 150;
 const LAST_RETRY_MS = 250;
@@ -60,6 +63,7 @@
   #isStopped = false;
   #wasRead = false;
   #isLost = false;
+  #failedWatches = 0;
   #troubledAtMs = -Infinity;
   #readAtMs = -Infinity;
   #abort = new AbortController();
@@ -131,6 +135,7 @@
       return this.#onError(result.error);
     }
     this.#onAnswer();
+    this.#failedWatches = 0;
     this.#wasRead = true;
     this.#backoff.reset();
     apply(result.value);
@@ -166,7 +171,10 @@
       this.#revision = undefined;
       return 0;
     }
-    this.#onTrouble(error);
+    this.#failedWatches += 1;
+    if (this.#failedWatches >= LOST_WATCHES) {
+      this.#onTrouble(error);
+    }
     return this.#backoff.nextDelayMs();
   }
 
@@ -175,7 +183,8 @@
     while (!this.#isStopped) {
       await sleep(REVISION_PERIOD_MS);
       const before = this.#revision;
-      if (before === undefined || this.#isStopped) {
+      const {isPaidFor} = this.#options.store;
+      if (before === undefined || this.#isStopped || !isPaidFor) {
         continue;
       }
       const read = await this.#options.store.readRevision();
