perf(balancer): patient load queries; failures of a whole group send work nowhere else

In the worst windows every catalogue upstream shed 55 in 100 requests, and entries asked other regions, which shed alike, at a round trip of 41 ms each.

The expected share of failures of an upstream fades into that of the upstreams that are as near, and other regions are asked only where they fail less.

--- a/features/policy/load-patterns.feature
+++ b/features/policy/load-patterns.feature
@@ -43,6 +43,45 @@
     When 3 requests are sent to upstream 1
     Then a request of 60 ms work and 200 ms target goes to upstream 2
 
+  Scenario: All upstreams of a service shed half of their requests, and work stays in the region
+    Given an upstream in "same-zone" that reports 1 of 4 slots busy at 1 times the usual pace
+    And an upstream in "same-region" that reports 1 of 4 slots busy at 1 times the usual pace
+    And an upstream in "other-region" that reports 1 of 4 slots busy at 1 times the usual pace
+    And an upstream in "other-region" that reports 1 of 4 slots busy at 1 times the usual pace
+    When 20 requests in turn at upstreams 1 and 2 are shed every other time
+    Then other regions are asked for a request of 60 ms work and 400 ms target
+    When 20 requests in turn at upstreams 3 and 4 are shed every other time
+    Then other regions are not asked for a request of 60 ms work and 400 ms target
+
+  Scenario: Only the upstreams of this region shed, and work leaves it
+    Given an upstream in "same-zone" that reports 1 of 4 slots busy at 1 times the usual pace
+    And an upstream in "same-region" that reports 1 of 4 slots busy at 1 times the usual pace
+    And an upstream in "other-region" that reports 1 of 4 slots busy at 1 times the usual pace
+    When 20 requests in turn at upstreams 1 and 2 are shed every other time
+    Then other regions are asked for a request of 60 ms work and 400 ms target
+    And a request of 60 ms work and 400 ms target goes to upstream 3
+
+  Scenario: An upstream that wasn't tried looks no better than those like it while all of them shed
+    Given an upstream in "same-zone" that reports 1 of 4 slots busy at 1 times the usual pace
+    And an upstream in "same-zone" that reports 1 of 4 slots busy at 1 times the usual pace
+    And an upstream in "same-region" that reports 1 of 4 slots busy at 1 times the usual pace
+    When 20 requests in turn at upstreams 1 and 2 are shed every other time
+    And 15000 ms pass
+    And upstream 1 reports 1 of 4 slots busy at 1 times the usual pace
+    And upstream 3 reports 1 of 4 slots busy at 1 times the usual pace
+    Then a request of 60 ms work and 400 ms target goes to upstream 1
+
+  Scenario: An upstream that has gone dark behind a good report gets nothing, and is tried again later
+    Given an upstream in "same-zone" that reports 0 of 4 slots busy at 1 times the usual pace
+    And an upstream in "same-region" that reports 3 of 4 slots busy at 1 times the usual pace
+    When upstream 1 leaves a load query unanswered
+    Then a request of 60 ms work and 400 ms target goes to upstream 2
+    When upstream 1 reports 0 of 4 slots busy at 1 times the usual pace
+    And 15000 ms pass
+    And upstream 1 reports 0 of 4 slots busy at 1 times the usual pace
+    And upstream 2 reports 3 of 4 slots busy at 1 times the usual pace
+    Then a request of 60 ms work and 400 ms target goes to upstream 1
+
   Scenario: All entries together keep to the budget for repeats in any window
     Given 14 entries that share repeats of 0.2 per request and 56 beside them in 10000 ms
     When each entry gets 20 requests a second and repeats all it may, for 60 s
--- a/features/steps/load-patterns.steps.ts
+++ b/features/steps/load-patterns.steps.ts
@@ -5,6 +5,8 @@
 import {
   comeBackMs,
   expectedLoss,
+  FailureLevel,
+  isWorthLeaving,
   RepeatBudget,
   SeededRandom,
   UpstreamOutlook,
@@ -19,6 +21,9 @@
 const SMALL_REQUEST_BYTES = 1_200;
 const SEED = 11;
 
+/** Time between requests of one entry to a service that sheds, in milliseconds. */
+const SHED_GAP_MS = 100;
+
 const ROUND_TRIPS_MS: Readonly<Record<Distance, number>> = {
   'same-zone': 1,
   'same-region': 3,
@@ -36,6 +41,8 @@
 class LoadPatternWorld {
   nowMs = START_MS;
   readonly upstreams: UpstreamOutlook[] = [];
+  /** Failures in this region, and in others. */
+  readonly levels = {near: new FailureLevel(), far: new FailureLevel()};
   budgets: RepeatBudget[] = [];
   windowMs = 0;
   readonly times: Repeats = {requests: [], repeats: []};
@@ -55,7 +62,12 @@
   }
 
   choose(workMs: number, targetMs: number, bytes: number): number {
-    const losses = this.upstreams.map(upstream =>
+    const losses = this.losses(workMs, targetMs, bytes);
+    return losses.indexOf(Math.min(...losses)) + 1;
+  }
+
+  losses(workMs: number, targetMs: number, bytes: number): number[] {
+    return this.upstreams.map(upstream =>
       expectedLoss({
         estimateMs: upstream.estimateMs({nowMs: this.nowMs, workMs}),
         targetLeftMs: targetMs,
@@ -66,7 +78,6 @@
         costs: COSTS,
       }),
     );
-    return losses.indexOf(Math.min(...losses)) + 1;
   }
 }
 
@@ -84,6 +95,7 @@
       distance,
       ROUND_TRIPS_MS[distance],
       slots,
+      distance === 'other-region' ? world.levels.far : world.levels.near,
     );
     world.upstreams.push(upstream);
     world.report(upstream, busy, slots, pace);
@@ -132,6 +144,43 @@
   },
 );
 
+When(
+  '{int} requests in turn at upstreams {int} and {int} are shed every other time',
+  function (this: object, count: number, first: number, second: number) {
+    const world = toWorld(this);
+    const pair = [first, second];
+    for (let sent = 0; sent < count; sent++) {
+      const upstream = world.upstreams[pair[Math.floor(sent / 2) % 2] - 1];
+      world.nowMs += SHED_GAP_MS;
+      upstream.onSend();
+      upstream.onEnd(sent % 2 === 0 ? 'refused' : 'answered', world.nowMs);
+    }
+  },
+);
+
+When(
+  'upstream {int} leaves a load query unanswered',
+  function (this: object, index: number) {
+    const world = toWorld(this);
+    world.upstreams[index - 1].onSilence(world.nowMs);
+  },
+);
+
+Then(
+  /^other regions are (asked|not asked) for a request of (\d+) ms work and (\d+) ms target$/,
+  function (this: object, asked: string, workMs: string, targetMs: string) {
+    const world = toWorld(this);
+    const losses = world
+      .losses(Number(workMs), Number(targetMs), SMALL_REQUEST_BYTES)
+      .filter((_, index) => world.upstreams[index].distance !== 'other-region');
+    const farShare = world.levels.far.share(world.nowMs);
+    assert.equal(
+      isWorthLeaving(Math.min(...losses), farShare),
+      asked === 'asked',
+    );
+  },
+);
+
 When('{int} ms pass', function (this: object, milliseconds: number) {
   toWorld(this).nowMs += milliseconds;
 });
--- a/packages/balancer/src/members/upstream-registry.ts
+++ b/packages/balancer/src/members/upstream-registry.ts
@@ -1,7 +1,7 @@
 /** The upstreams that may be used now, by service. */
 
 import {createHash} from 'node:crypto';
-import type {Distance} from '@wasabidyke/policy';
+import {FailureLevel, type Distance} from '@wasabidyke/policy';
 import type {Clock} from '@wasabidyke/shared';
 import type {WireProtocol} from '../exchange/wire-protocol.js';
 import {UpstreamHandle} from './upstream-handle.js';
@@ -38,6 +38,7 @@
   readonly #options: UpstreamRegistryOptions;
   readonly #handles = new Map<string, UpstreamHandle>();
   readonly #byService = new Map<string, UpstreamHandle[]>();
+  readonly #failureLevels = new Map<string, FailureLevel>();
 
   constructor(options: UpstreamRegistryOptions) {
     this.#options = options;
@@ -52,6 +53,19 @@
     return this.#handles.size;
   }
 
+  /** Failures of the upstreams of a service in this region, or of those in other ones. */
+  failureLevel(service: string, distance: Distance): FailureLevel {
+    const group = distance === 'other-region' ? 'far' : 'near';
+    const key = JSON.stringify([service, group]);
+    const known = this.#failureLevels.get(key);
+    if (known !== undefined) {
+      return known;
+    }
+    const level = new FailureLevel();
+    this.#failureLevels.set(key, level);
+    return level;
+  }
+
   add(record: UpstreamRecord): void {
     const distance = this.#distanceTo(record.zone);
     const {locality, protocol, clock, connectionLimit} = this.#options;
@@ -60,6 +74,7 @@
       distance,
       roundTripMs: locality.roundTripsMs[distance],
       connectionLimit: connectionLimit(record.service),
+      failureLevel: this.failureLevel(record.service, distance),
       protocol,
       clock,
     });
--- a/packages/balancer/src/serving/chooser.ts
+++ b/packages/balancer/src/serving/chooser.ts
@@ -7,6 +7,7 @@
 
 import {
   expectedLoss,
+  isWorthLeaving,
   type Distance,
   type RandomSource,
   type TokenBucket,
@@ -74,9 +75,6 @@
 /** Time beyond a round trip that answers from other regions are waited for. */
 const FAR_MARGIN_MS = 8;
 
-/** Expected loss from which on other regions are asked. */
-const FAR_LOSS = 0.25;
-
 /** An upstream that never served this entry is preferred by this much, so that those that join get work. */
 const NEWCOMER_BONUS = 0.05;
 
@@ -100,7 +98,8 @@
 
   /** The best upstream; undefined when there is none. */
   async choose(query: ChoiceQuery): Promise<Choice | undefined> {
-    const usable = this.#options.registry
+    const {registry, clock} = this.#options;
+    const usable = registry
       .list(query.service)
       .filter(handle => isUsable(handle, query));
     const near = usable.filter(({outlook}) => isNear(outlook.distance));
@@ -114,7 +113,10 @@
     await this.#ask(others, query.loadPath, NEAR_QUERIES, NEAR_WAIT_MS);
     const atNear = this.#pick(near, query);
     const far = usable.filter(({outlook}) => !isNear(outlook.distance));
-    const isGood = atNear !== undefined && atNear.loss < FAR_LOSS;
+    const farLevel = registry.failureLevel(query.service, 'other-region');
+    const isGood =
+      atNear !== undefined &&
+      !isWorthLeaving(atNear.loss, farLevel.share(clock.now()));
     if (isGood || far.length === 0) {
       return atNear;
     }
@@ -177,6 +179,7 @@
     const answers = handles
       .slice(0, most)
       .filter(({outlook}) => outlook.reportAgeMs(nowMs) > FRESH_REPORT_MS)
+      .filter(handle => handle.isWorthAsking(nowMs))
       .filter(() => queryBudget.take(1, nowMs))
       .map(handle => handle.queryLoad(loadPath));
     if (answers.length > 0) {
--- a/packages/policy/src/expected-loss.ts
+++ b/packages/policy/src/expected-loss.ts
@@ -46,6 +46,19 @@
 
 const BYTES_PER_MEGABYTE = 1_000_000;
 
+/** Loss in this region beyond the failures of other ones from which on these are worth asking, which takes a round trip. */
+const LEAVING_LOSS = 0.25;
+
+/**
+ * Whether upstreams of other regions are worth asking. Where requests fail
+ * there as well, such as when a whole service sheds, going there gains less.
+ * @param loss Least expected loss in this region.
+ * @param farFailureShare Failures that are expected elsewhere.
+ */
+export function isWorthLeaving(loss: number, farFailureShare: number): boolean {
+  return loss >= LEAVING_LOSS + farFailureShare;
+}
+
 /** The expected loss; 0 is a certain answer in time over a free link. */
 export function expectedLoss(query: LossQuery): number {
   const {failureShare} = query;
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -5,6 +5,7 @@
 export * from './crash-guard.js';
 export * from './create-selection.js';
 export * from './expected-loss.js';
+export * from './failure-level.js';
 export * from './hedge-plan.js';
 export * from './hot-cold.js';
 export * from './least-in-flight.js';
--- a/packages/policy/src/upstream-outlook.ts
+++ b/packages/policy/src/upstream-outlook.ts
@@ -3,6 +3,7 @@
  * to it since, and how its requests have ended.
  */
 
+import {FailureLevel} from './failure-level.js';
 import type {Distance} from './upstream-load.js';
 
 /** What an upstream says of its own load. */
@@ -48,6 +49,12 @@
 /** Time in which half of the memory of failures fades. */
 const FAILURE_HALF_LIFE_MS = 2_500;
 
+/** Least share of failures that is expected of an upstream that leaves load queries unanswered. */
+const SILENT_SHARE = 0.8;
+
+/** Time after which silence says nothing any more, in milliseconds: it is asked again before. */
+const SILENCE_MEMORY_MS = 5_000;
+
 /** Weight of the newest answer in the learned slowdown. */
 const LEARNED_WEIGHT = 0.25;
 
@@ -72,15 +79,24 @@
   #sentSinceReport = 0;
   #inFlight = 0;
   #failureShare = 0;
-  #failureAtMs = 0;
+  #failureAtMs = -Infinity;
   #learned = 1;
   #learnedAtMs = 0;
   #hasServed = false;
-
-  constructor(distance: Distance, roundTripMs: number, slots: number) {
+  #silentAtMs = -Infinity;
+  readonly #level: FailureLevel;
+
+  /** @param level Failures of the upstreams that it is one of. */
+  constructor(
+    distance: Distance,
+    roundTripMs: number,
+    slots: number,
+    level = new FailureLevel(),
+  ) {
     this.distance = distance;
     this.roundTripMs = roundTripMs;
     this.slots = slots;
+    this.#level = level;
   }
 
   /** Whether any request of this entry was answered there. */
@@ -102,6 +118,7 @@
   onReport(report: OccupancyReport, nowMs: number): void {
     this.#report = report;
     this.#reportedAtMs = nowMs;
+    this.#silentAtMs = -Infinity;
     this.#sentSinceReport = 0;
     this.slots = report.slots;
   }
@@ -118,12 +135,18 @@
     if (end === 'cancelled') {
       return;
     }
-    this.#hasServed ||= end === 'answered';
-    this.#onOutcome(end !== 'answered', nowMs);
+    const isAnswered = end === 'answered';
+    this.#hasServed ||= isAnswered;
+    if (isAnswered) {
+      this.#silentAtMs = -Infinity;
+    }
+    this.#onOutcome(!isAnswered, nowMs);
+    this.#level.onOutcome(!isAnswered, nowMs);
   }
 
-  /** It can't be reached, or doesn't answer a load query. */
+  /** It can't be reached, or leaves a load query unanswered; a report or an answer ends this. */
   onSilence(nowMs: number): void {
+    this.#silentAtMs = nowMs;
     this.#onOutcome(true, nowMs);
   }
 
@@ -135,10 +158,14 @@
     this.#learnedAtMs = nowMs;
   }
 
-  /** Share of recent requests that failed, fading with time. */
+  /** Share of requests that are expected to fail; what was seen here fades into what others like it show. */
   failureShare(nowMs: number): number {
+    const level = this.#level.share(nowMs);
     const ageMs = nowMs - this.#failureAtMs;
-    return this.#failureShare * 0.5 ** (ageMs / FAILURE_HALF_LIFE_MS);
+    const trust = 0.5 ** (ageMs / FAILURE_HALF_LIFE_MS);
+    const share = level + (this.#failureShare - level) * trust;
+    const isSilent = nowMs - this.#silentAtMs < SILENCE_MEMORY_MS;
+    return isSilent ? Math.max(share, SILENT_SHARE) : share;
   }
 
   /** Requests that run or wait there, as far as is known. */
