fix(stand-ins): a link carries bytes in the order in which they came

Cause: each chunk was delayed by a timer of its own, so that a later one overtook an earlier one when the delay of a slow link fell. One queue a direction now.

--- a/packages-private/stand-ins/src/link/link.ts
+++ b/packages-private/stand-ins/src/link/link.ts
@@ -20,6 +20,12 @@
 
 type Direction = 'forward' | 'back';
 
+/** Bytes, an end or a close on their way. */
+interface Delivery {
+  readonly dueMs: number;
+  readonly action: () => void;
+}
+
 /** One link. */
 export class Link {
   readonly settings: LinkSettings;
@@ -110,6 +116,9 @@
   readonly #direction: Direction;
   readonly #from: Socket;
   readonly #to: Socket;
+  /** What is still to be carried, in the order in which it came. */
+  readonly #queue: Delivery[] = [];
+  #timer: NodeJS.Timeout | undefined;
 
   constructor(link: Link, direction: Direction, from: Socket, to: Socket) {
     this.#link = link;
@@ -150,13 +159,24 @@
     });
   }
 
+  /** Does it after the link's delay, and never before what came earlier, though the delay may have fallen. */
   #later(action: () => void): void {
-    const {delayMs} = this.#link.state;
-    if (delayMs === 0) {
-      action();
-      return;
+    const earliestMs = performance.now() + this.#link.state.delayMs;
+    const lastMs = this.#queue.at(-1)?.dueMs ?? earliestMs;
+    this.#queue.push({dueMs: Math.max(earliestMs, lastMs), action});
+    this.#deliver();
+  }
+
+  #deliver(): void {
+    clearTimeout(this.#timer);
+    while (this.#queue.length > 0) {
+      const leftMs = this.#queue[0].dueMs - performance.now();
+      if (leftMs > 0) {
+        this.#timer = setTimeout(() => this.#deliver(), Math.ceil(leftMs));
+        return;
+      }
+      this.#queue.shift()?.action();
     }
-    setTimeout(action, delayMs);
   }
 }
 
