feat(soak): a randomized fault soak of real entries as separate processes

Entries run from the bundle, behind loopback links to callers and to the store; workers sit behind links too. A seed draws series of 24 kinds of acts that overlap: entries killed, stopped, paused, hung up and cut off, the store busy, silent, slow, losing answers and history, workers that crash, leave with and without a word, are replaced by another service, fail, hang and cut answers, and configurations that move a route. 13 checks judge what callers and workers saw; each is shown to find a made-up defect, and no other check does.

--- /dev/null
+++ b/features/soak/soak.feature
@@ -0,0 +1,52 @@
+Feature: A soak of real entries under faults judges what callers and workers saw
+
+  Scenario: A seed gives the same schedule each time, with calm at its end
+    When the schedule of seed 7 is drawn twice for 40000 ms
+    Then both are the same
+    And no act lasts into the last 8000 ms
+
+  Scenario: A history without faults breaks nothing
+    Given a history of requests that were served
+    Then no check finds anything
+
+  Scenario Outline: The check "<check>" finds that <what>
+    Given a history of requests that were served
+    And in it <what>
+    Then the check "<check>" finds something, and no other does
+
+    Examples:
+      | check         | what                                                 |
+      | twice         | an order ran at two workers                          |
+      | refused       | an order was refused as not run and has run          |
+      | mixed         | a look-up got half of its answer                     |
+      | unasked       | a worker ran a request that nobody sent              |
+      | route         | a look-up ran at a service without a route to it     |
+      | drain         | a request reached a worker long after it left        |
+      | configuration | a request ran by a configuration that was replaced   |
+      | regress       | an entry went back to an older configuration         |
+      | budget        | a hundred look-ups were sent twice                   |
+      | gone          | requests reached workers long after their callers left |
+      | lost          | a planned stop cut off a request                     |
+      | recover       | nothing was served after the last fault              |
+      | exits         | an entry ended by itself                             |
+
+  Scenario: A late request is no finding where its entry was cut off from the store
+    Given a history of requests that were served
+    And in it a request reached a worker long after it left
+    And its entry was cut off from the store meanwhile
+    Then no check finds anything
+
+  Scenario: A request that a paused entry passes on late is no finding
+    Given a history of requests that were served
+    And in it requests reached workers long after their callers left
+    And its entry was paused meanwhile
+    Then no check finds anything
+
+  Scenario: Bytes that a link delays arrive in order, though the delay falls
+    Given a link that delays by 200 ms
+    When a message is sent, the delay falls to 0 ms, and another message is sent
+    Then both arrive in that order
+
+  Scenario: A short soak of real entries breaks nothing
+    When the soak runs seed 1 for 20 s with 3 entries
+    Then it reports no violations
--- /dev/null
+++ b/packages-private/soak/src/acts.ts
@@ -0,0 +1,170 @@
+/** Carries out the steps of a schedule on the processes and stand-ins of a run. */
+
+import type {LinkState} from '@wasabidyke/stand-ins';
+import {STOP_WITHIN_MS, type EntryProcess} from './entry-process.js';
+import {nowMs, type History} from './history.js';
+import type {Operator} from './operator.js';
+import type {Act, Step} from './schedule.js';
+import type {StoreFault, StoreStandIn} from './store-stand-in.js';
+import type {WorkerSlot} from './worker-slot.js';
+import type {WorkerFault} from './worker-stand-in.js';
+
+/** What acts are done to. */
+export interface Site {
+  readonly entries: readonly EntryProcess[];
+  readonly workers: readonly WorkerSlot[];
+  readonly store: StoreStandIn;
+  readonly operator: Operator;
+  readonly history: History;
+}
+
+const OPEN: LinkState = {mode: 'open', delayMs: 0};
+const SILENT: LinkState = {mode: 'silent', delayMs: 0};
+const RESET: LinkState = {mode: 'reset', delayMs: 0};
+const DELAY_MS = 150;
+const DELAYED: LinkState = {mode: 'open', delayMs: DELAY_MS};
+
+const STORE_FAULTS: Partial<Record<Act, StoreFault>> = {
+  'store-busy': 'busy',
+  'store-silent': 'silent',
+  'store-slow': 'slow',
+  'store-lost': 'lost',
+};
+
+const WORKER_FAULTS: Partial<Record<Act, WorkerFault>> = {
+  'worker-slow': 'slow',
+  'worker-errors': 'errors',
+  'worker-truncates': 'truncates',
+  'worker-hangs': 'hangs',
+};
+
+const ENTRY_LINKS: Partial<
+  Record<Act, readonly ['callers' | 'store', LinkState]>
+> = {
+  'entry-store-cut': ['store', RESET],
+  'entry-store-silent': ['store', SILENT],
+  'entry-store-slow': ['store', DELAYED],
+  'entry-callers-reset': ['callers', RESET],
+};
+
+const WORKER_LINKS: Partial<Record<Act, LinkState>> = {
+  'worker-link-silent': SILENT,
+  'worker-link-delay': DELAYED,
+};
+
+/** Does one step; resolves when it is over. */
+export async function act(site: Site, step: Step): Promise<void> {
+  if (step.act === 'move-route') {
+    site.operator.moveRoute();
+  } else if (step.act.startsWith('store-')) {
+    await actOnStore(site, step);
+  } else if (step.act.startsWith('entry-')) {
+    await actOnEntry(site, step);
+  } else {
+    await actOnWorker(site, step);
+  }
+}
+
+async function actOnStore(site: Site, step: Step): Promise<void> {
+  const {store, history} = site;
+  const disturbed = {subject: 'store', what: step.act, isPlanned: false};
+  const fromMs = nowMs();
+  if (step.act === 'store-compact') {
+    store.compact();
+    history.disturbances.push({...disturbed, fromMs, toMs: fromMs});
+    return;
+  }
+  const fault = STORE_FAULTS[step.act] ?? 'none';
+  history.disturbances.push({...disturbed, fromMs, toMs: fromMs + step.forMs});
+  store.fault = fault;
+  await sleep(step.forMs);
+  if (store.fault === fault) {
+    store.fault = 'none';
+  }
+}
+
+async function actOnEntry(site: Site, step: Step): Promise<void> {
+  const {entries, history} = site;
+  const entry = entries[step.subject % entries.length];
+  const fromMs = nowMs();
+  const isPlanned = step.act === 'entry-stop' || step.act === 'entry-hang-up';
+  const note = (toMs: number) =>
+    history.disturbances.push({
+      subject: entry.address,
+      what: step.act,
+      fromMs,
+      toMs,
+      isPlanned,
+    });
+  const link = ENTRY_LINKS[step.act];
+  if (link !== undefined) {
+    const [side, state] = link;
+    note(fromMs + step.forMs);
+    entry[side].change(state);
+    await sleep(step.forMs);
+    entry[side].change(OPEN);
+    return;
+  }
+  switch (step.act) {
+    case 'entry-kill':
+      note(fromMs);
+      entry.signal('SIGKILL');
+      return;
+    case 'entry-hang-up':
+      note(fromMs);
+      entry.signal('SIGHUP');
+      return;
+    case 'entry-pause':
+      note(fromMs + step.forMs);
+      entry.signal('SIGSTOP');
+      await sleep(step.forMs);
+      entry.signal('SIGCONT');
+      return;
+    default:
+      note(fromMs + STOP_WITHIN_MS);
+      await entry.stop();
+  }
+}
+
+async function actOnWorker(site: Site, step: Step): Promise<void> {
+  const {workers, history} = site;
+  const slot = workers[step.subject % workers.length];
+  if (slot.isBusy) {
+    return;
+  }
+  const fromMs = nowMs();
+  const subject = slot.worker.id;
+  const note = () =>
+    history.disturbances.push({
+      subject,
+      what: step.act,
+      fromMs,
+      toMs: fromMs + step.forMs,
+      isPlanned: false,
+    });
+  const state = WORKER_LINKS[step.act];
+  const fault = WORKER_FAULTS[step.act];
+  if (state !== undefined) {
+    note();
+    slot.link.change(state);
+    await sleep(step.forMs);
+    slot.link.change(OPEN);
+  } else if (fault !== undefined) {
+    note();
+    slot.worker.fault = fault;
+    await sleep(step.forMs);
+    slot.worker.fault = 'none';
+  } else if (step.act === 'worker-crash') {
+    note();
+    await slot.crash(step.forMs);
+  } else if (step.act === 'worker-replace') {
+    note();
+    await slot.replace();
+  } else {
+    await slot.leave(step.act === 'worker-drain');
+  }
+}
+
+function sleep(ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms));
+}
--- /dev/null
+++ b/packages-private/soak/src/checks.ts
@@ -0,0 +1,330 @@
+/** What must hold, judged from what callers and workers saw alone. Each check lists its violations. */
+
+import {
+  type ArrivalRecord,
+  type CallRecord,
+  type ConfigurationRecord,
+  type History,
+} from './history.js';
+import {toAnswer} from './worker-stand-in.js';
+
+/** A promise that was broken. */
+export interface Violation {
+  readonly check: string;
+  readonly text: string;
+}
+
+/** Bounds of the platform's sites, in milliseconds. */
+export const BOUNDS = {
+  stableWindowMs: 3_000,
+  drainMs: 2_500,
+  configApplyMs: 2_500,
+  downgradeSlackMs: 250,
+  lossSlackMs: 200,
+  leaveMs: 500,
+  budgetWindowMs: 10_000,
+};
+
+const BUDGET_RATIO = 0.2;
+const BUDGET_SLACK = 56;
+
+/** Requests that may reach a worker after their caller left before it counts. Source: the rules say a few. */
+const FEW = 3;
+
+/** Share of requests that must be served once all faults are over. Source: a system without faults and at low load serves all; the rest are requests that faults still hold. */
+const CALM_SHARE = 0.95;
+
+/** Services that a path may go to. */
+const SERVICES: Readonly<Record<string, readonly string[]>> = {
+  '/read/': ['reads'],
+  '/write/': ['writes'],
+  '/moving/': ['reads', 'writes'],
+};
+
+const NOT_RUN_STATUSES = [408, 421, 429, 503];
+
+/** All checks, by name. */
+export const CHECKS: Readonly<Record<string, (history: History) => string[]>> =
+  {
+    twice: checkTwice,
+    refused: checkRefused,
+    mixed: checkMixed,
+    unasked: checkUnasked,
+    route: checkRoute,
+    drain: checkDrain,
+    configuration: checkConfiguration,
+    regress: checkRegress,
+    budget: checkBudget,
+    gone: checkGone,
+    lost: checkLost,
+    recover: checkRecover,
+    exits: ({exits}) =>
+      exits.map(({entry, status}) => `${entry} ended with status ${status}`),
+  };
+
+/** Judges a history. */
+export function findViolations(history: History): readonly Violation[] {
+  return Object.entries(CHECKS).flatMap(([check, find]) =>
+    find(history).map(text => ({check, text})),
+  );
+}
+
+function checkTwice({calls, arrivals}: History): string[] {
+  const runs = groupRuns(arrivals);
+  return calls
+    .filter(({id, kind}) => kind === 'unsafe' && (runs.get(id) ?? 0) > 1)
+    .map(({id}) => `${id} ran ${runs.get(id)} times`);
+}
+
+function checkRefused({calls, arrivals}: History): string[] {
+  const runs = groupRuns(arrivals);
+  return calls
+    .filter(({kind, status}) => kind === 'unsafe' && isNotRun(status))
+    .filter(({id}) => runs.has(id))
+    .map(({id, status}) => `${id} was answered ${status} and has run`);
+}
+
+function checkMixed({calls, arrivals}: History): string[] {
+  const found: string[] = [];
+  for (const {id, status, body, worker} of calls) {
+    if (status !== 200) {
+      continue;
+    }
+    const isWhole = arrivals.some(
+      arrival =>
+        arrival.id === id &&
+        arrival.worker === worker &&
+        body === toAnswer(arrival.worker, id, arrival.body),
+    );
+    if (!isWhole) {
+      found.push(`${id} got ${body} as the answer of ${worker}`);
+    }
+  }
+  return found;
+}
+
+function checkUnasked({calls, arrivals}: History): string[] {
+  const byId = new Map(calls.map(call => [call.id, call]));
+  return arrivals
+    .filter(({hasRun}) => hasRun)
+    .filter(({id, path}) => byId.get(id)?.path !== path)
+    .map(({id, path, worker}) => `${worker} ran ${id} ${path}, never sent`);
+}
+
+function checkRoute({arrivals}: History): string[] {
+  return arrivals
+    .filter(({hasRun}) => hasRun)
+    .filter(({path, service}) => {
+      const prefix = toPrefix(path);
+      return !(SERVICES[prefix] ?? []).includes(service);
+    })
+    .map(({id, path, service}) => `${id} ${path} ran at ${service}`);
+}
+
+function checkDrain(history: History): string[] {
+  const {arrivals, leavings, calls} = history;
+  const byId = new Map(calls.map(call => [call.id, call]));
+  const leftAt = new Map(leavings.map(({worker, atMs}) => [worker, atMs]));
+  return arrivals
+    .filter(({hasRun, worker, atMs, id}) => {
+      const left = leftAt.get(worker);
+      const entry = byId.get(id)?.entry;
+      const isLate = left !== undefined && atMs > left + BOUNDS.drainMs;
+      return (
+        isLate &&
+        hasRun &&
+        entry !== undefined &&
+        isInTouch(history, entry, left, atMs) &&
+        history.isCalm(worker, left - BOUNDS.stableWindowMs, atMs)
+      );
+    })
+    .map(({id, worker, atMs}) => {
+      const late = Math.round(atMs - (leftAt.get(worker) ?? atMs));
+      return `${id} reached ${worker} ${late} ms after it left`;
+    });
+}
+
+function checkConfiguration(history: History): string[] {
+  const {calls, configurations} = history;
+  const found: string[] = [];
+  for (const run of movingRuns(history)) {
+    const call = calls.find(({id}) => id === run.id);
+    if (call === undefined) {
+      continue;
+    }
+    const {sentAtMs, entry} = call;
+    const settled = configurations.findLast(
+      ({atMs}) => atMs <= sentAtMs - BOUNDS.configApplyMs,
+    );
+    const allowed = configurations
+      .filter(({version}) => version >= (settled?.version ?? 0))
+      .map(({movedTo}) => movedTo);
+    const isOld = settled !== undefined && !allowed.includes(run.service);
+    if (isOld && isInTouch(history, entry, settled.atMs, run.atMs)) {
+      const late = Math.round(sentAtMs - settled.atMs);
+      found.push(`${run.id} ran at ${run.service}, ${late} ms after the move`);
+    }
+  }
+  return found;
+}
+
+/** Follows the oldest version that each life of an entry can be at; it must not pass the newest written. */
+function checkRegress(history: History): string[] {
+  const {calls, configurations, starts} = history;
+  const callById = new Map(calls.map(call => [call.id, call]));
+  const floors = new Map<string, {floor: ConfigurationRecord; atMs: number}>();
+  const found: string[] = [];
+  for (const run of movingRuns(history)) {
+    const call = callById.get(run.id);
+    if (call === undefined) {
+      continue;
+    }
+    const life = starts.filter(
+      ({entry, atMs}) => entry === call.entry && atMs <= run.atMs,
+    ).length;
+    const key = `${call.entry} ${life}`;
+    const known = floors.get(key);
+    const since = (known?.atMs ?? -Infinity) + BOUNDS.downgradeSlackMs;
+    const isLater = call.sentAtMs > since;
+    const from = isLater ? (known?.floor.version ?? 0) : 0;
+    const floor = configurations.find(
+      ({version, movedTo}) => version >= from && movedTo === run.service,
+    );
+    if (floor === undefined || floor.atMs > run.atMs) {
+      found.push(`${run.id} ran at ${run.service} after a newer version`);
+    } else if (floor.version > (known?.floor.version ?? 0)) {
+      floors.set(key, {floor, atMs: run.atMs});
+    }
+  }
+  return found;
+}
+
+function checkBudget({calls, arrivals}: History): string[] {
+  const seen = new Set<string>();
+  const repeats: ArrivalRecord[] = [];
+  for (const arrival of arrivals) {
+    if (seen.has(arrival.id)) {
+      repeats.push(arrival);
+    }
+    seen.add(arrival.id);
+  }
+  const {budgetWindowMs: windowMs} = BOUNDS;
+  const found: string[] = [];
+  for (const {service, atMs: endMs} of repeats) {
+    const inWindow = (atMs: number, backMs = 0) =>
+      atMs > endMs - backMs - windowMs && atMs <= endMs - backMs;
+    const spent = repeats.filter(
+      other => other.service === service && inWindow(other.atMs),
+    ).length;
+    const sent = (backMs: number) =>
+      calls.filter(
+        ({path, sentAtMs}) =>
+          SERVICES[toPrefix(path)].includes(service) &&
+          inWindow(sentAtMs, backMs),
+      ).length;
+    const most = Math.max(sent(0), sent(windowMs / 2), sent(windowMs));
+    if (spent > BUDGET_RATIO * most + BUDGET_SLACK) {
+      found.push(`${spent} repeats at ${service} for ${most} requests`);
+    }
+  }
+  return found;
+}
+
+/** The rule holds for entries that were left alone: a paused one can't see a caller leave. */
+function checkGone(history: History): string[] {
+  const {calls, arrivals} = history;
+  const left = calls.filter(({leftAtMs}) => leftAtMs !== undefined);
+  const late = left.filter(({id, entry, leftAtMs = 0}) =>
+    arrivals.some(
+      ({id: arrived, atMs}) =>
+        arrived === id &&
+        atMs > leftAtMs + BOUNDS.leaveMs &&
+        history.isCalm(entry, leftAtMs - BOUNDS.stableWindowMs, atMs),
+    ),
+  );
+  return late.length > FEW
+    ? late.map(({id}) => `${id} reached a worker after its caller left`)
+    : [];
+}
+
+/** Requests that were lost around a planned stop of their entry, with nothing else disturbed. */
+function checkLost(history: History): string[] {
+  const {calls, arrivals, disturbances} = history;
+  const stops = disturbances.filter(({isPlanned}) => isPlanned);
+  return calls
+    .filter(
+      ({status, leftAtMs}) => status === undefined && leftAtMs === undefined,
+    )
+    .filter(call => {
+      const {id, entry, sentAtMs, endedAtMs = sentAtMs} = call;
+      const from = sentAtMs - BOUNDS.stableWindowMs;
+      const isStopping = stops.some(
+        ({subject, fromMs, toMs}) =>
+          subject === entry && fromMs < endedAtMs && toMs + 1_000 > sentAtMs,
+      );
+      const isAlone = !disturbances.some(
+        ({isPlanned, subject, fromMs, toMs}) =>
+          (!isPlanned || subject !== entry) &&
+          fromMs < endedAtMs &&
+          toMs > from,
+      );
+      const hasArrived = arrivals.some(arrival => arrival.id === id);
+      const isHeld = endedAtMs - sentAtMs > BOUNDS.lossSlackMs;
+      return isStopping && isAlone && (hasArrived || isHeld);
+    })
+    .map(({id, entry, error}) => `${id} was lost at ${entry}: ${error}`);
+}
+
+function checkRecover({calls, calmFromMs}: History): string[] {
+  const late = calls.filter(
+    ({sentAtMs, endedAtMs, leftAtMs}) =>
+      sentAtMs > calmFromMs &&
+      endedAtMs !== undefined &&
+      leftAtMs === undefined,
+  );
+  const served = late.filter(({status}) => status === 200).length;
+  return served < CALM_SHARE * late.length || late.length === 0
+    ? [`${served} of ${late.length} requests were served after all faults`]
+    : [];
+}
+
+function groupRuns(arrivals: readonly ArrivalRecord[]): Map<string, number> {
+  const runs = new Map<string, number>();
+  for (const {id, hasRun} of arrivals) {
+    if (hasRun) {
+      runs.set(id, (runs.get(id) ?? 0) + 1);
+    }
+  }
+  return runs;
+}
+
+function movingRuns({arrivals}: History): readonly ArrivalRecord[] {
+  return arrivals.filter(
+    ({hasRun, path}) => hasRun && toPrefix(path) === '/moving/',
+  );
+}
+
+/** Whether the entry and the store were left alone long enough before a change and until its effect. */
+function isInTouch(
+  history: History,
+  entry: string,
+  changedAtMs: number,
+  atMs: number,
+): boolean {
+  const from = changedAtMs - BOUNDS.stableWindowMs;
+  return (
+    history.isCalm(entry, from, atMs) &&
+    history.isCalm('store', from, atMs) &&
+    !history.starts.some(
+      start => start.entry === entry && start.atMs > from && start.atMs < atMs,
+    )
+  );
+}
+
+function isNotRun(status: CallRecord['status']): boolean {
+  return status !== undefined && NOT_RUN_STATUSES.includes(status);
+}
+
+function toPrefix(path: string): string {
+  return path.slice(0, path.indexOf('/', 1) + 1);
+}
--- /dev/null
+++ b/packages-private/soak/src/history.ts
@@ -0,0 +1,87 @@
+/** What callers and workers saw, and what was done to the system. Times are on one monotonic clock, in milliseconds. */
+
+/** One send of a request by a caller, and what became of it. */
+export interface CallRecord {
+  readonly id: string;
+  readonly kind: 'safe' | 'unsafe';
+  readonly path: string;
+  /** Entry that it was sent to. */
+  readonly entry: string;
+  readonly sentAtMs: number;
+  endedAtMs?: number;
+  /** Undefined when the connection ended without a whole answer. */
+  status?: number;
+  body?: string;
+  worker?: string;
+  hasRetryAfter?: boolean;
+  error?: string;
+  /** When the caller gave up. */
+  leftAtMs?: number;
+}
+
+/** A request as a worker read it. */
+export interface ArrivalRecord {
+  readonly id: string;
+  readonly worker: string;
+  readonly service: string;
+  readonly path: string;
+  readonly body: string;
+  readonly atMs: number;
+  /** False when the worker refused it before running. */
+  hasRun: boolean;
+  /** When its connection ended while it ran. */
+  brokenOffAtMs?: number;
+  endedAtMs?: number;
+}
+
+/** A span in which something was disturbed from outside. */
+export interface Disturbance {
+  /** An entry, a worker or `store`. */
+  readonly subject: string;
+  readonly what: string;
+  readonly fromMs: number;
+  readonly toMs: number;
+  /** Whether it was a planned stop. */
+  readonly isPlanned: boolean;
+}
+
+/** A worker that announced its leaving, or that vanished. */
+export interface Leaving {
+  readonly worker: string;
+  readonly atMs: number;
+}
+
+/** A configuration that was written: which service the moving route goes to. */
+export interface ConfigurationRecord {
+  readonly version: number;
+  readonly movedTo: string;
+  readonly atMs: number;
+}
+
+/** Everything that was seen in one run. */
+export class History {
+  readonly calls: CallRecord[] = [];
+  readonly arrivals: ArrivalRecord[] = [];
+  readonly disturbances: Disturbance[] = [];
+  readonly leavings: Leaving[] = [];
+  readonly configurations: ConfigurationRecord[] = [];
+  /** Starts of entries, by name. */
+  readonly starts: Array<{readonly entry: string; readonly atMs: number}> = [];
+  /** Processes that ended by themselves. */
+  readonly exits: Array<{readonly entry: string; readonly status: number}> = [];
+  /** When the last fault was over. */
+  calmFromMs = Infinity;
+
+  /** Whether a subject was left alone over a span. */
+  isCalm(subject: string, fromMs: number, toMs: number): boolean {
+    return !this.disturbances.some(
+      other =>
+        other.subject === subject && other.fromMs < toMs && other.toMs > fromMs,
+    );
+  }
+}
+
+/** The monotonic clock of a run, in milliseconds. */
+export function nowMs(): number {
+  return performance.now();
+}
--- /dev/null
+++ b/packages-private/soak/src/index.ts
@@ -0,0 +1,7 @@
+/** A randomized soak of the balancer's processes under faults from outside. */
+
+export * from './checks.js';
+export * from './history.js';
+export * from './schedule.js';
+export * from './soak.js';
+export * from './worker-stand-in.js';
--- /dev/null
+++ b/packages-private/soak/src/operator.ts
@@ -0,0 +1,81 @@
+/** Operators and workers as the store sees them: configurations, announcements and leavings. */
+
+import {HOST} from './caller.js';
+import {nowMs, type History} from './history.js';
+import type {StoreStandIn} from './store-stand-in.js';
+
+const ROUTE = {
+  host: HOST,
+  timeout: '1500ms',
+  target_latency: '300ms',
+  priority: 1,
+  max_attempts: 3,
+};
+
+/** Writes to the store what operators and workers write. */
+export class Operator {
+  readonly #store: StoreStandIn;
+  readonly #history: History;
+  #version = 0;
+  #sequence = 0;
+
+  constructor(store: StoreStandIn, history: History) {
+    this.#store = store;
+    this.#history = history;
+  }
+
+  /** Writes a configuration in which `/moving/` goes to the other service. */
+  moveRoute(): void {
+    this.#version += 1;
+    const movedTo = this.#version % 2 === 0 ? 'writes' : 'reads';
+    const service = {health_path: '/health', max_connections: 100};
+    this.#store.set('op/config', {
+      version: this.#version.toString(16).padStart(8, '0'),
+      routes: {
+        read: {...ROUTE, prefix: '/read/', kind: 'safe', service: 'reads'},
+        write: {...ROUTE, prefix: '/write/', kind: 'unsafe', service: 'writes'},
+        moving: {...ROUTE, prefix: '/moving/', kind: 'safe', service: movedTo},
+      },
+      services: {reads: service, writes: service},
+      limits: {
+        max_header_bytes: 8_192,
+        max_body_bytes: 100_000,
+        header_timeout: '3s',
+        idle_timeout: '15s',
+      },
+    });
+    this.#history.configurations.push({
+      version: this.#version,
+      movedTo,
+      atMs: nowMs(),
+    });
+  }
+
+  /** Announces a worker. */
+  announce(
+    id: string,
+    service: string,
+    address: string,
+    zone: string,
+    state: 'ready' | 'draining' = 'ready',
+  ): void {
+    this.#sequence += 1;
+    this.#store.set(`servers/${id}`, {
+      address,
+      info: {service, version: 'v1', zone, slots: 4},
+      status: {state, seq: this.#sequence, warmup_left: '0ms'},
+    });
+    if (state === 'draining') {
+      this.#history.leavings.push({worker: id, atMs: nowMs()});
+    }
+  }
+
+  /** Removes a worker's announcement. */
+  withdraw(id: string): void {
+    const isKnown = this.#history.leavings.some(({worker}) => worker === id);
+    this.#store.set(`servers/${id}`, undefined);
+    if (!isKnown) {
+      this.#history.leavings.push({worker: id, atMs: nowMs()});
+    }
+  }
+}
--- /dev/null
+++ b/packages-private/soak/src/schedule.ts
@@ -0,0 +1,86 @@
+/** What is done to the system, drawn from a seed: series of faults and planned work that overlap. */
+
+import {SeededRandom} from '@wasabidyke/policy';
+
+/** Everything that can be done; the subject's index counts entries or workers. */
+export const ACTS = [
+  'entry-kill',
+  'entry-stop',
+  'entry-pause',
+  'entry-hang-up',
+  'entry-store-cut',
+  'entry-store-silent',
+  'entry-store-slow',
+  'entry-callers-reset',
+  'store-busy',
+  'store-silent',
+  'store-slow',
+  'store-lost',
+  'store-compact',
+  'worker-crash',
+  'worker-replace',
+  'worker-drain',
+  'worker-vanish',
+  'worker-slow',
+  'worker-errors',
+  'worker-truncates',
+  'worker-hangs',
+  'worker-link-silent',
+  'worker-link-delay',
+  'move-route',
+] as const;
+
+/** One kind of act. */
+export type Act = (typeof ACTS)[number];
+
+/** One act of a run. */
+export interface Step {
+  readonly act: Act;
+  /** After the start of traffic. */
+  readonly atMs: number;
+  readonly forMs: number;
+  /** Which entry or worker, as a number that is taken modulo their count. */
+  readonly subject: number;
+}
+
+/** Steps of one run; the rest of the time is calm. */
+export interface Schedule {
+  readonly seed: number;
+  readonly lengthMs: number;
+  readonly steps: readonly Step[];
+}
+
+/** Time without faults at the end, in milliseconds, in which all must be served again. */
+export const CALM_MS = 8_000;
+
+/** Mean time between series of acts, in milliseconds. */
+const SERIES_GAP_MS = 1_400;
+const LONGEST_SERIES = 3;
+const SHORTEST_ACT_MS = 300;
+const LONGEST_ACT_MS = 4_000;
+const SUBJECTS = 1_000;
+
+/** Draws the steps of one run. @param acts Those to draw from. */
+export function drawSchedule(
+  seed: number,
+  lengthMs: number,
+  acts: readonly Act[] = ACTS,
+): Schedule {
+  const random = new SeededRandom(seed);
+  const steps: Step[] = [];
+  const lastMs = lengthMs - CALM_MS - LONGEST_ACT_MS;
+  let atMs = SHORTEST_ACT_MS;
+  while (atMs < lastMs) {
+    const act = acts[random.nextBelow(acts.length)];
+    const series = 1 + random.nextBelow(LONGEST_SERIES);
+    for (let index = 0; index < series; index++) {
+      const span = LONGEST_ACT_MS - SHORTEST_ACT_MS;
+      const forMs = SHORTEST_ACT_MS + random.nextBelow(span);
+      const subject = random.nextBelow(SUBJECTS);
+      steps.push({act, atMs: Math.min(atMs, lastMs), forMs, subject});
+      atMs += random.nextBelow(SHORTEST_ACT_MS);
+    }
+    atMs += random.nextBelow(2 * SERIES_GAP_MS);
+  }
+  return {seed, lengthMs, steps};
+}
--- /dev/null
+++ b/packages-private/soak/src/soak.ts
@@ -0,0 +1,187 @@
+/** One run: real entries, stand-ins around them, a schedule of faults, and the judgement of what was seen. */
+
+import {mkdirSync, writeFileSync} from 'node:fs';
+import {createServer, type AddressInfo} from 'node:net';
+import {once} from 'node:events';
+import {join} from 'node:path';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {SeededRandom} from '@wasabidyke/policy';
+import {act, type Site} from './acts.js';
+import {Caller} from './caller.js';
+import {findViolations, type Violation} from './checks.js';
+import {EntryProcess} from './entry-process.js';
+import {History, nowMs} from './history.js';
+import {Operator} from './operator.js';
+import {CALM_MS, type Schedule} from './schedule.js';
+import {StoreStandIn} from './store-stand-in.js';
+import {WorkerSlot} from './worker-slot.js';
+
+/** What to run. */
+export interface SoakOptions {
+  readonly schedule: Schedule;
+  readonly entries: number;
+  readonly workers: number;
+  readonly callers: number;
+  /** The bundled entry. */
+  readonly program: string;
+  /** Takes settings, logs and the history. */
+  readonly directory: string;
+}
+
+/** What a run found. */
+export interface SoakReport {
+  readonly violations: readonly Violation[];
+  readonly calls: number;
+  readonly served: number;
+  readonly arrivals: number;
+}
+
+const REGION_BY_ZONE = {'home-a': 'home', 'home-b': 'home', 'away-a': 'away'};
+const ZONES = Object.keys(REGION_BY_ZONE);
+const PORTS_PER_ENTRY = 5;
+
+/** Longest time for all entries to be ready, in milliseconds. */
+const READY_MS = 15_000;
+const READY_CHECK_MS = 50;
+
+/** Time after the last fault in which the system may recover, in milliseconds. */
+const RECOVER_MS = 4_000;
+
+/** Runs a schedule and judges what callers and workers saw. */
+export async function runSoak(options: SoakOptions): Promise<SoakReport> {
+  mkdirSync(options.directory, {recursive: true});
+  const site = await createSite(options);
+  const {history, entries, workers, store} = site;
+  const runs = entries.map(entry => entry.run());
+  try {
+    await waitUntilReady(entries);
+    await play(site, options);
+  } finally {
+    for (const entry of entries) {
+      entry.end();
+    }
+    await Promise.all(runs);
+    workers.forEach(worker => worker.close());
+    store.close();
+  }
+  const violations = findViolations(history);
+  save(options.directory, history, violations);
+  return {
+    violations,
+    calls: history.calls.length,
+    served: history.calls.filter(({status}) => status === 200).length,
+    arrivals: history.arrivals.length,
+  };
+}
+
+async function createSite(options: SoakOptions): Promise<Site> {
+  const history = new History();
+  const store = new StoreStandIn();
+  const operator = new Operator(store, history);
+  const storeAddress = await store.listen();
+  operator.moveRoute();
+  const workers = Array.from(
+    {length: options.workers},
+    (_, index) =>
+      new WorkerSlot(
+        `worker-${index + 1}`,
+        ZONES[index % ZONES.length],
+        index % 2 === 0 ? 'reads' : 'writes',
+        operator,
+        history,
+      ),
+  );
+  for (const worker of workers) {
+    await worker.start();
+  }
+  const ports = await findPorts(options.entries * PORTS_PER_ENTRY);
+  const entries = Array.from(
+    {length: options.entries},
+    (_, index) =>
+      new EntryProcess({
+        name: `entry-${index + 1}`,
+        zone: ZONES[index % ZONES.length],
+        regionByZone: REGION_BY_ZONE,
+        ports: ports.slice(index * PORTS_PER_ENTRY),
+        storeAddress,
+        program: options.program,
+        directory: options.directory,
+        history,
+      }),
+  );
+  return {entries, workers, store, operator, history};
+}
+
+async function play(site: Site, options: SoakOptions): Promise<void> {
+  const {entries, history} = site;
+  const {seed, steps, lengthMs} = options.schedule;
+  const links = new Map<string, string>();
+  for (const entry of entries) {
+    links.set(entry.address, await entry.callers.listen());
+  }
+  const callers = Array.from(
+    {length: options.callers},
+    (_, index) =>
+      new Caller({
+        name: `caller-${index + 1}`,
+        entries,
+        history,
+        random: new SeededRandom(seed + index),
+        linkOf: address => links.get(address),
+      }),
+  );
+  const startMs = nowMs();
+  const calls = callers.map(caller => caller.run());
+  const acts = steps.map(async step => {
+    await sleep(step.atMs);
+    await act(site, step);
+  });
+  await Promise.all(acts);
+  const endMs = Math.max(startMs + lengthMs, nowMs() + CALM_MS);
+  history.calmFromMs = nowMs() + RECOVER_MS;
+  await sleep(endMs - nowMs());
+  callers.forEach(caller => caller.stop());
+  await Promise.all(calls);
+}
+
+async function waitUntilReady(entries: readonly EntryProcess[]): Promise<void> {
+  const untilMs = nowMs() + READY_MS;
+  for (const entry of entries) {
+    while (!(await isReady(entry))) {
+      if (nowMs() > untilMs) {
+        throw new Error(`${entry.name} is not ready after ${READY_MS} ms`);
+      }
+      await sleep(READY_CHECK_MS);
+    }
+  }
+}
+
+async function isReady({readinessPort}: EntryProcess): Promise<boolean> {
+  try {
+    const answer = await fetch(`http://127.0.0.1:${readinessPort}/-/ready`);
+    return answer.status === 200;
+  } catch {
+    // It doesn't listen yet.
+    return false;
+  }
+}
+
+function save(
+  directory: string,
+  history: History,
+  violations: readonly Violation[],
+): void {
+  const text = JSON.stringify({violations, ...history}, undefined, 1);
+  writeFileSync(join(directory, 'history.json'), text);
+}
+
+async function findPorts(count: number): Promise<readonly number[]> {
+  const servers = Array.from({length: count}, () => createServer());
+  for (const server of servers) {
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+  }
+  const ports = servers.map(server => (server.address() as AddressInfo).port);
+  await Promise.all(servers.map(server => once(server.close(), 'close')));
+  return ports;
+}
--- /dev/null
+++ b/packages-private/soak/src/worker-slot.ts
@@ -0,0 +1,130 @@
+/** One place of a worker behind a link: its starts, leavings and faults. */
+
+import {Link} from '@wasabidyke/stand-ins';
+import type {History} from './history.js';
+import type {Operator} from './operator.js';
+import {WorkerStandIn} from './worker-stand-in.js';
+
+/** Time that a worker serves on after it announced its leaving, in milliseconds: `drain` and a little longer. */
+const LEAVING_MS = 3_500;
+
+/** Time after which an address may go to another service, in milliseconds. */
+const REUSE_MS = 2_000;
+
+const sleep = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
+
+/** One place of a worker. */
+export class WorkerSlot {
+  readonly worker: WorkerStandIn;
+  readonly #name: string;
+  readonly #zone: string;
+  readonly #operator: Operator;
+  #link: Link | undefined;
+  #address = '';
+  #starts = 0;
+  /** Whether it is about to leave or to return, so that nothing else is done to it. */
+  #isBusy = false;
+
+  constructor(
+    name: string,
+    zone: string,
+    service: string,
+    operator: Operator,
+    history: History,
+  ) {
+    this.#name = name;
+    this.#zone = zone;
+    this.#operator = operator;
+    this.worker = new WorkerStandIn(`${name}-0`, service, history);
+  }
+
+  get isBusy(): boolean {
+    return this.#isBusy;
+  }
+
+  /** The link in front of it. @throws Before it was started. */
+  get link(): Link {
+    if (this.#link === undefined) {
+      throw new Error(`${this.#name} has no link yet`);
+    }
+    return this.#link;
+  }
+
+  async start(): Promise<void> {
+    const target = await this.worker.listen();
+    this.#link = new Link({
+      name: this.#name,
+      listen: '127.0.0.1:0',
+      target,
+      mode: 'open',
+      delayMs: 0,
+    });
+    this.#address = await this.#link.listen();
+    this.#announce();
+  }
+
+  /** Ends at once, and starts again as another one; its former announcement vanishes meanwhile. */
+  crash(forMs: number): Promise<void> {
+    return this.#away(async () => {
+      const {id, service} = this.worker;
+      this.worker.crash();
+      await sleep(forMs);
+      this.#operator.withdraw(id);
+      await this.#restart(service);
+    });
+  }
+
+  /** Ends, and its address goes to a worker of the other service. */
+  replace(): Promise<void> {
+    return this.#away(async () => {
+      const {id, service} = this.worker;
+      this.worker.crash();
+      this.#operator.withdraw(id);
+      await sleep(REUSE_MS);
+      await this.#restart(service === 'reads' ? 'writes' : 'reads');
+    });
+  }
+
+  /** Leaves as planned, announced or not, and another one comes in its place. */
+  leave(isAnnounced: boolean): Promise<void> {
+    return this.#away(async () => {
+      const {id, service} = this.worker;
+      if (isAnnounced) {
+        this.#operator.announce(
+          id,
+          service,
+          this.#address,
+          this.#zone,
+          'draining',
+        );
+      } else {
+        this.#operator.withdraw(id);
+      }
+      await sleep(LEAVING_MS);
+      this.#operator.withdraw(id);
+      this.worker.crash();
+      await this.#restart(service);
+    });
+  }
+
+  close(): void {
+    this.worker.crash();
+  }
+
+  async #away(act: () => Promise<void>): Promise<void> {
+    this.#isBusy = true;
+    await act();
+    this.#isBusy = false;
+  }
+
+  async #restart(service: string): Promise<void> {
+    this.#starts += 1;
+    await this.worker.restart(`${this.#name}-${this.#starts}`, service);
+    this.#announce();
+  }
+
+  #announce(): void {
+    const {id, service} = this.worker;
+    this.#operator.announce(id, service, this.#address, this.#zone);
+  }
+}
--- /dev/null
+++ b/packages-private/soak/src/worker-stand-in.ts
@@ -0,0 +1,158 @@
+/** A worker of a service: runs requests in slots and tells the history of each that arrives. */
+
+import {createHash} from 'node:crypto';
+import {once} from 'node:events';
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {nowMs, type ArrivalRecord, type History} from './history.js';
+import {readBody} from './store-stand-in.js';
+
+/** How a worker misbehaves. */
+export type WorkerFault = 'none' | 'slow' | 'errors' | 'truncates' | 'hangs';
+
+/** Slots, places in the queue, and the time of one run in milliseconds. */
+const SLOTS = 4;
+const QUEUE = 6;
+const WORK_MS = 30;
+const SLOW_WORK_MS = 400;
+
+/** One worker. Its identity changes with each start, its address doesn't. */
+export class WorkerStandIn {
+  fault: WorkerFault = 'none';
+  id: string;
+  service: string;
+  readonly #history: History;
+  readonly #queue: Array<() => void> = [];
+  #server: Server;
+  #port = 0;
+  #running = 0;
+
+  constructor(id: string, service: string, history: History) {
+    this.id = id;
+    this.service = service;
+    this.#history = history;
+    this.#server = this.#create();
+  }
+
+  /** Listens, at its former port when it starts again. Returns its address. */
+  async listen(): Promise<string> {
+    this.#server.listen(this.#port, '127.0.0.1');
+    await once(this.#server, 'listening');
+    this.#port = (this.#server.address() as AddressInfo).port;
+    return `127.0.0.1:${this.#port}`;
+  }
+
+  /** Ends at once: requests under way lose their connections. */
+  crash(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+    this.#queue.length = 0;
+    this.#running = 0;
+  }
+
+  /** Starts again under another identity, perhaps for another service. */
+  async restart(id: string, service: string): Promise<void> {
+    this.id = id;
+    this.service = service;
+    this.fault = 'none';
+    this.#server = this.#create();
+    await this.listen();
+  }
+
+  #create(): Server {
+    return createServer(
+      (request, response) => void this.#serve(request, response),
+    );
+  }
+
+  get #load(): string {
+    return `${this.#running},${this.#queue.length},${SLOTS},100`;
+  }
+
+  async #serve(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const {headers, url = '/'} = request;
+    response.setHeader('Wasabidyke-Server-Load', this.#load);
+    if (url === '/health') {
+      response.setHeader('Wasabidyke-Instance-Id', this.id);
+      response.end();
+      return;
+    }
+    const body = await readBody(request);
+    const id = String(headers['wasabidyke-attempt-id']);
+    const arrival: ArrivalRecord = {
+      id,
+      worker: this.id,
+      service: this.service,
+      path: url,
+      body,
+      atMs: nowMs(),
+      hasRun: false,
+    };
+    this.#history.arrivals.push(arrival);
+    response.setHeader('Wasabidyke-Attempt-Id', id);
+    if (headers['wasabidyke-expected-instance'] !== this.id) {
+      response.writeHead(421).end();
+      return;
+    }
+    if (this.#running >= SLOTS && this.#queue.length >= QUEUE) {
+      response.setHeader('Wasabidyke-Not-Executed', 'full');
+      response.writeHead(503).end();
+      return;
+    }
+    await this.#run(arrival, response);
+  }
+
+  async #run(arrival: ArrivalRecord, response: ServerResponse): Promise<void> {
+    if (this.#running >= SLOTS) {
+      await new Promise<void>(resolve => this.#queue.push(resolve));
+    }
+    if (response.destroyed) {
+      // Its caller left while it waited: the slot goes to the next one.
+      this.#queue.shift()?.();
+      return;
+    }
+    this.#running += 1;
+    arrival.hasRun = true;
+    const onClose = () => (arrival.brokenOffAtMs = nowMs());
+    response.once('close', onClose);
+    const workMs = this.fault === 'slow' ? SLOW_WORK_MS : WORK_MS;
+    await new Promise(resolve => setTimeout(resolve, workMs));
+    if (this.fault === 'hangs') {
+      await once(response, 'close');
+    } else if (!response.destroyed) {
+      response.off('close', onClose);
+      this.#answer(arrival, response);
+    }
+    arrival.endedAtMs = nowMs();
+    this.#running = Math.max(0, this.#running - 1);
+    this.#queue.shift()?.();
+  }
+
+  #answer(arrival: ArrivalRecord, response: ServerResponse): void {
+    const text = toAnswer(arrival.worker, arrival.id, arrival.body);
+    response.setHeader('Wasabidyke-Server-Seal', `seal-${arrival.worker}`);
+    if (this.fault === 'errors') {
+      response.writeHead(500).end();
+    } else if (this.fault === 'truncates') {
+      response.setHeader('Content-Length', Buffer.byteLength(text));
+      response.write(text.slice(0, text.length / 2));
+      setImmediate(() => response.destroy());
+    } else {
+      response.end(text);
+    }
+  }
+}
+
+/** What a worker answers to a request. */
+export function toAnswer(worker: string, id: string, body: string): string {
+  const digest = createHash('sha256').update(body).digest('hex');
+  return `${worker} ran ${id} with ${digest}`;
+}
