perf(policy): while a service sheds, repeats go to requests that have no answer

Change: second attempts leave of the budget what repeats until the first success would take at the present share of failures; at one failure in six that is all. A request that was shed though there was room may come back after 20 to 30 ms.

Also told now: which source records come from (records.source), upstreams that leave load queries unanswered (upstream.silent), and gauges of the records' age and of entries that read the store.

Tests: load patterns 'while a service sheds', 'in the calm', 'callers that were shed though there was room'.

--- a/features/policy/load-patterns.feature
+++ b/features/policy/load-patterns.feature
@@ -82,6 +82,18 @@
     And upstream 2 reports 3 of 4 slots busy at 1 times the usual pace
     Then a request of 60 ms work and 400 ms target goes to upstream 1
 
+  Scenario: In the calm, second attempts may spend the whole budget for repeats
+    Given an upstream in "same-zone" that reports 1 of 4 slots busy at 1 times the usual pace
+    Then second attempts may spend all of the budget
+
+  Scenario: While a service sheds, the budget goes to requests that have no answer, not to second attempts
+    Given an upstream in "same-zone" that reports 1 of 4 slots busy at 1 times the usual pace
+    And an upstream in "same-region" that reports 1 of 4 slots busy at 1 times the usual pace
+    When 1 request in turn at upstreams 1 and 2 are shed every other time
+    Then second attempts may spend some of the budget
+    When 40 requests in turn at upstreams 1 and 2 are shed every other time
+    Then second attempts may spend none of the budget
+
   Scenario: All entries together keep to the budget for repeats in any window
     Given 14 entries that share repeats of 0.2 per request and 56 beside them in 10000 ms
     When each entry gets 20 requests a second and repeats all it may, for 60 s
@@ -98,6 +110,10 @@
     When 20 requests are dealt
     Then the second target got 2 of them
 
+  Scenario: Callers that were shed though there was room come back soon, and not together
+    When 200 requests are refused with 0 waiting and 15 ms for each
+    Then they return between 20 and 30 ms later, in at least 10 different milliseconds
+
   Scenario: Callers that are refused together don't return together
     When 200 requests are refused with 8 waiting and 15 ms for each
     Then they return between 120 and 180 ms later, in at least 50 different milliseconds
--- a/features/steps/load-patterns.steps.ts
+++ b/features/steps/load-patterns.steps.ts
@@ -6,6 +6,7 @@
   comeBackMs,
   expectedLoss,
   FailureLevel,
+  hedgeReserve,
   isWorthLeaving,
   RepeatBudget,
   SeededRandom,
@@ -21,6 +22,9 @@
 const SMALL_REQUEST_BYTES = 1_200;
 const SEED = 11;
 
+/** Repeats per request that the users' sites allow. */
+const RATIO = 0.2;
+
 /** Time between requests of one entry to a service that sheds, in milliseconds. */
 const SHED_GAP_MS = 100;
 
@@ -145,7 +149,7 @@
 );
 
 When(
-  '{int} requests in turn at upstreams {int} and {int} are shed every other time',
+  '{int} request(s) in turn at upstreams {int} and {int} are shed every other time',
   function (this: object, count: number, first: number, second: number) {
     const world = toWorld(this);
     const pair = [first, second];
@@ -158,6 +162,26 @@
   },
 );
 
+Then(
+  /^second attempts may spend (all|none|some) of the budget$/,
+  function (this: object, part: string) {
+    const {levels, nowMs} = toWorld(this);
+    const kept = hedgeReserve(levels.near.share(nowMs), RATIO);
+    const budget = new RepeatBudget({
+      ratio: RATIO,
+      slack: 10,
+      windowMs: SECOND_MS,
+      entries: 1,
+    });
+    let spent = 0;
+    while (budget.has(nowMs, kept) && budget.take(nowMs)) {
+      spent += 1;
+    }
+    const expected = {all: spent === 10, none: spent === 0}[part];
+    assert.ok(expected ?? (spent > 0 && spent < 10), `${spent} of 10`);
+  },
+);
+
 When(
   'upstream {int} leaves a load query unanswered',
   function (this: object, index: number) {
--- a/packages/balancer/src/balancer.ts
+++ b/packages/balancer/src/balancer.ts
@@ -165,6 +165,16 @@
       'Time since the store last answered.',
       () => this.#view.ageMs / 1_000,
     );
+    metrics.gauge(
+      'wasabidyke_records_age_seconds',
+      'Time since the store itself told that no record is missing, over all entries in between.',
+      () => this.#store.ageMs / 1_000,
+    );
+    metrics.gauge(
+      'wasabidyke_reads_store',
+      'Whether this entry reads the store itself (1) or follows another one (0).',
+      () => Number(this.#store.isDirect),
+    );
     metrics.gauge(
       'wasabidyke_configuration_version',
       'Version of the configuration in force.',
@@ -258,6 +268,13 @@
       protocol: this.#site.wireProtocol,
       clock: this.#clock,
       connectionLimit: service => this.#connectionLimit(service),
+      onSilent: ({id, service, address}, cause) =>
+        this.#log.record('upstream.silent', {
+          upstream: id,
+          service,
+          address,
+          cause,
+        }),
     });
   }
 
--- a/packages/balancer/src/feed/fed-record-store.ts
+++ b/packages/balancer/src/feed/fed-record-store.ts
@@ -78,6 +78,7 @@
   #feeder: Feeder | undefined;
   #directUntilMs = -Infinity;
   #isDirect = true;
+  #source: string | undefined;
   #readAtMs = -Infinity;
   readonly #createdAtMs: number;
 
@@ -126,7 +127,7 @@
       const startedAtMs = this.#options.clock.now();
       const fed = await this.#follow(feeder, afterRevision);
       if (fed.isOk() || fed.error.kind === 'history-lost') {
-        this.#isDirect = false;
+        this.#noteSource(feeder.name);
         return fed;
       }
       this.#onFailure(feeder, fed.error);
@@ -138,7 +139,7 @@
     if (this.#chooseFeeder() !== undefined) {
       this.#readDirectly();
     }
-    this.#isDirect = true;
+    this.#noteSource(undefined);
     if (this.#isStarting) {
       return this.#poll(afterRevision);
     }
@@ -148,6 +149,15 @@
     );
   }
 
+  /** @param feeder Name of the entry that changes come from now; undefined for the store. */
+  #noteSource(feeder: string | undefined): void {
+    this.#isDirect = feeder === undefined;
+    if (feeder !== this.#source) {
+      this.#source = feeder;
+      this.#options.log.record('records.source', {feeder: feeder ?? 'store'});
+    }
+  }
+
   /** When all entries start together, all would watch until there are feeders that answer. */
   get #isStarting(): boolean {
     const {clock, feeders, isFirst} = this.#options;
--- a/packages/balancer/src/members/upstream-handle.ts
+++ b/packages/balancer/src/members/upstream-handle.ts
@@ -21,6 +21,8 @@
   readonly failureLevel: FailureLevel;
   readonly protocol: WireProtocol;
   readonly clock: Clock;
+  /** Told when it leaves a load query unanswered, or can't be asked. */
+  readonly onSilent: (record: UpstreamRecord, cause: string) => void;
 }
 
 /** Time beyond the round trip after which a load query counts as unanswered, in milliseconds: the upstream answers at once, the margin covers a busy link. */
@@ -132,7 +134,13 @@
 
   #onOverdue(): void {
     this.#isOverdue = true;
-    this.outlook.onSilence(this.#options.clock.now());
+    this.#onSilence('overdue');
+  }
+
+  #onSilence(cause: string): void {
+    const {clock, onSilent} = this.#options;
+    this.outlook.onSilence(clock.now());
+    onSilent(this.#record, cause);
   }
 
   #onQueryEnd(result: ExchangeResult): void {
@@ -147,8 +155,8 @@
       this.#queryPause.reset();
     } else {
       this.#askAfterMs = nowMs + this.#queryPause.nextDelayMs();
-      if (!this.#isOverdue) {
-        this.outlook.onSilence(nowMs);
+      if (!this.#isOverdue && !this.#isLeaving) {
+        this.#onSilence('message' in result ? result.message : result.kind);
       }
     }
     this.#isOverdue = false;
--- a/packages/balancer/src/members/upstream-registry.ts
+++ b/packages/balancer/src/members/upstream-registry.ts
@@ -25,6 +25,8 @@
   readonly clock: Clock;
   /** Connections that this entry may hold to one upstream of a service. */
   readonly connectionLimit: (service: string) => number;
+  /** Told of an upstream that leaves a load query unanswered, and why. */
+  readonly onSilent: (record: UpstreamRecord, cause: string) => void;
 }
 
 const DISTANCE_RANKS: Readonly<Record<Distance, number>> = {
@@ -68,7 +70,8 @@
 
   add(record: UpstreamRecord): void {
     const distance = this.#distanceTo(record.zone);
-    const {locality, protocol, clock, connectionLimit} = this.#options;
+    const {locality, protocol, clock, connectionLimit, onSilent} =
+      this.#options;
     const handle = new UpstreamHandle({
       record,
       distance,
@@ -77,6 +80,7 @@
       failureLevel: this.failureLevel(record.service, distance),
       protocol,
       clock,
+      onSilent,
     });
     this.#handles.set(record.id, handle);
     const handles = this.#byService.get(record.service) ?? [];
--- a/packages/balancer/src/serving/request-run.ts
+++ b/packages/balancer/src/serving/request-run.ts
@@ -1,6 +1,6 @@
 /** Brings one request to an answer: one attempt after another, or two side by side. */
 
-import {comeBackMs, type RandomSource} from '@wasabidyke/policy';
+import {comeBackMs, hedgeReserve, type RandomSource} from '@wasabidyke/policy';
 import type {Clock} from '@wasabidyke/shared';
 import {
   Exchange,
@@ -284,9 +284,15 @@
 
   #isHedgeUseful(first: Attempt): boolean {
     const nowMs = this.#options.clock.now();
-    return (
-      !this.#isFinished && this.#active.has(first) && this.#budget.has(nowMs)
+    const {registry} = this.#options;
+    const {service} = this.#call;
+    const level = registry.failureLevel(
+      service,
+      first.choice.handle.outlook.distance,
     );
+    const kept = hedgeReserve(level.share(nowMs), this.#budget.ratio);
+    const isUnderWay = !this.#isFinished && this.#active.has(first);
+    return isUnderWay && this.#budget.has(nowMs, kept);
   }
 
   #onDeadline(): void {
--- a/packages/policy/src/come-back-time.ts
+++ b/packages/policy/src/come-back-time.ts
@@ -2,8 +2,8 @@
 
 import type {RandomSource} from './selection.js';
 
-/** Shortest time, in milliseconds: a round trip of the furthest caller. */
-const SHORTEST_MS = 50;
+/** Shortest time before the random part, in milliseconds: a round trip of a caller near by, who opens a connection anew. */
+const SHORTEST_MS = 20;
 
 /** Longest time, in milliseconds. */
 const LONGEST_MS = 5_000;
@@ -15,7 +15,8 @@
 
 /**
  * Milliseconds after which room is expected.
- * @param excess Requests that wait beyond the room there is.
+ * @param excess Requests that wait beyond the room there is; none where a
+ * request was shed though there was room.
  * @param drainMs Milliseconds that one place takes to get free.
  */
 export function comeBackMs(
@@ -23,8 +24,7 @@
   drainMs: number,
   random: RandomSource,
 ): number {
-  const neededMs = Math.max(1, excess) * drainMs;
+  const neededMs = Math.max(Math.max(0, excess) * drainMs, SHORTEST_MS);
   const spread = (SPREAD_SHARE * random.nextBelow(PERMILLE)) / PERMILLE;
-  const spreadMs = neededMs * (1 + spread);
-  return Math.min(Math.max(spreadMs, SHORTEST_MS), LONGEST_MS);
+  return Math.min(neededMs * (1 + spread), LONGEST_MS);
 }
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -7,6 +7,7 @@
 export * from './expected-loss.js';
 export * from './failure-level.js';
 export * from './hedge-plan.js';
+export * from './hedge-reserve.js';
 export * from './hot-cold.js';
 export * from './least-in-flight.js';
 export * from './load-report.js';
--- a/packages/policy/src/repeat-budget.ts
+++ b/packages/policy/src/repeat-budget.ts
@@ -36,6 +36,11 @@
     this.#options = options;
   }
 
+  /** Repeats per request that it allows. */
+  get ratio(): number {
+    return this.#options.ratio;
+  }
+
   /** Takes over changed limits. */
   apply(options: RepeatBudgetOptions): void {
     this.#options = options;
@@ -46,8 +51,11 @@
     this.#slice(nowMs).requests += 1;
   }
 
-  /** Whether a repeat could be taken now. */
-  has(nowMs: number): boolean {
+  /**
+   * Whether a repeat could be taken now.
+   * @param keptShare Share of the part that is kept for other repeats, from 0 to 1.
+   */
+  has(nowMs: number, keptShare = 0): boolean {
     const {ratio, slack, entries, windowMs} = this.#options;
     const current = this.#slice(nowMs);
     const requestsFromMs = nowMs - windowMs;
@@ -60,7 +68,7 @@
       }
     }
     const allowed = ratio * SPENT_SHARE * requests + slack / entries;
-    return repeats + 1 <= allowed;
+    return repeats + 1 <= allowed * (1 - keptShare);
   }
 
   /** Takes a repeat, or returns false when the part is spent. */
