--- a/features/steps/feed.steps.ts
+++ b/features/steps/feed.steps.ts
@@ -2,7 +2,7 @@
 
 import assert from 'node:assert/strict';
 import {once} from 'node:events';
-import {createServer, type AddressInfo, type Server} from 'node:net';
+import {createServer, type Server} from 'node:net';
 import {After, Given, Then, When} from '@cucumber/cucumber';
 import {
   FedRecordStore,
@@ -14,6 +14,7 @@
 } from '@wasabidyke/balancer';
 import {SeededRandom} from '@wasabidyke/policy';
 import {SystemClock} from '@wasabidyke/shared';
+import {findFreePorts} from '@wasabidyke/stand-ins';
 import {MemoryLog} from '../support/balancer-site.js';
 import {eventually} from '../support/eventually.js';
 import {MemoryRecordStore} from '../support/memory-record-store.js';
@@ -87,7 +88,7 @@
       history: this.feeder.history,
       ageMs: () => (this.isFresh ? 0 : Infinity),
     });
-    const port = await findPort();
+    const [port] = await findFreePorts(1);
     await this.feed.listen({host: '127.0.0.1', port});
     this.feedAddress = `127.0.0.1:${port}`;
     this.further = [];
@@ -195,7 +196,7 @@
     history: believer.history,
     ageMs: () => fed.ageMs,
   });
-  const port = await findPort();
+  const [port] = await findFreePorts(1);
   await feed.listen({host: '127.0.0.1', port});
   world.further.push(feed);
   return `127.0.0.1:${port}`;
@@ -240,12 +241,3 @@
   const follower: Follower = {believer, fed, view, store, feedAddresses};
   return follower;
 }
-
-async function findPort(): Promise<number> {
-  const server = createServer().listen(0, '127.0.0.1');
-  await once(server, 'listening');
-  const {port} = server.address() as AddressInfo;
-  server.close();
-  await once(server, 'close');
-  return port;
-}
--- a/features/support/balancer-site.ts
+++ b/features/support/balancer-site.ts
@@ -1,8 +1,6 @@
 /** A balancer in this process, with a store in memory and scripted workers. */
 
-import {once} from 'node:events';
 import {request as sendRequest, type IncomingHttpHeaders} from 'node:http';
-import {createServer, type AddressInfo} from 'node:net';
 import {
   Balancer,
   DecisionLog,
@@ -14,6 +12,7 @@
   PlatformDiscoveryProtocol,
   PlatformWireProtocol,
 } from '@wasabidyke/platform';
+import {findFreePorts} from '@wasabidyke/stand-ins';
 import {eventually} from './eventually.js';
 import {MemoryRecordStore} from './memory-record-store.js';
 import {ScriptedWorker} from './scripted-worker.js';
@@ -66,7 +65,7 @@
 
   /** Starts the balancer; it waits for its configuration. */
   async start(): Promise<void> {
-    this.#ports = await findPorts(4);
+    this.#ports = await findFreePorts(4);
     const [callers, entries, metrics, feed] = this.#ports;
     const settings = parseBalancerSettings(
       JSON.stringify({
@@ -198,17 +197,6 @@
   }
 }
 
-async function findPorts(count: number): Promise<readonly number[]> {
-  const servers = Array.from({length: count}, () => createServer());
-  for (const server of servers) {
-    server.listen(0, '127.0.0.1');
-    await once(server, 'listening');
-  }
-  const ports = servers.map(server => (server.address() as AddressInfo).port);
-  await Promise.all(servers.map(server => once(server.close(), 'close')));
-  return ports;
-}
-
 function send(
   port: number,
   {path, method = 'GET', body}: CallerRequest,
--- a/packages-private/soak/src/soak.ts
+++ b/packages-private/soak/src/soak.ts
@@ -1,11 +1,10 @@
 /** One run: real entries, stand-ins around them, a schedule of faults, and the judgement of what was seen. */
 
 import {mkdirSync, writeFileSync} from 'node:fs';
-import {createServer, type AddressInfo} from 'node:net';
-import {once} from 'node:events';
 import {join} from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {SeededRandom} from '@wasabidyke/policy';
+import {findFreePorts} from '@wasabidyke/stand-ins';
 import {act, type Site} from './acts.js';
 import {Caller} from './caller.js';
 import {findViolations, type Violation} from './checks.js';
@@ -94,7 +93,7 @@
   for (const worker of workers) {
     await worker.start();
   }
-  const ports = await findPorts(options.entries * PORTS_PER_ENTRY);
+  const ports = await findFreePorts(options.entries * PORTS_PER_ENTRY);
   const entries = Array.from(
     {length: options.entries},
     (_, index) =>
@@ -174,14 +173,3 @@
   const text = JSON.stringify({violations, ...history}, undefined, 1);
   writeFileSync(join(directory, 'history.json'), text);
 }
-
-async function findPorts(count: number): Promise<readonly number[]> {
-  const servers = Array.from({length: count}, () => createServer());
-  for (const server of servers) {
-    server.listen(0, '127.0.0.1');
-    await once(server, 'listening');
-  }
-  const ports = servers.map(server => (server.address() as AddressInfo).port);
-  await Promise.all(servers.map(server => once(server.close(), 'close')));
-  return ports;
-}
--- a/packages-private/stand-ins/src/index.ts
+++ b/packages-private/stand-ins/src/index.ts
@@ -2,6 +2,7 @@
 
 export * from './caller/index.js';
 export * from './checks/index.js';
+export * from './free-ports.js';
 export * from './history/index.js';
 export * from './link/index.js';
 export * from './peer/index.js';
