feat(balancer): a request that was given up or refused is told with its upstream

One that a worker held past its route's time had the line request.refused alone, without the worker: attempts under way when a request ended were not told. A refusal for want of room didn't say on which belief it was decided.

Change: attempts that end with their request are told as given up, and refusals name the best upstream with its estimate, the age of its report and its free slots. Tests: log.feature, 'is told with the worker' and 'is told with the best worker'.

Only lines of the log change.

--- a/features/balancer/log.feature
+++ b/features/balancer/log.feature
@@ -17,3 +17,22 @@
     Given log files of two entries that a request went through
     When the story of request "r-7" is asked for
     Then its lines come in order of time, with the beliefs that were in force
+
+  Scenario: A request that a worker holds past its time is told with the worker
+    Given a balancer on the platform
+    And a configuration
+    And workers "w1"
+    And every worker "hangs"
+    When a caller sends "POST /write/a" with the body "order"
+    Then the answer is 504
+    And the log tells of an attempt that was "given-up" at "w1"
+
+  Scenario: A refusal for want of room is told with the best worker and what was believed of it
+    Given a balancer on the platform
+    And a configuration
+    And workers "w1"
+    And worker "w1" reports the load "4,900,4,100"
+    When 3 look-ups are sent, one each 50 ms
+    And a caller sends "POST /write/a" with the body "order"
+    Then the answer is 503
+    And the log tells that "w1" was expected to answer too late
--- a/features/steps/balancer.steps.ts
+++ b/features/steps/balancer.steps.ts
@@ -4,7 +4,12 @@
 import {connect} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {After, Given, Then, When, type DataTable} from '@cucumber/cucumber';
-import {BalancerSite, type CallerAnswer} from '../support/balancer-site.js';
+import {
+  BalancerSite,
+  ROUTE_TIMEOUT_MS,
+  type CallerAnswer,
+  type LoggedEvent,
+} from '../support/balancer-site.js';
 import {eventually} from '../support/eventually.js';
 import type {StoreFault} from '../support/memory-record-store.js';
 import type {WorkerScript} from '../support/scripted-worker.js';
@@ -148,6 +153,35 @@
   },
 );
 
+Given(
+  'worker {string} reports the load {string}',
+  function (this: BalancerWorld, id: string, load: string) {
+    this.balancerSite.findWorker(id).load = load;
+  },
+);
+
+Then(
+  'the log tells of an attempt that was {string} at {string}',
+  function (this: BalancerWorld, result: string, id: string) {
+    const line = findLine(this.balancerSite, 'attempt.ended');
+    assert.equal(line.result, result);
+    assert.equal(line.upstream, id);
+    assert.equal(typeof line.request, 'string');
+  },
+);
+
+Then(
+  'the log tells that {string} was expected to answer too late',
+  function (this: BalancerWorld, id: string) {
+    const line = findLine(this.balancerSite, 'request.refused');
+    assert.equal(line.reason, 'no-room');
+    assert.equal(line.upstream, id);
+    assert.ok(Number(line.estimateMs) > ROUTE_TIMEOUT_MS);
+    assert.ok(Number(line.reportAgeMs) < ROUTE_TIMEOUT_MS);
+    assert.ok(Number(line.freeSlots) < 0);
+  },
+);
+
 When(
   'worker {string} answers load queries after {int} ms',
   function (this: BalancerWorld, id: string, delayMs: number) {
@@ -491,3 +525,10 @@
     );
   await eventually(`${id} is left`, isLeft, limitMs);
 }
+
+/** The first line of an event. */
+function findLine(site: BalancerSite, event: string): LoggedEvent {
+  const line = site.log.events.find(logged => logged.event === event);
+  assert.ok(line !== undefined, `no ${event}`);
+  return line;
+}
--- a/features/support/balancer-site.ts
+++ b/features/support/balancer-site.ts
@@ -51,7 +51,9 @@
 }
 
 const HOST = 'shop.example';
-const ROUTE_TIMEOUT_MS = 1_000;
+
+/** What the routes of the configuration let a caller wait, in milliseconds. */
+export const ROUTE_TIMEOUT_MS = 1_000;
 
 /** The site. */
 export class BalancerSite {
--- a/packages/balancer/src/serving/call.ts
+++ b/packages/balancer/src/serving/call.ts
@@ -32,6 +32,14 @@
   | 'broken'
   | 'timeout';
 
+/** What was believed of the best upstream when a request was refused. */
+export interface RefusalBelief {
+  readonly upstream: string;
+  readonly estimateMs: number;
+  readonly reportAgeMs: number;
+  readonly freeSlots: number;
+}
+
 /** What a caller is told when no upstream's answer can be given. */
 export interface Refusal {
   readonly reason: RefusalReason;
@@ -39,4 +47,6 @@
   readonly isNotRun: boolean;
   /** When to come back, in milliseconds; only where it hasn't run. */
   readonly comeBackMs: number | undefined;
+  /** Undefined where no upstream was considered. */
+  readonly belief?: RefusalBelief;
 }
--- a/packages/balancer/src/serving/caller-server.ts
+++ b/packages/balancer/src/serving/caller-server.ts
@@ -262,17 +262,15 @@
       reason: refusal.reason,
       status,
       isNotRun: refusal.isNotRun,
-      comeBackMs:
-        refusal.comeBackMs === undefined
-          ? undefined
-          : Math.round(refusal.comeBackMs),
+      comeBackMs: round(refusal.comeBackMs),
       route: call?.route.name,
       service: call?.service,
       version: call?.configurationVersion,
-      tookMs:
-        call === undefined
-          ? undefined
-          : Math.round(this.#options.clock.now() - call.arrivedAtMs),
+      upstream: refusal.belief?.upstream,
+      estimateMs: round(refusal.belief?.estimateMs),
+      reportAgeMs: round(refusal.belief?.reportAgeMs),
+      freeSlots: refusal.belief?.freeSlots,
+      tookMs: round(call && this.#options.clock.now() - call.arrivedAtMs),
     });
     const headers: Record<string, string> = {};
     if (refusal.comeBackMs !== undefined) {
@@ -322,6 +320,10 @@
   return reason === 'timeout' ? 504 : 502;
 }
 
+function round(value: number | undefined): number | undefined {
+  return value === undefined ? undefined : Math.round(value);
+}
+
 const HEADER_SEPARATOR_BYTES = 2;
 
 function toHeaderBytes(request: IncomingMessage): number {
--- a/packages/balancer/src/serving/request-run.ts
+++ b/packages/balancer/src/serving/request-run.ts
@@ -12,7 +12,7 @@
 import type {UpstreamRegistry} from '../members/upstream-registry.js';
 import type {DecisionLog} from '../reporting/decision-log.js';
 import {AttemptReview, isErrorAnswer, type Attempt} from './attempt-review.js';
-import type {Call, Refusal, RefusalReason} from './call.js';
+import type {Call, Refusal, RefusalBelief, RefusalReason} from './call.js';
 import type {Choice, Chooser} from './chooser.js';
 import type {RouteMemory} from './route-memory.js';
 
@@ -314,6 +314,7 @@
       reason,
       isNotRun,
       comeBackMs: isNotRun ? this.#comeBackMs() : undefined,
+      belief: this.#lastChoice && toBelief(this.#lastChoice),
     };
     this.#end({kind: 'refusal', refusal});
   }
@@ -340,9 +341,18 @@
     this.#isFinished = true;
     clearTimeout(this.#deadlineTimer);
     clearTimeout(this.#hedgeTimer);
-    for (const {exchange} of this.#active) {
-      exchange.giveUp();
+    const hasAnswer = result?.kind === 'answer';
+    for (const attempt of this.#active) {
+      if (!hasAnswer) {
+        this.#review.record(attempt, {kind: 'given-up'}, this.#sent);
+      }
+      attempt.exchange.giveUp();
     }
     this.#finish(result);
   }
 }
+
+function toBelief(choice: Choice): RefusalBelief {
+  const {handle, estimateMs, reportAgeMs, freeSlots} = choice;
+  return {upstream: handle.id, estimateMs, reportAgeMs, freeSlots};
+}
