feat(balancer): broken attempts are logged with the fingerprint of their request

Each send of a request has its own id, so logs could not show that two broken attempts were at the same request, at one entry or at several, and so not tell whether crashes grow with sends or with repeats of one send. The fingerprint covers host, path, method, body and the address of the caller; it is computed for broken attempts alone. Entries with a manifest use the same function; their fingerprints change, so old and new entries don't share suspects during a rolling upgrade.

--- a/features/balancer/log.feature
+++ b/features/balancer/log.feature
@@ -36,3 +36,13 @@
     And a caller sends "POST /write/a" with the body "order"
     Then the answer is 503
     And the log tells that "w1" was expected to answer too late
+
+  Scenario: Broken attempts at the same request can be matched though each send has its own id
+    Given a balancer on the platform
+    And a configuration
+    And workers "w1"
+    And every worker "resets"
+    When a caller sends "POST /write/a" with the body "order"
+    And a caller sends "POST /write/a" with the body "order"
+    And a caller sends "POST /write/a" with the body "another order"
+    Then the log tells of 3 broken attempts at 2 requests
--- a/features/steps/balancer.steps.ts
+++ b/features/steps/balancer.steps.ts
@@ -170,6 +170,19 @@
   },
 );
 
+Then(
+  'the log tells of {int} broken attempts at {int} requests',
+  function (this: BalancerWorld, attempts: number, requests: number) {
+    const lines = this.balancerSite.log.events.filter(
+      ({event, result}) => event === 'attempt.ended' && result === 'broken',
+    );
+    assert.equal(lines.length, attempts);
+    const fingerprints = new Set(lines.map(({fingerprint}) => fingerprint));
+    assert.ok(!fingerprints.has(undefined));
+    assert.equal(fingerprints.size, requests);
+  },
+);
+
 Then(
   'the log tells that {string} was expected to answer too late',
   function (this: BalancerWorld, id: string) {
--- a/packages/balancer/src/serving/attempt-recorder.ts
+++ b/packages/balancer/src/serving/attempt-recorder.ts
@@ -11,7 +11,7 @@
 import type {DecisionLog} from '../reporting/decision-log.js';
 import type {SelectedUpstream} from './upstream-selector.js';
 import type {RouteState} from './route-state.js';
-import type {RoutedRequest} from './routed-request.js';
+import {fingerprintOf, type RoutedRequest} from './routed-request.js';
 
 /** One send of a request to an upstream. */
 export interface Attempt {
@@ -98,6 +98,8 @@
       result: result.kind,
       status: result.kind === 'answered' ? result.answer.status : undefined,
       cause: 'message' in result ? result.message : undefined,
+      fingerprint:
+        result.kind === 'broken' ? fingerprintOf(this.#request) : undefined,
       estimateMs: Math.round(selected.estimateMs),
       reportAgeMs: Math.round(selected.reportAgeMs),
       slowdown: round(selected.slowdown),
--- a/packages/balancer/src/serving/caller-server.ts
+++ b/packages/balancer/src/serving/caller-server.ts
@@ -215,6 +215,8 @@
       url,
       headers: request.headers,
       body: bodyResult.body,
+      callerAddress: request.socket.remoteAddress ?? '',
+      host: request.headers.host ?? '',
       route,
       service,
       loadPath: table.findService(service)?.loadPath ?? '/',
--- a/packages/balancer/src/serving/routed-request.ts
+++ b/packages/balancer/src/serving/routed-request.ts
@@ -1,6 +1,7 @@
 /** A caller's request with its route, and what the caller gets when no upstream answers it. */
 
 import type {IncomingHttpHeaders} from 'node:http';
+import {toFingerprint} from '@wasabidyke/policy';
 import type {Route} from '../routing/routing-configuration.js';
 
 /** A caller's request with its complete body, its route and its service. */
@@ -12,6 +13,10 @@
   readonly url: string;
   readonly headers: IncomingHttpHeaders;
   readonly body: Buffer | null;
+  /** IP address of the caller. */
+  readonly callerAddress: string;
+  /** Value of `Host`. */
+  readonly host: string;
   readonly route: Route;
   readonly service: string;
   /** Path of load queries to the upstreams of the service. */
@@ -23,6 +28,17 @@
   readonly deadlineMs: number;
 }
 
+/** Fingerprint of a caller's request: callers send the same request again under another id, and to other entries. */
+export function fingerprintOf(request: RoutedRequest): string {
+  const {host, callerAddress, method, url, body} = request;
+  return toFingerprint({
+    scope: [host, callerAddress],
+    method,
+    path: url,
+    body,
+  });
+}
+
 /** Why a request got no upstream's answer; written to the log. */
 export type RefusalReason =
   /** This entry has no configuration yet. */
--- a/packages/entry/src/data-path/suspect-tracker.ts
+++ b/packages/entry/src/data-path/suspect-tracker.ts
@@ -1,7 +1,6 @@
 /** Tracks whether a request is suspected of crashing the upstreams that run it. */
 
-import {createHash} from 'node:crypto';
-import type {CrashStatus} from '@wasabidyke/policy';
+import {toFingerprint, type CrashStatus} from '@wasabidyke/policy';
 import type {UpstreamHandle} from '../upstreams/upstream-handle.js';
 import type {DispatchJob, DispatcherOptions} from './dispatch-job.js';
 
@@ -45,20 +44,20 @@
   }
 
   #getFingerprint(): string {
-    this.#fingerprint ??= toFingerprint(this.#job);
+    this.#fingerprint ??= fingerprintOf(this.#job);
     return this.#fingerprint;
   }
 }
 
-/** Hashes what a request does, so that repeats and equal requests share a record. */
-function toFingerprint(job: DispatchJob): string {
+/** Fingerprint by what a request does, so that repeats and equal requests share a record. */
+function fingerprintOf(job: DispatchJob): string {
   const {method, path, headers, body} = job.request;
-  const hash = createHash('sha256');
-  hash.update(`${job.service.name}\n${method}\n${path}\n`);
-  if (Buffer.isBuffer(body)) {
-    hash.update(body);
-  } else {
-    hash.update(String(headers['content-length'] ?? ''));
-  }
-  return hash.digest('base64url');
+  return toFingerprint({
+    scope: [job.service.name],
+    method,
+    path,
+    body: Buffer.isBuffer(body)
+      ? body
+      : String(headers['content-length'] ?? ''),
+  });
 }
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -14,6 +14,7 @@
 export * from './random-selection.js';
 export * from './random.js';
 export * from './repeat-budget.js';
+export * from './request-fingerprint.js';
 export * from './retry-after.js';
 export * from './retry-budget.js';
 export * from './round-robin.js';
