test: requests that crash their workers, sent again to any entry, fail on the code as it stands

What callers saw: a request that had crashed three workers went on to crash one with each send, and most other requests of its service were not served.

--- /dev/null
+++ b/features/balancer/crashes.feature
@@ -0,0 +1,63 @@
+Feature: A request that crashes its workers is soon refused by every entry, and no other request is
+
+  Background:
+    Given 3 balancers on the platform
+    And a configuration
+    And workers "w1, w2, w3, w4, w5, w6, w7, w8"
+
+  # Guards against crashes that are counted for one client attempt alone, so that each send starts at zero.
+  Scenario Outline: <what> that crashed three workers is refused, sent again to any entry
+    Given "<line>" is sent to the entries in turn until it has crashed 3 workers
+    When 3000 ms pass at the site
+    And it is sent 12 times more
+    Then it reached workers at most 3 times more
+    And it is refused as not run, with when to come back
+
+    Examples:
+      | what       | line              |
+      | An order   | POST /write/crash |
+      | A look-up  | GET /read/crash   |
+
+  # Guards against knowledge of crashes that ends with the processes that saw them.
+  Scenario: An entry that joins later refuses it
+    Given "POST /write/crash" is sent to the entries in turn until it has crashed 3 workers
+    When 3000 ms pass at the site
+    And another balancer joins
+    And it is sent 12 times more
+    Then it reached workers at most 3 times more
+
+  Scenario: Entries that all start anew refuse it
+    Given "POST /write/crash" is sent to the entries in turn until it has crashed 3 workers
+    When 3000 ms pass at the site
+    And all balancers are replaced
+    And it is sent 12 times more
+    Then it reached workers at most 3 times more
+
+  # Guards against crashes that are told to nobody because the store was away when they were seen.
+  Scenario: What crashed workers while the store was away is refused once it is back
+    Given the store is "down"
+    And "POST /write/crash" is sent to the entries in turn until it has crashed 3 workers
+    When the store is "none"
+    And 3000 ms pass at the site
+    And it is sent 12 times more
+    Then it reached workers at most 3 times more
+
+  # Guards against a refusal of what only resembles the request, or ran beside it.
+  Scenario: Requests that differ in their body, path or caller are served
+    Given "POST /write/crash" is sent to the entries in turn until it has crashed 3 workers
+    When 3000 ms pass at the site
+    Then every entry serves what differs from it in its path
+    And every entry sends on what differs from it in its body or its caller
+
+  Scenario: Look-ups that were under way beside it are served when they are sent again
+    Given every worker "slow"
+    And "POST /write/crash" is sent to the entries in turn until it has crashed 3 workers, each beside 6 look-ups
+    When 3000 ms pass at the site
+    Then each of these look-ups is served by every entry
+
+  # Guards against a lost connection that is taken for a crash of the worker.
+  Scenario: A request whose connection is reset by workers that live on is not refused
+    Given every worker "resets"
+    And "POST /write/a" is sent 12 times
+    When every worker "answers"
+    Then every entry serves "POST /write/a"
--- a/features/soak/soak.feature
+++ b/features/soak/soak.feature
@@ -25,11 +25,17 @@
       | configuration | a request ran by a configuration that was replaced   |
       | regress       | an entry went back to an older configuration         |
       | budget        | a hundred look-ups were sent twice                   |
+      | crashes       | a request crashed workers on and on                  |
       | gone          | requests reached workers long after their callers left |
       | lost          | a planned stop cut off a request                     |
       | recover       | nothing was served after the last fault              |
       | exits         | an entry ended by itself                             |
 
+  Scenario: A crashing request that reaches three workers late is no finding
+    Given a history of requests that were served
+    And in it a request crashed workers, and three more much later
+    Then no check finds anything
+
   Scenario: A late request is no finding where its entry was cut off from the store
     Given a history of requests that were served
     And in it a request reached a worker long after it left
--- /dev/null
+++ b/features/steps/balancer-crashes.steps.ts
@@ -0,0 +1,197 @@
+/** Steps for requests that crash the workers that run them, sent to several balancers. */
+
+import assert from 'node:assert/strict';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {
+  BalancerSite,
+  type CallerAnswer,
+  type CallerRequest,
+} from '../support/balancer-site.js';
+
+/** Pause between sends, in milliseconds. */
+const PAUSE_MS = 50;
+
+/** Sends after which a request that isn't refused should have crashed enough workers. */
+const MOST_SENDS = 60;
+
+const OTHER_CALLER = '127.0.0.2';
+
+interface CrashWorld {
+  balancerSite: BalancerSite;
+  request: CallerRequest;
+  lastAnswer: CallerAnswer;
+  reachedBefore: number;
+  lookUps: CallerRequest[];
+}
+
+Given(
+  '{int} balancers on the platform',
+  async function (this: CrashWorld, count: number) {
+    this.balancerSite = new BalancerSite();
+    for (let index = 0; index < count; index++) {
+      await this.balancerSite.addEntry();
+    }
+  },
+);
+
+Given(
+  '{string} is sent to the entries in turn until it has crashed {int} workers',
+  async function (this: CrashWorld, line: string, crashes: number) {
+    this.request = toRequest(line);
+    await sendUntilCrashed(this, crashes);
+  },
+);
+
+Given(
+  '{string} is sent to the entries in turn until it has crashed {int} workers, each beside {int} look-ups',
+  async function (
+    this: CrashWorld,
+    line: string,
+    crashes: number,
+    beside: number,
+  ) {
+    this.request = toRequest(line);
+    this.lookUps = [];
+    await sendUntilCrashed(this, crashes, beside);
+  },
+);
+
+Given(
+  '{string} is sent {int} times',
+  async function (this: CrashWorld, line: string, count: number) {
+    this.request = toRequest(line);
+    await sendInTurn(this, count);
+  },
+);
+
+When(
+  'it is sent {int} times more',
+  async function (this: CrashWorld, count: number) {
+    this.reachedBefore = reachedWorkers(this);
+    await sendInTurn(this, count);
+  },
+);
+
+When('another balancer joins', async function (this: CrashWorld) {
+  await this.balancerSite.addEntry();
+  await this.balancerSite.ready();
+});
+
+When('all balancers are replaced', async function (this: CrashWorld) {
+  await this.balancerSite.replaceEntries();
+  await this.balancerSite.ready();
+});
+
+Then(
+  'it reached workers at most {int} times more',
+  function (this: CrashWorld, most: number) {
+    const reached = reachedWorkers(this) - this.reachedBefore;
+    assert.ok(reached <= most, `it reached workers ${reached} times more`);
+  },
+);
+
+Then(
+  'it is refused as not run, with when to come back',
+  function (this: CrashWorld) {
+    assert.equal(this.lastAnswer.status, 503);
+    assert.ok(Number(this.lastAnswer.headers['retry-after']) > 0);
+  },
+);
+
+Then(
+  'every entry serves what differs from it in its path',
+  async function (this: CrashWorld) {
+    await assertServed(this, {...this.request, path: '/write/other'});
+  },
+);
+
+Then(
+  'every entry sends on what differs from it in its body or its caller',
+  async function (this: CrashWorld) {
+    const others = [
+      {...this.request, body: 'another order'},
+      {...this.request, from: OTHER_CALLER},
+    ];
+    for (const request of others) {
+      // The workers crash at the path, so that the answer tells only that the request was sent on.
+      const {status} = await this.balancerSite.call({...request, entry: 0});
+      assert.equal(status, 502);
+    }
+  },
+);
+
+Then(
+  'each of these look-ups is served by every entry',
+  async function (this: CrashWorld) {
+    assert.ok(this.lookUps.length > 0);
+    for (const request of this.lookUps) {
+      await assertServed(this, request);
+    }
+  },
+);
+
+Then(
+  'every entry serves {string}',
+  async function (this: CrashWorld, line: string) {
+    await assertServed(this, toRequest(line));
+  },
+);
+
+function toRequest(line: string): CallerRequest {
+  const [method, path] = line.split(' ');
+  return {method, path, body: method === 'POST' ? 'order' : undefined};
+}
+
+async function assertServed(
+  {balancerSite}: CrashWorld,
+  request: CallerRequest,
+): Promise<void> {
+  for (let entry = 0; entry < balancerSite.entries; entry++) {
+    const {status} = await balancerSite.call({...request, entry});
+    assert.equal(status, 200, `${request.path} at entry ${entry}`);
+  }
+}
+
+async function sendUntilCrashed(
+  world: CrashWorld,
+  crashes: number,
+  beside = 0,
+): Promise<void> {
+  for (let sent = 0; reachedWorkers(world) < crashes; sent++) {
+    assert.ok(sent < MOST_SENDS, `${reachedWorkers(world)} crashes`);
+    const lookUps = Array.from({length: beside}, (_, index) => ({
+      path: `/read/${sent}-${index}`,
+    }));
+    const answers = lookUps.map((request, index) =>
+      world.balancerSite.call({
+        ...request,
+        entry: index % world.balancerSite.entries,
+      }),
+    );
+    world.lookUps?.push(...lookUps);
+    await sleep(PAUSE_MS);
+    await send(world, sent);
+    await Promise.all(answers);
+  }
+}
+
+async function sendInTurn(world: CrashWorld, count: number): Promise<void> {
+  for (let sent = 0; sent < count; sent++) {
+    await send(world, sent);
+    await sleep(PAUSE_MS);
+  }
+}
+
+async function send(world: CrashWorld, index: number): Promise<void> {
+  const {balancerSite, request} = world;
+  const entry = index % balancerSite.entries;
+  world.lastAnswer = await balancerSite.call({...request, entry});
+}
+
+/** How often the request has reached a worker, by its path, body and caller: the sends of others differ in one of these. */
+function reachedWorkers({balancerSite, request}: CrashWorld): number {
+  return balancerSite.workers
+    .flatMap(({requests}) => requests)
+    .filter(({path}) => path === request.path).length;
+}
--- a/features/support/balancer-site.ts
+++ b/features/support/balancer-site.ts
@@ -1,4 +1,4 @@
-/** A balancer in this process, with a store in memory and scripted workers. */
+/** Balancers in this process, with a store in memory and scripted workers. */
 
 import {request as sendRequest, type IncomingHttpHeaders} from 'node:http';
 import {
@@ -48,6 +48,17 @@
   readonly body?: string;
   readonly id?: string;
   readonly deadlineMs?: number;
+  /** Index of the entry that it is sent to; the first one unless stated. */
+  readonly entry?: number;
+  /** Loopback address of the caller. */
+  readonly from?: string;
+}
+
+/** An entry of the site. */
+interface SiteEntry {
+  readonly balancer: Balancer;
+  /** Ports for callers, for lists of entries, for readiness and metrics, and for followers. */
+  readonly ports: readonly number[];
 }
 
 const HOST = 'shop.example';
@@ -60,18 +71,34 @@
   readonly store = new MemoryRecordStore();
   readonly log = new MemoryLog();
   readonly workers: ScriptedWorker[] = [];
-  balancer: Balancer | undefined;
-  #ports: readonly number[] = [];
+  #entries: SiteEntry[] = [];
+  #started = 0;
   #version = 1;
   #sent = 0;
 
-  /** Starts the balancer; it waits for its configuration. */
-  async start(): Promise<void> {
-    this.#ports = await findFreePorts(4);
-    const [callers, entries, metrics, feed] = this.#ports;
+  /** Starts the first entry; it waits for its configuration. */
+  start(): Promise<void> {
+    return this.addEntry();
+  }
+
+  /** The first entry. */
+  get balancer(): Balancer | undefined {
+    return this.#entries[0]?.balancer;
+  }
+
+  /** Number of entries that run. */
+  get entries(): number {
+    return this.#entries.length;
+  }
+
+  /** Starts an entry. */
+  async addEntry(): Promise<void> {
+    const ports = await findFreePorts(4);
+    const [callers, entries, metrics, feed] = ports;
+    this.#started += 1;
     const settings = parseBalancerSettings(
       JSON.stringify({
-        name: 'entry-1',
+        name: `entry-${this.#started}`,
         region: 'home',
         zone: 'home-a',
         regionByZone: {'home-a': 'home', 'home-b': 'home'},
@@ -90,7 +117,7 @@
         entryListAge: '2s',
       }),
     ).unwrap();
-    this.balancer = new Balancer(
+    const balancer = new Balancer(
       settings,
       {
         store: this.store,
@@ -100,7 +127,18 @@
       },
       this.log,
     );
-    await this.balancer.start();
+    this.#entries.push({balancer, ports});
+    await balancer.start();
+  }
+
+  /** Ends all entries and starts as many new ones, which know only what the store holds. */
+  async replaceEntries(): Promise<void> {
+    const ended = this.#entries;
+    this.#entries = [];
+    await Promise.all(ended.map(({balancer}) => balancer.stop()));
+    for (let count = 0; count < ended.length; count++) {
+      await this.addEntry();
+    }
   }
 
   /** Writes a configuration; idempotent requests go to `/read/`, others to `/write/`. */
@@ -160,19 +198,29 @@
   }
 
   get callerPort(): number {
-    return this.#ports[0];
+    return this.#entries[0].ports[0];
+  }
+
+  /** Waits until every entry is ready. */
+  async ready(): Promise<void> {
+    for (let entry = 0; entry < this.entries; entry++) {
+      await eventually('it is ready', async () => {
+        const {status} = await this.get(2, '/-/ready', entry);
+        return status === 200;
+      });
+    }
   }
 
-  /** Waits until the balancer uses the workers that are announced. */
+  /** Waits until every entry uses the workers that are announced. */
   async settle(): Promise<void> {
-    await eventually('the workers are known', async () => {
-      const {body} = await this.get(2, '/metrics');
-      const known = /^wasabidyke_upstreams (\d+)$/m.exec(body)?.[1];
-      const announced = this.store.keys.filter(key =>
-        key.startsWith('servers/'),
-      );
-      return Number(known) === announced.length;
-    });
+    const announced = this.store.keys.filter(key => key.startsWith('servers/'));
+    for (let entry = 0; entry < this.entries; entry++) {
+      await eventually('the workers are known', async () => {
+        const {body} = await this.get(2, '/metrics', entry);
+        const known = /^wasabidyke_upstreams (\d+)$/m.exec(body)?.[1];
+        return Number(known) === announced.length;
+      });
+    }
   }
 
   /** Sends a caller's request. */
@@ -183,16 +231,17 @@
       'wasabidyke-attempt-id': request.id ?? `request-${this.#sent}`,
       'wasabidyke-request-deadline-ms': String(request.deadlineMs ?? 3_000),
     };
-    return send(this.callerPort, request, headers);
+    const port = this.#entries[request.entry ?? 0].ports[0];
+    return send(port, request, headers);
   }
 
-  /** Asks a question at one of the ports: 1 names entries, 2 tells readiness and metrics. */
-  get(port: 1 | 2, path: string): Promise<CallerAnswer> {
-    return send(this.#ports[port], {path}, {});
+  /** Asks a question at one of an entry's ports: 1 names entries, 2 tells readiness and metrics. */
+  get(port: 1 | 2, path: string, entry = 0): Promise<CallerAnswer> {
+    return send(this.#entries[entry].ports[port], {path}, {});
   }
 
   async close(): Promise<void> {
-    await this.balancer?.stop();
+    await Promise.all(this.#entries.map(({balancer}) => balancer.stop()));
     for (const worker of this.workers) {
       worker.close();
     }
@@ -201,13 +250,21 @@
 
 function send(
   port: number,
-  {path, method = 'GET', body}: CallerRequest,
+  {path, method = 'GET', body, from}: CallerRequest,
   headers: Record<string, string>,
 ): Promise<CallerAnswer> {
   const startMs = performance.now();
   return new Promise((resolve, reject) => {
     const request = sendRequest(
-      {host: '127.0.0.1', port, path, method, headers, agent: false},
+      {
+        host: '127.0.0.1',
+        localAddress: from,
+        port,
+        path,
+        method,
+        headers,
+        agent: false,
+      },
       response => {
         const chunks: Buffer[] = [];
         response.on('data', (chunk: Buffer) => chunks.push(chunk));
--- a/features/support/scripted-worker.ts
+++ b/features/support/scripted-worker.ts
@@ -36,6 +36,10 @@
 /** Time that a slow answer takes, in milliseconds. */
 const SLOW_MS = 300;
 
+/** Last part of the paths of requests that crash the worker, and the time until it is back, in milliseconds. */
+const CRASHING = '/crash';
+const RESTART_MS = 300;
+
 const HEAD_END = '\r\n\r\n';
 
 /** The worker. */
@@ -54,7 +58,9 @@
   /** Connections that ended while a request ran. */
   brokenOff = 0;
   #isResetting = false;
-  readonly #server: Server;
+  #isClosed = false;
+  #port = 0;
+  #server: Server;
   readonly #sockets = new Set<Socket>();
 
   constructor(id: string) {
@@ -63,13 +69,13 @@
   }
 
   async listen(): Promise<void> {
-    this.#server.listen(0, '127.0.0.1');
+    this.#server.listen(this.#port, '127.0.0.1');
     await once(this.#server, 'listening');
+    this.#port = (this.#server.address() as AddressInfo).port;
   }
 
   get address(): string {
-    const {port} = this.#server.address() as AddressInfo;
-    return `127.0.0.1:${port}`;
+    return `127.0.0.1:${this.#port}`;
   }
 
   /** Connections that are open. */
@@ -85,7 +91,22 @@
     }
   }
 
+  /** Ends at once, and is back at its address after a while. */
+  crash(): void {
+    this.#server.close();
+    for (const socket of this.#sockets) {
+      socket.resetAndDestroy();
+    }
+    setTimeout(() => {
+      if (!this.#isClosed) {
+        this.#server = createServer(socket => this.#serve(socket));
+        void this.listen();
+      }
+    }, RESTART_MS);
+  }
+
   close(): void {
+    this.#isClosed = true;
     this.#server.close();
     for (const socket of this.#sockets) {
       socket.destroy();
@@ -125,6 +146,10 @@
       this.#answerLoad(socket);
     } else {
       this.requests.push({...request, body});
+      if (request.path.endsWith(CRASHING)) {
+        this.crash();
+        return Buffer.alloc(0);
+      }
       this.#answer(socket, {...request, body});
     }
     return received.subarray(bodyAt + length);
--- a/packages-private/soak/src/acts.ts
+++ b/packages-private/soak/src/acts.ts
@@ -3,6 +3,7 @@
 import type {LinkState} from '@wasabidyke/stand-ins';
 import {STOP_WITHIN_MS, type EntryProcess} from './entry-process.js';
 import {nowMs, type History} from './history.js';
+import {sendCrashing} from './crashing-request.js';
 import type {Operator} from './operator.js';
 import type {Act, Step} from './schedule.js';
 import type {StoreFault, StoreStandIn} from './store-stand-in.js';
@@ -54,7 +55,10 @@
 
 /** Does one step; resolves when it is over. */
 export async function act(site: Site, step: Step): Promise<void> {
-  if (step.act === 'move-route') {
+  if (step.act === 'crashing-request') {
+    // It is sent until the end of the run; the run doesn't wait for it.
+    void sendCrashing(site.entries, site.history, step.subject);
+  } else if (step.act === 'move-route') {
     site.operator.moveRoute();
   } else if (step.act.startsWith('store-')) {
     await actOnStore(site, step);
--- a/packages-private/soak/src/checks.ts
+++ b/packages-private/soak/src/checks.ts
@@ -31,6 +31,10 @@
 /** Requests that may reach a worker after their caller left before it counts. Source: the rules say a few. */
 const FEW = 3;
 
+/** Workers that one request may crash before all entries must know, and its later arrivals that are still allowed. Source: the rules. */
+const CRASHES = 3;
+const ARRIVALS_AFTER_CRASHES = 3;
+
 /** Share of requests that must be served once all faults are over. Source: a system without faults and at low load serves all; the rest are requests that faults still hold. */
 const CALM_SHARE = 0.95;
 
@@ -55,6 +59,7 @@
     configuration: checkConfiguration,
     regress: checkRegress,
     budget: checkBudget,
+    crashes: checkCrashes,
     gone: checkGone,
     lost: checkLost,
     recover: checkRecover,
@@ -230,6 +235,33 @@
   return found;
 }
 
+/** A crashing request counts only where its entry and the store were left alone long enough to know of it. */
+function checkCrashes(history: History): string[] {
+  const {calls, arrivals} = history;
+  const crashing = new Map(
+    calls
+      .filter(({isCrashing}) => isCrashing === true)
+      .map(call => [call.id, call]),
+  );
+  const runs = arrivals.filter(({id, hasRun}) => hasRun && crashing.has(id));
+  const found: string[] = [];
+  for (const path of new Set(runs.map(run => run.path))) {
+    const own = runs.filter(run => run.path === path);
+    const thirdAtMs = own[CRASHES - 1]?.atMs ?? Infinity;
+    const late = own.filter(({id, atMs}) => {
+      const entry = crashing.get(id)?.entry ?? '';
+      const isLate = atMs > thirdAtMs + BOUNDS.stableWindowMs;
+      return isLate && isInTouch(history, entry, atMs, atMs);
+    });
+    if (late.length > ARRIVALS_AFTER_CRASHES) {
+      found.push(
+        `${path} reached ${own.length} workers, ${late.length} of them long after it had crashed ${CRASHES}`,
+      );
+    }
+  }
+  return found;
+}
+
 /** The rule holds for entries that were left alone: a paused one can't see a caller leave. */
 function checkGone(history: History): string[] {
   const {calls, arrivals} = history;
@@ -277,10 +309,11 @@
 
 function checkRecover({calls, calmFromMs}: History): string[] {
   const late = calls.filter(
-    ({sentAtMs, endedAtMs, leftAtMs}) =>
+    ({sentAtMs, endedAtMs, leftAtMs, isCrashing}) =>
       sentAtMs > calmFromMs &&
       endedAtMs !== undefined &&
-      leftAtMs === undefined,
+      leftAtMs === undefined &&
+      isCrashing === undefined,
   );
   const served = late.filter(({status}) => status === 200).length;
   return served < CALM_SHARE * late.length || late.length === 0
--- a/packages-private/soak/src/history.ts
+++ b/packages-private/soak/src/history.ts
@@ -15,6 +15,8 @@
   worker?: string;
   hasRetryAfter?: boolean;
   error?: string;
+  /** Whether it crashes each worker that begins to run it. */
+  readonly isCrashing?: true;
   /** When the caller gave up. */
   leftAtMs?: number;
 }
@@ -71,6 +73,8 @@
   readonly exits: Array<{readonly entry: string; readonly status: number}> = [];
   /** When the last fault was over. */
   calmFromMs = Infinity;
+  /** Whether callers send nothing more. */
+  isOver = false;
 
   /** Whether a subject was left alone over a span. */
   isCalm(subject: string, fromMs: number, toMs: number): boolean {
--- a/packages-private/soak/src/schedule.ts
+++ b/packages-private/soak/src/schedule.ts
@@ -2,7 +2,7 @@
 
 import {SeededRandom} from '@wasabidyke/policy';
 
-/** Everything that can be done; the subject's index counts entries or workers. */
+/** Everything that is drawn as part of a series; the subject's index counts entries or workers. */
 export const ACTS = [
   'entry-kill',
   'entry-stop',
@@ -31,7 +31,7 @@
 ] as const;
 
 /** One kind of act. */
-export type Act = (typeof ACTS)[number];
+export type Act = (typeof ACTS)[number] | 'crashing-request';
 
 /** One act of a run. */
 export interface Step {
@@ -60,6 +60,9 @@
 const LONGEST_ACT_MS = 4_000;
 const SUBJECTS = 1_000;
 
+/** Requests of one run that crash each worker that begins to run them. */
+const CRASHING_REQUESTS = 2;
+
 /** Draws the steps of one run. @param acts Those to draw from. */
 export function drawSchedule(
   seed: number,
@@ -82,5 +85,16 @@
     }
     atMs += random.nextBelow(2 * SERIES_GAP_MS);
   }
-  return {seed, lengthMs, steps};
+  return {seed, lengthMs, steps: [...steps, ...drawCrashing(seed, lastMs)]};
+}
+
+/** Draws the crashing requests with numbers of their own, so that they change nothing else that a seed stands for. */
+function drawCrashing(seed: number, lastMs: number): readonly Step[] {
+  const random = new SeededRandom(seed + SUBJECTS);
+  return Array.from({length: CRASHING_REQUESTS}, () => ({
+    act: 'crashing-request' as const,
+    atMs: random.nextBelow(lastMs),
+    forMs: 0,
+    subject: random.nextBelow(SUBJECTS),
+  }));
 }
--- a/packages-private/soak/src/soak.ts
+++ b/packages-private/soak/src/soak.ts
@@ -139,6 +139,7 @@
   const endMs = Math.max(startMs + lengthMs, nowMs() + CALM_MS);
   history.calmFromMs = nowMs() + RECOVER_MS;
   await sleep(endMs - nowMs());
+  history.isOver = true;
   callers.forEach(caller => caller.stop());
   await Promise.all(calls);
 }
--- a/packages-private/soak/src/worker-slot.ts
+++ b/packages-private/soak/src/worker-slot.ts
@@ -1,7 +1,7 @@
 /** One place of a worker behind a link: its starts, leavings and faults. */
 
 import {Link} from '@wasabidyke/stand-ins';
-import type {History} from './history.js';
+import {nowMs, type History} from './history.js';
 import type {Operator} from './operator.js';
 import {WorkerStandIn} from './worker-stand-in.js';
 
@@ -11,6 +11,9 @@
 /** Time after which an address may go to another service, in milliseconds. */
 const REUSE_MS = 2_000;
 
+/** Time until a worker that a request crashed is back, in milliseconds. */
+const CRASHED_MS = 1_500;
+
 const sleep = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
 
 /** One place of a worker. */
@@ -19,6 +22,7 @@
   readonly #name: string;
   readonly #zone: string;
   readonly #operator: Operator;
+  readonly #history: History;
   #link: Link | undefined;
   #address = '';
   #starts = 0;
@@ -35,7 +39,9 @@
     this.#name = name;
     this.#zone = zone;
     this.#operator = operator;
+    this.#history = history;
     this.worker = new WorkerStandIn(`${name}-0`, service, history);
+    this.worker.onCrash = () => this.#onCrash();
   }
 
   get isBusy(): boolean {
@@ -111,6 +117,23 @@
     this.worker.crash();
   }
 
+  /** A worker that is about to leave or to return ends now, and returns when it would have. */
+  #onCrash(): void {
+    const fromMs = nowMs();
+    this.#history.disturbances.push({
+      subject: this.worker.id,
+      what: 'crashing-request',
+      fromMs,
+      toMs: fromMs + CRASHED_MS,
+      isPlanned: false,
+    });
+    if (this.#isBusy) {
+      this.worker.crash();
+    } else {
+      void this.crash(CRASHED_MS);
+    }
+  }
+
   async #away(act: () => Promise<void>): Promise<void> {
     this.#isBusy = true;
     await act();
--- a/packages-private/soak/src/worker-stand-in.ts
+++ b/packages-private/soak/src/worker-stand-in.ts
@@ -21,9 +21,14 @@
 const WORK_MS = 30;
 const SLOW_WORK_MS = 400;
 
+/** Part of the paths of requests that crash each worker that begins to run them. */
+export const CRASHING_PATH = 'crashing-';
+
 /** One worker. Its identity changes with each start, its address doesn't. */
 export class WorkerStandIn {
   fault: WorkerFault = 'none';
+  /** Called when a request crashes it. */
+  onCrash: () => void = () => {};
   id: string;
   service: string;
   readonly #history: History;
@@ -121,6 +126,11 @@
     }
     this.#running += 1;
     arrival.hasRun = true;
+    if (arrival.path.includes(CRASHING_PATH)) {
+      arrival.endedAtMs = nowMs();
+      this.onCrash();
+      return;
+    }
     const onClose = () => (arrival.brokenOffAtMs = nowMs());
     response.once('close', onClose);
     const workMs = this.fault === 'slow' ? SLOW_WORK_MS : WORK_MS;
