fix(balancer): a request that crashes upstreams is refused by all entries, however often it is sent

Callers saw: on the platform, a request under which three upstreams had crashed went on to crash one with each send, at any entry, and with it most requests of its service failed.

Cause: packages/balancer counts attempts of one client attempt. Nothing about a request outlived it, and nothing went from entry to entry. CrashGuard was wired in packages/entry alone.

Change: each entry counts the upstreams that crashed under a request, by a fingerprint of host, path, method, body and caller, and writes its count to the store under a lease of ten minutes; the feed and the first read bring it to all others, also to those that start later. While the store fails, entries tell each other directly. Three crashes quarantine the request: 503, not run, with Retry-After. A break counts only when a load query on a new connection isn't answered by the same process. CrashGuard keeps what each entry reports, blames a crash on the request with the most crashes, so that requests beside it are served, and is bounded: 4,096 suspects, 16 upstreams each, ten minutes. packages/entry uses the same guard with its limit of two.

--- a/features/balancer/crashes.feature
+++ b/features/balancer/crashes.feature
@@ -61,3 +61,31 @@
     And "POST /write/a" is sent 12 times
     When every worker "answers"
     Then every entry serves "POST /write/a"
+
+  # Guards against entries that can tell each other nothing but through the store.
+  Scenario: Entries tell each other of it while the store is away
+    Given the store is "down"
+    And "POST /write/crash" is sent to the entries in turn until it has crashed 3 workers
+    When 3000 ms pass at the site
+    And it is sent 12 times more
+    Then it reached workers at most 3 times more
+
+  # Guards against records that end with a lease before their time.
+  Scenario: A record that vanishes from the store early is written again
+    Given "POST /write/crash" is sent to the entries in turn until it has crashed 3 workers
+    When 3000 ms pass at the site
+    And the store loses its records of suspects
+    Then the store soon has records of suspects again
+
+  # Guards against an innocent request that stays a suspect for all entries but the one that got its answer.
+  Scenario: A request that crashed a worker by chance is cleared for all by an answer
+    Given "POST /write/crash" is sent to the entries in turn until it has crashed 1 worker
+    When 3000 ms pass at the site
+    And workers no longer crash at it
+    And it is sent 1 time more
+    Then no entry has a suspect soon
+
+  Scenario: A record that can't be read disturbs nothing
+    When the store shows bytes that can't be read as a record of a suspect
+    Then the log has a "suspect.unreadable" line
+    And every entry serves "POST /write/a"
--- a/features/steps/balancer-crashes.steps.ts
+++ b/features/steps/balancer-crashes.steps.ts
@@ -8,6 +8,7 @@
   type CallerAnswer,
   type CallerRequest,
 } from '../support/balancer-site.js';
+import {eventually} from '../support/eventually.js';
 
 /** Pause between sends, in milliseconds. */
 const PAUSE_MS = 50;
@@ -36,7 +37,7 @@
 );
 
 Given(
-  '{string} is sent to the entries in turn until it has crashed {int} workers',
+  '{string} is sent to the entries in turn until it has crashed {int} worker(s)',
   async function (this: CrashWorld, line: string, crashes: number) {
     this.request = toRequest(line);
     await sendUntilCrashed(this, crashes);
@@ -66,7 +67,7 @@
 );
 
 When(
-  'it is sent {int} times more',
+  'it is sent {int} time(s) more',
   async function (this: CrashWorld, count: number) {
     this.reachedBefore = reachedWorkers(this);
     await sendInTurn(this, count);
@@ -83,6 +84,48 @@
   await this.balancerSite.ready();
 });
 
+When('the store loses its records of suspects', function (this: CrashWorld) {
+  const {store} = this.balancerSite;
+  const keys = listSuspectKeys(this);
+  assert.ok(keys.length > 0);
+  keys.forEach(key => store.set(key, undefined));
+  assert.equal(listSuspectKeys(this).length, 0);
+});
+
+Then(
+  'the store soon has records of suspects again',
+  async function (this: CrashWorld) {
+    await eventually(
+      'they are written',
+      () => listSuspectKeys(this).length > 0,
+    );
+  },
+);
+
+When('workers no longer crash at it', function (this: CrashWorld) {
+  for (const worker of this.balancerSite.workers) {
+    worker.isCrashable = false;
+  }
+});
+
+Then('no entry has a suspect soon', async function (this: CrashWorld) {
+  const {balancerSite} = this;
+  assert.equal(this.lastAnswer.status, 200);
+  for (let entry = 0; entry < balancerSite.entries; entry++) {
+    await eventually('there is no suspect', async () => {
+      const {body} = await balancerSite.get(2, '/metrics', entry);
+      return body.includes('wasabidyke_suspects 0\n');
+    });
+  }
+});
+
+When(
+  "the store shows bytes that can't be read as a record of a suspect",
+  function (this: CrashWorld) {
+    this.balancerSite.store.set('suspects/fingerprint/entry-9', '\u0000{]');
+  },
+);
+
 Then(
   'it reached workers at most {int} times more',
   function (this: CrashWorld, most: number) {
@@ -138,6 +181,10 @@
   },
 );
 
+function listSuspectKeys({balancerSite}: CrashWorld): readonly string[] {
+  return balancerSite.store.keys.filter(key => key.startsWith('suspects/'));
+}
+
 function toRequest(line: string): CallerRequest {
   const [method, path] = line.split(' ');
   return {method, path, body: method === 'POST' ? 'order' : undefined};
--- a/features/steps/feed.steps.ts
+++ b/features/steps/feed.steps.ts
@@ -87,6 +87,7 @@
     this.feed = new FeedServer({
       history: this.feeder.history,
       ageMs: () => (this.isFresh ? 0 : Infinity),
+      onSuspect: () => {},
     });
     const [port] = await findFreePorts(1);
     await this.feed.listen({host: '127.0.0.1', port});
@@ -195,6 +196,7 @@
   const feed = new FeedServer({
     history: believer.history,
     ageMs: () => fed.ageMs,
+    onSuspect: () => {},
   });
   const [port] = await findFreePorts(1);
   await feed.listen({host: '127.0.0.1', port});
--- a/features/support/scripted-worker.ts
+++ b/features/support/scripted-worker.ts
@@ -48,6 +48,8 @@
   script: WorkerScript = 'answers';
   /** The load that it reports: running, waiting, slots, pace. */
   load = '0,0,4,100';
+  /** Whether requests can crash it. */
+  isCrashable = true;
   /** Whether load queries are answered. */
   isTalking = true;
   /** Time after which they are answered, in milliseconds. */
@@ -146,7 +148,7 @@
       this.#answerLoad(socket);
     } else {
       this.requests.push({...request, body});
-      if (request.path.endsWith(CRASHING)) {
+      if (this.isCrashable && request.path.endsWith(CRASHING)) {
         this.crash();
         return Buffer.alloc(0);
       }
--- a/packages-private/prove/src/weakened/index.ts
+++ b/packages-private/prove/src/weakened/index.ts
@@ -102,7 +102,10 @@
     description: 'no request is taken for a suspect',
     change: container => {
       container.register({
-        crashGuard: asFunction(() => new BlindCrashGuard()).singleton(),
+        crashGuard: asFunction(
+          ({incarnation}: EntryCradle) =>
+            new BlindCrashGuard({reporter: incarnation, quarantineCrashes: 2}),
+        ).singleton(),
       });
     },
   },
--- a/packages/balancer/src/balancer.ts
+++ b/packages/balancer/src/balancer.ts
@@ -3,6 +3,7 @@
 import {randomInt} from 'node:crypto';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
+  CrashGuard,
   SeededRandom,
   TokenBucket,
   type Distance,
@@ -27,6 +28,9 @@
 import type {RecordDecoder} from './store/record-decoder.js';
 import type {RecordStore} from './store/record-store.js';
 import {StoreWatcher} from './store/store-watcher.js';
+import {CrashMonitor, QUARANTINE_CRASHES} from './suspects/crash-monitor.js';
+import {PeerNotifier} from './suspects/peer-notifier.js';
+import {SuspectAnnouncer} from './suspects/suspect-announcer.js';
 
 /** Adapters to a site: its store, and the formats of its records and messages. */
 export interface SiteAdapters {
@@ -85,6 +89,9 @@
   readonly #feedServer: FeedServer;
   readonly #storeWatcher: StoreWatcher;
   readonly #announcer: EntryAnnouncer;
+  readonly #crashGuard: CrashGuard;
+  readonly #suspectAnnouncer: SuspectAnnouncer;
+  readonly #crashMonitor: CrashMonitor;
   readonly #loadQueryBudget: TokenBucket;
   readonly #upstreamSelector: UpstreamSelector;
   readonly #callerServer: CallerServer;
@@ -121,8 +128,20 @@
       random: this.#random,
       log,
     });
+    this.#crashGuard = new CrashGuard({
+      reporter: settings.name,
+      quarantineCrashes: QUARANTINE_CRASHES,
+    });
+    this.#suspectAnnouncer = this.#createSuspectAnnouncer();
+    this.#crashMonitor = new CrashMonitor({
+      guard: this.#crashGuard,
+      announcer: this.#suspectAnnouncer,
+      clock,
+      log,
+    });
     this.#feedServer = new FeedServer({
       history: this.#history,
+      onSuspect: record => this.#crashMonitor.onRecord(record),
       ageMs: () => (this.#storeWatcher.isLost ? Infinity : this.#store.ageMs),
     });
     this.#registry = this.#createRegistry();
@@ -131,6 +150,7 @@
       history: this.#history,
       entries: this.#entries,
       registry: this.#registry,
+      crashMonitor: this.#crashMonitor,
       clock,
       log,
       onTable: table => {
@@ -190,6 +210,11 @@
       'Entries that are announced.',
       () => this.#entries.size,
     );
+    metrics.gauge(
+      'wasabidyke_suspects',
+      'Requests that were in flight at upstreams that crashed.',
+      () => this.#crashGuard.size,
+    );
   }
 
   /** Opens the listeners and starts to watch the store. @throws When a listener can't bind its address. */
@@ -234,6 +259,7 @@
       (this.#clock.now() - startedAtMs);
     await Promise.race([this.#callerServer.stop(), sleep(remainingMs)]);
     this.#storeWatcher.stop();
+    this.#suspectAnnouncer.stop();
     clearInterval(this.#tickTimer);
     this.#discoveryServer.close();
     this.#registry.close();
@@ -266,6 +292,21 @@
     this.#loadQueryBudget.applyRate(ratePerSecond, nowMs);
   }
 
+  #createSuspectAnnouncer(): SuspectAnnouncer {
+    const log = this.#log;
+    return new SuspectAnnouncer({
+      store: this.#store,
+      isInStore: key => this.#history.has(key),
+      guard: this.#crashGuard,
+      notifier: new PeerNotifier({
+        peers: () => this.#entries.listPeers(),
+        log,
+      }),
+      clock: this.#clock,
+      log,
+    });
+  }
+
   #createRegistry(): UpstreamRegistry {
     const {region, zone, regionByZone} = this.#settings;
     return new UpstreamRegistry({
@@ -319,6 +360,7 @@
       clock: this.#clock,
       random: this.#random,
       log: this.#log,
+      crashMonitor: this.#crashMonitor,
       table: () => this.#clusterState.table,
     });
   }
--- a/packages/balancer/src/cluster-state.ts
+++ b/packages/balancer/src/cluster-state.ts
@@ -16,6 +16,8 @@
   RecordChanges,
   RecordStoreError,
 } from './store/record-store.js';
+import type {CrashMonitor} from './suspects/crash-monitor.js';
+import {SUSPECT_KEY_PREFIX} from './suspects/suspect-record.js';
 import type {StoreWatcherListener} from './store/store-watcher.js';
 
 /** Options of `ClusterState`. */
@@ -27,6 +29,8 @@
   readonly log: DecisionLog;
   /** Called when a new configuration was applied. */
   readonly onTable: (table: RoutingTable) => void;
+  /** Takes the records of requests that may crash upstreams. */
+  readonly crashMonitor: CrashMonitor;
   /** Records what was read, for the entries that follow this one. */
   readonly history: RecordHistory;
 }
@@ -79,6 +83,10 @@
       this.#onEntry(key.slice(ENTRY_KEY_PREFIX.length), change, mayReappear);
       return;
     }
+    if (key.startsWith(SUSPECT_KEY_PREFIX)) {
+      this.#options.crashMonitor.onStoreChange(key, value);
+      return;
+    }
     const decoded = this.#options.decoder.decode(key, value);
     switch (decoded.kind) {
       case 'configuration':
--- a/packages/balancer/src/exchange/connection-pool.ts
+++ b/packages/balancer/src/exchange/connection-pool.ts
@@ -106,6 +106,7 @@
   readonly #idleConnections: UpstreamConnection[] = [];
   readonly #openConnections = new Set<UpstreamConnection>();
   #limit: number;
+  #isClosed = false;
 
   constructor(address: string, limit: number) {
     this.#origin = `http://${address}`;
@@ -145,9 +146,15 @@
       }
       this.#drop(connection);
     }
-    if (this.isFull) {
-      return undefined;
-    }
+    return this.isFull ? undefined : this.#open();
+  }
+
+  /** Opens a connection beyond the limit: after a crash the others may not have been dropped yet. Undefined once the pool is closed. */
+  openExtra(): UpstreamConnection | undefined {
+    return this.#isClosed ? undefined : this.#open();
+  }
+
+  #open(): UpstreamConnection {
     const connection = new UpstreamConnection(this.#origin);
     this.#openConnections.add(connection);
     return connection;
@@ -169,6 +176,7 @@
 
   /** Closes the idle connections now, and allows no new ones; busy ones are closed by `discard`. */
   close(): void {
+    this.#isClosed = true;
     this.#limit = 0;
     for (const connection of this.#idleConnections.splice(0)) {
       this.#drop(connection);
--- a/packages/balancer/src/exchange/exchange.ts
+++ b/packages/balancer/src/exchange/exchange.ts
@@ -86,6 +86,11 @@
     return this.#answerKind !== undefined && this.#isComplete;
   }
 
+  /** Whether the head of an answer was received. */
+  get hasAnswerHead(): boolean {
+    return this.#answerKind !== undefined;
+  }
+
   /** Sends the request. */
   start(): void {
     const {method} = this.#request;
--- a/packages/balancer/src/feed/feed-server.ts
+++ b/packages/balancer/src/feed/feed-server.ts
@@ -17,6 +17,10 @@
   FEED_PATH,
   serializeFeed,
 } from './feed-messages.js';
+import type {SuspectRecord} from '@wasabidyke/policy';
+import {readBody} from '../serving/body-reader.js';
+import {SUSPECTS_PATH} from '../suspects/peer-notifier.js';
+import {suspectRecordsSchema} from '../suspects/suspect-record.js';
 import type {RecordHistory} from './record-history.js';
 
 /** Maximum long-poll time of a request, in milliseconds. */
@@ -25,11 +29,16 @@
 /** Time for which an idle connection is kept open, in milliseconds. */
 const KEEP_ALIVE_TIMEOUT_MS = 20_000;
 
+/** Maximum size of a message with suspects, in bytes: four times what 64 records with 16 upstreams each take. */
+const MAXIMUM_SUSPECTS_BYTES = 262_144;
+
 /** Options of `FeedServer`. */
 export interface FeedServerOptions {
   readonly history: RecordHistory;
   /** Time since the store itself last confirmed that no record is missing, in milliseconds; infinite while the store is lost. */
   readonly ageMs: () => number;
+  /** Called with each suspect that another entry tells of. */
+  readonly onSuspect: (record: SuspectRecord) => void;
 }
 
 /** Serves records to followers over HTTP. */
@@ -62,6 +71,10 @@
     response: ServerResponse,
   ): Promise<void> {
     const url = new URL(request.url ?? '/', 'http://entry');
+    if (url.pathname === SUSPECTS_PATH && request.method === 'POST') {
+      await this.#takeSuspects(request, response);
+      return;
+    }
     if (url.pathname !== FEED_PATH) {
       sendJson(response, 404, '{}');
       return;
@@ -77,6 +90,22 @@
     this.#sendRecords(response, afterRevision);
   }
 
+  async #takeSuspects(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const read = await readBody(request, MAXIMUM_SUSPECTS_BYTES);
+    const text =
+      read.kind === 'body' ? (read.body?.toString('utf8') ?? '') : '';
+    const parsed = suspectRecordsSchema.safeParse(parseJson(text));
+    if (!parsed.success) {
+      sendJson(response, 400, '{}');
+      return;
+    }
+    parsed.data.forEach(record => this.#options.onSuspect(record));
+    sendJson(response, 200, '{}');
+  }
+
   #sendRecords(
     response: ServerResponse,
     afterRevision: number | undefined,
@@ -115,3 +144,12 @@
   });
   response.end(body);
 }
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    // The schema rejects undefined.
+    return undefined;
+  }
+}
--- a/packages/balancer/src/feed/record-history.ts
+++ b/packages/balancer/src/feed/record-history.ts
@@ -44,6 +44,11 @@
     this.wakeWaiting();
   }
 
+  /** Whether there is a record under a key. */
+  has(key: string): boolean {
+    return this.#records.has(key);
+  }
+
   /** Wakes all pending `waitForChange` calls: records changed, or they can no longer be relied on. */
   wakeWaiting(): void {
     for (const wake of [...this.#wakeCallbacks]) {
--- a/packages/balancer/src/members/entry-roster.ts
+++ b/packages/balancer/src/members/entry-roster.ts
@@ -72,6 +72,14 @@
     return isOldestInZone ? older : sameZone;
   }
 
+  /** The other entries that take messages from entries. */
+  listPeers(): readonly EntryRecord[] {
+    return [...this.#members.values()]
+      .map(({record}) => record)
+      .filter(({name}) => name !== this.#ownRecord.name)
+      .filter(({feedAddress}) => feedAddress !== undefined);
+  }
+
   /** Adds or updates an entry. @param revision Store revision of its announcement. */
   onRecord(record: EntryRecord, revision: number): void {
     this.#members.set(record.name, {record, revision, removeAtMs: undefined});
--- a/packages/balancer/src/members/upstream-handle.ts
+++ b/packages/balancer/src/members/upstream-handle.ts
@@ -6,7 +6,10 @@
   type GroupFailureShare,
 } from '@wasabidyke/policy';
 import {Backoff, type Clock} from '@wasabidyke/shared';
-import {ConnectionPool} from '../exchange/connection-pool.js';
+import {
+  ConnectionPool,
+  type UpstreamConnection,
+} from '../exchange/connection-pool.js';
 import {Exchange, type ExchangeResult} from '../exchange/exchange.js';
 import type {WireProtocol} from '../exchange/wire-protocol.js';
 import type {UpstreamRecord} from './upstream-record.js';
@@ -42,6 +45,7 @@
   readonly #options: UpstreamHandleOptions;
   #record: UpstreamRecord;
   #loadQuery: Promise<void> | undefined;
+  #lifeCheck: Promise<boolean> | undefined;
   #isOverdue = false;
   #nextQueryAtMs = -Infinity;
   readonly #queryBackoff = new Backoff({
@@ -102,13 +106,35 @@
     return this.#loadQuery;
   }
 
-  async #runLoadQuery(path: string): Promise<void> {
-    const connection = this.connections.takeLongestIdle();
+  /**
+   * Whether the process that this handle stands for runs: it answers a load
+   * query on a new connection. Concurrent calls share one query. An upstream
+   * that gets no new requests counts as running, since its end is expected.
+   */
+  isAlive(path: string): Promise<boolean> {
+    this.#lifeCheck ??= this.#checkLife(path).finally(() => {
+      this.#lifeCheck = undefined;
+    });
+    return this.#lifeCheck;
+  }
+
+  async #checkLife(path: string): Promise<boolean> {
+    const connection = this.connections.openExtra();
     if (connection === undefined) {
-      return;
+      return true;
     }
-    const {protocol, record, roundTripMs} = this.#options;
-    const exchange = new Exchange(
+    const exchange = this.#createLoadQuery(connection, path);
+    const timer = setTimeout(() => exchange.abort(), LOAD_QUERY_TIMEOUT_MS);
+    exchange.start();
+    const {kind} = await exchange.result;
+    clearTimeout(timer);
+    this.release(connection, exchange);
+    return kind === 'answered';
+  }
+
+  #createLoadQuery(connection: UpstreamConnection, path: string): Exchange {
+    const {protocol, record} = this.#options;
+    return new Exchange(
       connection,
       {method: 'GET', path, headers: {host: record.address}, body: null},
       (_status, headers) => {
@@ -116,6 +142,15 @@
         return isSame ? 'answer' : 'other-upstream';
       },
     );
+  }
+
+  async #runLoadQuery(path: string): Promise<void> {
+    const connection = this.connections.takeLongestIdle();
+    if (connection === undefined) {
+      return;
+    }
+    const {roundTripMs} = this.#options;
+    const exchange = this.#createLoadQuery(connection, path);
     let isEnded = false;
     // After a pause of this process, timers fire before pending answers are read.
     const overdueTimer = setTimeout(
@@ -168,10 +203,7 @@
   }
 
   /** Returns a connection to the pool after its exchange, or closes it if it is not reusable. */
-  release(
-    connection: Parameters<ConnectionPool['release']>[0],
-    exchange: Exchange,
-  ): void {
+  release(connection: UpstreamConnection, exchange: Exchange): void {
     if (exchange.isConnectionReusable && !this.#isDraining) {
       this.connections.release(connection);
     } else {
--- a/packages/balancer/src/serving/request-dispatcher.ts
+++ b/packages/balancer/src/serving/request-dispatcher.ts
@@ -1,10 +1,6 @@
 /** Sends one request to upstreams until it is answered or refused: retries one after another, hedges in parallel. */
 
-import {
-  retryAfterMs,
-  hedgeReserve,
-  type RandomSource,
-} from '@wasabidyke/policy';
+import {hedgeReserve, type RandomSource} from '@wasabidyke/policy';
 import type {Clock} from '@wasabidyke/shared';
 import {
   Exchange,
@@ -15,6 +11,8 @@
 import type {UpstreamHandle} from '../members/upstream-handle.js';
 import type {UpstreamRegistry} from '../members/upstream-registry.js';
 import type {DecisionLog} from '../reporting/decision-log.js';
+import type {CrashMonitor} from '../suspects/crash-monitor.js';
+import {CrashTracker} from '../suspects/crash-tracker.js';
 import {
   AttemptRecorder,
   isErrorAnswer,
@@ -22,12 +20,8 @@
 } from './attempt-recorder.js';
 import type {UpstreamSelector, SelectedUpstream} from './upstream-selector.js';
 import type {RouteState} from './route-state.js';
-import type {
-  LastUpstream,
-  Refusal,
-  RefusalReason,
-  RoutedRequest,
-} from './routed-request.js';
+import {freeSlotDelayMs, toLastUpstream} from './refusal-details.js';
+import type {Refusal, RefusalReason, RoutedRequest} from './routed-request.js';
 
 /** Options of `RequestDispatcher`. */
 export interface RequestDispatcherOptions {
@@ -38,6 +32,7 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly log: DecisionLog;
+  readonly crashMonitor: CrashMonitor;
 }
 
 /** Result of a request; undefined if the caller closed its connection first. */
@@ -66,6 +61,7 @@
   readonly #request: RoutedRequest;
   readonly #options: RequestDispatcherOptions;
   readonly #recorder: AttemptRecorder;
+  readonly #crashTracker: CrashTracker;
   /** Upstreams that were tried; further attempts go elsewhere. */
   readonly #tried = new Set<UpstreamHandle>();
   readonly #activeAttempts = new Set<Attempt>();
@@ -86,6 +82,7 @@
     this.#request = request;
     this.#options = options;
     this.#recorder = new AttemptRecorder(request, options);
+    this.#crashTracker = new CrashTracker(request, options.crashMonitor);
     let resolveResult: (result: DispatchResult) => void = () => {};
     this.result = new Promise(resolve => (resolveResult = resolve));
     this.#resolve = resolveResult;
@@ -114,6 +111,10 @@
 
   /** Selects an upstream and sends the request there. */
   async #startAttempt(): Promise<void> {
+    if (this.#crashTracker.status === 'quarantined') {
+      this.#endWithoutSuccess('quarantined');
+      return;
+    }
     const selected = await this.#selectUpstream();
     if (this.#isFinished) {
       return;
@@ -215,12 +216,27 @@
         this.#retryAfterUnsent();
         return;
       case 'broken':
+        this.#mayHaveRun = true;
+        void this.#retryAfterBreak(attempt);
+        return;
       case 'given-up':
         this.#mayHaveRun = true;
         this.#retry();
     }
   }
 
+  /** Retries at once, unless the request is suspected already: then its retry waits until it is known whether it has crashed another upstream. */
+  async #retryAfterBreak({selected, exchange}: Attempt): Promise<void> {
+    const isSuspect = this.#crashTracker.status !== 'clear';
+    if (!exchange.hasAnswerHead) {
+      const check = this.#crashTracker.onBreak(selected.handle);
+      await (isSuspect ? check : undefined);
+    }
+    if (!this.#isFinished) {
+      this.#retry();
+    }
+  }
+
   #onAnswer(answer: CompleteAnswer): void {
     this.#mayHaveRun = true;
     if (!isErrorAnswer(answer)) {
@@ -266,6 +282,7 @@
   #scheduleHedge(attempt: Attempt): void {
     const isHedgeAllowed =
       this.#isIdempotent &&
+      this.#crashTracker.status === 'clear' &&
       this.#sentCount < this.#request.route.maximumAttempts &&
       this.#activeAttempts.size === 1;
     if (!isHedgeAllowed) {
@@ -342,25 +359,19 @@
     const refusal = {
       reason,
       isNotRun,
-      retryAfterMs: isNotRun ? this.#retryAfterMs() : undefined,
+      retryAfterMs: isNotRun ? this.#retryAfterMs(reason) : undefined,
       lastUpstream: this.#lastSelected && toLastUpstream(this.#lastSelected),
     };
     this.#end({kind: 'refusal', refusal});
   }
 
-  #retryAfterMs(): number {
-    const selected = this.#lastSelected;
-    const {workMs} = this.#options.routeState.workEstimate(this.#request.route);
-    if (selected === undefined) {
-      return retryAfterMs(1, workMs, this.#options.random);
+  #retryAfterMs(reason: RefusalReason): number {
+    if (reason === 'quarantined') {
+      return this.#crashTracker.remainingMs;
     }
-    const {statistics} = selected.handle;
-    const excessRequests = -statistics.freeSlots(this.#options.clock.now());
-    return retryAfterMs(
-      excessRequests,
-      workMs / Math.max(1, statistics.slots),
-      this.#options.random,
-    );
+    const {routeState, clock, random} = this.#options;
+    const {workMs} = routeState.workEstimate(this.#request.route);
+    return freeSlotDelayMs(this.#lastSelected, workMs, clock.now(), random);
   }
 
   #end(result: DispatchResult): void {
@@ -382,10 +393,6 @@
       attempt.exchange.abort();
     }
     this.#resolve(result);
+    void this.#crashTracker.onEnd(hasAnswer && !isErrorAnswer(result.answer));
   }
 }
-
-function toLastUpstream(selected: SelectedUpstream): LastUpstream {
-  const {handle, estimateMs, reportAgeMs, freeSlots} = selected;
-  return {upstreamId: handle.id, estimateMs, reportAgeMs, freeSlots};
-}
--- a/packages/balancer/src/serving/routed-request.ts
+++ b/packages/balancer/src/serving/routed-request.ts
@@ -49,6 +49,8 @@
   | 'no-room'
   /** The route's attempts or the repeat budget are used up. */
   | 'attempts-spent'
+  /** The request crashed the upstreams that ran it. */
+  | 'quarantined'
   /** This entry is shutting down. */
   | 'stopping'
   /** An attempt that may have run ended without a usable answer. */
--- /dev/null
+++ b/packages/balancer/src/suspects/suspect-announcer.ts
@@ -0,0 +1,205 @@
+/**
+ * Writes this entry's suspects to the store, where the other entries and those
+ * that start later read them. While the store fails, the other entries are told
+ * directly; the store gets the records once it is back.
+ */
+
+import {setTimeout as sleep} from 'node:timers/promises';
+import {
+  SUSPECT_LIFETIME_MS,
+  type CrashGuard,
+  type SuspectRecord,
+} from '@wasabidyke/policy';
+import {Backoff, type Clock} from '@wasabidyke/shared';
+import type {DecisionLog} from '../reporting/decision-log.js';
+import type {
+  RecordLease,
+  RecordStore,
+  RecordStoreError,
+} from '../store/record-store.js';
+import type {PeerNotifier} from './peer-notifier.js';
+import {serializeSuspect, toSuspectKey} from './suspect-record.js';
+
+/** Options of `SuspectAnnouncer`. */
+export interface SuspectAnnouncerOptions {
+  readonly store: RecordStore;
+  /** Whether the store holds a record under a key, as far as this entry has read. */
+  readonly isInStore: (key: string) => boolean;
+  readonly guard: CrashGuard;
+  readonly notifier: PeerNotifier;
+  readonly clock: Clock;
+  readonly log: DecisionLog;
+}
+
+/** Maximum number of records that wait to be written; the one with the fewest crashes is dropped. */
+const MAXIMUM_PENDING = 64;
+
+/** Pause between writes, in milliseconds: 100 entries that lose many upstreams at once stay within the write rate of their store. */
+const WRITE_PAUSE_MS = 100;
+
+/** Minimum and maximum delay until a failed write is repeated, in milliseconds. */
+const MINIMUM_RETRY_DELAY_MS = 150;
+const MAXIMUM_RETRY_DELAY_MS = 400;
+
+/** A lease is used for new records until this share of its time is over, so that records last for at least the rest. */
+const LEASE_USE_SHARE = 0.5;
+
+interface UsedLease {
+  readonly lease: RecordLease;
+  readonly usableUntilMs: number;
+}
+
+/** Announces suspects to other entries. */
+export class SuspectAnnouncer {
+  readonly #options: SuspectAnnouncerOptions;
+  readonly #backoff = new Backoff({
+    minimumMs: MINIMUM_RETRY_DELAY_MS,
+    maximumMs: MAXIMUM_RETRY_DELAY_MS,
+  });
+  /** Records to be written, by key. */
+  readonly #pending = new Map<string, SuspectRecord>();
+  #lease: UsedLease | undefined;
+  #isWriting = false;
+  #isStopped = false;
+
+  constructor(options: SuspectAnnouncerOptions) {
+    this.#options = options;
+  }
+
+  /** Announces a record. */
+  announce(record: SuspectRecord): void {
+    this.#enqueue(toSuspectKey(record.fingerprint, record.reporter), record);
+  }
+
+  /** Withdraws an entry's record of a request that turned out to be innocent. */
+  withdraw(fingerprint: string, reporter: string): void {
+    const key = toSuspectKey(fingerprint, reporter);
+    this.#pending.delete(key);
+    if (this.#options.isInStore(key)) {
+      this.#enqueue(key, {fingerprint, reporter, upstreams: []});
+    }
+  }
+
+  #enqueue(key: string, record: SuspectRecord): void {
+    this.#pending.set(key, record);
+    this.#dropSurplus();
+    if (!this.#isWriting) {
+      void this.#writeAll();
+    }
+  }
+
+  /** Gives up what is not written yet. */
+  stop(): void {
+    this.#isStopped = true;
+  }
+
+  async #writeAll(): Promise<void> {
+    this.#isWriting = true;
+    for (;;) {
+      const next = this.#selectNext();
+      if (next === undefined || this.#isStopped) {
+        break;
+      }
+      const [key, record] = next;
+      const error = await this.#write(key, record);
+      if (error === undefined) {
+        this.#backoff.reset();
+        await sleep(WRITE_PAUSE_MS);
+      } else {
+        await this.#onFailure(key, record, error);
+      }
+    }
+    this.#isWriting = false;
+  }
+
+  /** The pending record with the most crashes. */
+  #selectNext(): readonly [string, SuspectRecord] | undefined {
+    const {guard} = this.#options;
+    let next: readonly [string, SuspectRecord] | undefined;
+    let mostCrashes = -1;
+    for (const [key, record] of this.#pending) {
+      const crashes = guard.crashesOf(record.fingerprint);
+      if (crashes > mostCrashes) {
+        next = [key, record];
+        mostCrashes = crashes;
+      }
+    }
+    return next;
+  }
+
+  async #write(
+    key: string,
+    record: SuspectRecord,
+  ): Promise<RecordStoreError | undefined> {
+    const lease = await this.#findLease();
+    if ('kind' in lease) {
+      return lease;
+    }
+    const {store} = this.#options;
+    const written = await store.put(key, serializeSuspect(record), lease);
+    if (written.isErr()) {
+      return written.error;
+    }
+    this.#removePending(key, record);
+    return undefined;
+  }
+
+  async #findLease(): Promise<RecordLease | RecordStoreError> {
+    const {store, clock} = this.#options;
+    const nowMs = clock.now();
+    if (this.#lease !== undefined && nowMs < this.#lease.usableUntilMs) {
+      return this.#lease.lease;
+    }
+    const granted = await store.grantLease(SUSPECT_LIFETIME_MS);
+    if (granted.isErr()) {
+      return granted.error;
+    }
+    const lease = granted.value;
+    const usableUntilMs = nowMs + lease.lifetimeMs * LEASE_USE_SHARE;
+    this.#lease = {lease, usableUntilMs};
+    return lease;
+  }
+
+  async #onFailure(
+    key: string,
+    record: SuspectRecord,
+    error: RecordStoreError,
+  ): Promise<void> {
+    const {log, notifier} = this.#options;
+    const {fingerprint, upstreams} = record;
+    this.#lease = undefined;
+    log.record('suspect.unwritten', {
+      fingerprint,
+      crashes: upstreams.length,
+      kind: error.kind,
+      cause: error.message,
+    });
+    if (error.kind === 'refused') {
+      this.#removePending(key, record);
+      return;
+    }
+    notifier.notify([...this.#pending.values()]);
+    await sleep(this.#backoff.nextDelayMs());
+  }
+
+  /** Keeps a record that replaced the written one. */
+  #removePending(key: string, record: SuspectRecord): void {
+    if (this.#pending.get(key) === record) {
+      this.#pending.delete(key);
+    }
+  }
+
+  #dropSurplus(): void {
+    if (this.#pending.size <= MAXIMUM_PENDING) {
+      return;
+    }
+    const {guard, log} = this.#options;
+    const crashesOf = ([, {fingerprint}]: [string, SuspectRecord]) =>
+      guard.crashesOf(fingerprint);
+    const [fewest] = [...this.#pending].sort(
+      (left, right) => crashesOf(left) - crashesOf(right),
+    );
+    this.#pending.delete(fewest[0]);
+    log.record('suspect.dropped', {fingerprint: fewest[1].fingerprint});
+  }
+}
--- a/packages/entry/src/control/peer-link.ts
+++ b/packages/entry/src/control/peer-link.ts
@@ -8,7 +8,11 @@
   type PeerTask,
   type Row,
 } from '@wasabidyke/peer';
-import type {CrashGuard, SuspectRecord} from '@wasabidyke/policy';
+import {
+  SUSPECT_LIFETIME_MS,
+  type CrashGuard,
+  type SuspectRecord,
+} from '@wasabidyke/policy';
 import {MINUTE_MS, type Clock} from '@wasabidyke/shared';
 import {SuspectNotifier} from '../data-path/dispatch-job.js';
 import type {AdoptedLedgers} from '../at-most-once/adopted-ledgers.js';
@@ -29,8 +33,6 @@
 /** Time limit for other entries to acknowledge a suspect before its request continues. */
 const SUSPECT_DEADLINE_MS = 150;
 
-const SUSPECT_TIME_TO_LIVE_MS = 10 * MINUTE_MS;
-
 /** Time limit for a peer to send its manifest. */
 const FETCH_DEADLINE_MS = 2_000;
 
@@ -139,7 +141,7 @@
     const {crashGuard, clock, incarnation} = this.#options;
     const {fingerprint, upstreams, reporter} = row.value;
     if (reporter !== incarnation) {
-      crashGuard.onRecord({fingerprint, upstreams}, clock.now());
+      crashGuard.onRecord({fingerprint, reporter, upstreams}, clock.now());
     }
   }
 
@@ -234,7 +236,7 @@
     const reporter = this.#task.self.incarnation;
     const value = {service, fingerprint, reporter, upstreams: [...upstreams]};
     const expiresAtMs = Math.floor(
-      this.#clock.wallTime() + SUSPECT_TIME_TO_LIVE_MS,
+      this.#clock.wallTime() + SUSPECT_LIFETIME_MS,
     );
     await this.#task.publishAndWait(
       {kind: 'suspect', value, expiresAtMs},
--- a/packages/entry/src/data-path-container.ts
+++ b/packages/entry/src/data-path-container.ts
@@ -26,13 +26,22 @@
 /** Share of requests that may be retried until a manifest sets one. */
 const DEFAULT_RETRY_SHARE = 0.1;
 
+/** Upstreams that one request may crash: the promise of the product. */
+const QUARANTINE_CRASHES = 2;
+
 /** Registers the data path, in its form for an entry without peers. */
 export function registerDataPath(container: EntryContainer): void {
   container.register({
     retryBudget: asFunction(
       () => new RetryBudget(DEFAULT_RETRY_SHARE),
     ).singleton(),
-    crashGuard: asFunction(() => new CrashGuard()).singleton(),
+    crashGuard: asFunction(
+      ({incarnation}: EntryCradle) =>
+        new CrashGuard({
+          reporter: incarnation,
+          quarantineCrashes: QUARANTINE_CRASHES,
+        }),
+    ).singleton(),
     suspectNotifier: asFunction(() => new NoSuspectNotifier()).singleton(),
     dispatcher: asFunction(
       (cradle: EntryCradle) =>
--- a/packages/entry/src/data-path/suspect-tracker.ts
+++ b/packages/entry/src/data-path/suspect-tracker.ts
@@ -32,7 +32,7 @@
     const {crashGuard, suspectNotifier, clock} = this.#options;
     const fingerprint = this.#getFingerprint();
     const nowMs = clock.now();
-    const record = crashGuard.onBreak(fingerprint, handle.address, nowMs);
+    const record = crashGuard.onCrash(fingerprint, handle.address, nowMs);
     await suspectNotifier.notify(this.#job.service.name, record);
   }
 
