--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -5,7 +5,15 @@
 import globals from 'globals';
 
 export default defineConfig([
-  {ignores: [...gtsIgnores, '**/dist/', 'packages/*/src/gen/', '.runs/', 'target/']},
+  {
+    ignores: [
+      ...gtsIgnores,
+      '**/dist/',
+      'packages/*/src/gen/',
+      '.runs/',
+      'target/',
+    ],
+  },
   ...gts,
   {
     files: ['**/*.ts'],
