fix(policy): crashes count one after the other, and by caller

Change: a crash carries when its attempt began and broke, and the guard counts the longest row of crashes of which each began after the last had ended. A fingerprint stands for what the request does; crashes are kept by caller. A request is refused to a caller under whom three upstreams crashed, and to all if several callers share the crashes and none got an answer. Records carry a number that rises with each change, so that an older one on its way changes nothing. Others than its reporter correct a record only after two to four seconds. The count of entries that were told directly was wrong: it lost additions that were made while a send was awaited.

Evidence: features/policy/crash-guard.feature.

--- a/features/policy/crash-guard.feature
+++ b/features/policy/crash-guard.feature
@@ -40,6 +40,51 @@
     And entry "a" reports that "innocent" crashed ""
     Then "innocent" is clear
 
+  # Guards against a cleared request that an older record, still on its way, makes a suspect again.
+  Scenario: A record that is older than a known one changes nothing
+    When entry "a" reports that "innocent" crashed "u1"
+    And "innocent" is answered
+    And a record of "innocent" arrives that entry "a" wrote before
+    Then "innocent" is clear
+
+  Scenario: A request is quarantined for the caller whose sends crash upstreams
+    When entry "a" reports that "page" of caller "x" crashed "u1, u2, u3"
+    Then "page" of caller "x" is quarantined
+    And "page" of caller "y" is clear
+
+  # Guards against a guilty request that escapes because it comes from another address each time.
+  Scenario: A request that crashes upstreams for several callers is quarantined for all
+    When entry "a" reports that "page" of caller "x" crashed "u1"
+    And entry "b" reports that "page" of caller "y" crashed "u2"
+    And entry "c" reports that "page" of caller "z" crashed "u3"
+    Then "page" of caller "w" is quarantined
+
+  # Guards against a page that many callers ask for and that is refused to all because upstreams crash now and then.
+  Scenario: A request that some callers get answered is not quarantined for all
+    When entry "a" reports that "page" of caller "x" crashed "u1"
+    And "page" of caller "w" is answered
+    And entry "b" reports that "page" of caller "y" crashed "u2"
+    And entry "c" reports that "page" of caller "z" crashed "u3"
+    Then "page" of caller "w" is clear
+    And "page" of caller "x" is a suspect
+
+  # Guards against the loss of a rack that is blamed on a request which was under way at several of its upstreams.
+  Scenario: Upstreams that crash together count once
+    When entry "a" reports that "innocent" was under way at these upstreams when they crashed
+      | upstream | from | to  |
+      | u1       | 0    | 100 |
+      | u2       | 50   | 101 |
+      | u3       | 90   | 102 |
+    Then "innocent" is a suspect
+
+  Scenario: Upstreams that crash one after the other count one by one
+    When entry "a" reports that "guilty" was under way at these upstreams when they crashed
+      | upstream | from | to  |
+      | u1       | 0    | 100 |
+      | u2       | 100  | 101 |
+      | u3       | 101  | 102 |
+    Then "guilty" is quarantined
+
   Scenario: A quarantine ends ten minutes after the last crash, though its records are read again
     When entry "a" reports that "guilty" crashed "u1, u2, u3"
     And 9 minutes pass for the guard
@@ -56,6 +101,6 @@
     And "guilty" is quarantined
 
   Scenario: Crashes of one request are bounded
-    When entry "a" reports 100 crashes of "guilty"
+    When this entry sees 100 crashes of "guilty"
     Then "guilty" is quarantined
     And at most 16 crashes of "guilty" are kept
--- a/features/steps/crash-guard.steps.ts
+++ b/features/steps/crash-guard.steps.ts
@@ -1,14 +1,15 @@
 /** Steps for the guard against requests that crash upstreams. */
 
 import assert from 'node:assert/strict';
-import {Given, Then, When} from '@cucumber/cucumber';
-import {CrashGuard} from '@wasabidyke/policy';
+import {Given, Then, When, type DataTable} from '@cucumber/cucumber';
+import {CrashGuard, type Crash, type SuspectRecord} from '@wasabidyke/policy';
 import {MINUTE_MS} from '@wasabidyke/shared';
 
 interface GuardWorld {
   guard: CrashGuard;
   nowMs: number;
-  refuted: readonly string[];
+  refuted: readonly SuspectRecord[];
+  sequence: number;
 }
 
 Given(
@@ -16,6 +17,7 @@
   function (this: GuardWorld, quarantineCrashes: number) {
     this.guard = new CrashGuard({reporter: 'self', quarantineCrashes});
     this.nowMs = 0;
+    this.sequence = 0;
   },
 );
 
@@ -27,42 +29,79 @@
     fingerprint: string,
     names: string,
   ) {
-    const upstreams = names.split(', ').filter(name => name !== '');
-    this.guard.onRecord({fingerprint, reporter, upstreams}, this.nowMs);
+    const crashes = toNames(names).map(upstream => ({upstream}));
+    report(this, reporter, fingerprint, crashes);
   },
 );
 
 When(
-  'entry {string} reports {int} crashes of {string}',
+  'entry {string} reports that {string} of caller {string} crashed {string}',
   function (
     this: GuardWorld,
     reporter: string,
-    count: number,
     fingerprint: string,
+    caller: string,
+    names: string,
   ) {
+    const crashes = toNames(names).map(upstream => ({upstream, caller}));
+    report(this, reporter, fingerprint, crashes);
+  },
+);
+
+When(
+  'entry {string} reports that {string} was under way at these upstreams when they crashed',
+  function (
+    this: GuardWorld,
+    reporter: string,
+    fingerprint: string,
+    table: DataTable,
+  ) {
+    const crashes = table.hashes().map(({upstream, from, to}) => ({
+      upstream,
+      span: {fromMs: Number(from), toMs: Number(to)},
+    }));
+    report(this, reporter, fingerprint, crashes);
+  },
+);
+
+When(
+  'this entry sees {int} crashes of {string}',
+  function (this: GuardWorld, count: number, fingerprint: string) {
     for (let index = 0; index < count; index++) {
-      const upstreams = [`u${index}`];
-      this.guard.onRecord({fingerprint, reporter, upstreams}, this.nowMs);
+      this.guard.onCrash({fingerprint}, {upstream: `u${index}`}, this.nowMs);
     }
   },
 );
 
+When(
+  'a record of {string} arrives that entry {string} wrote before',
+  function (this: GuardWorld, fingerprint: string, reporter: string) {
+    const crashes = [{upstream: 'u1'}];
+    const record = {fingerprint, reporter, crashes, isAnswered: false};
+    this.guard.onRecord({...record, sequence: 0}, this.nowMs);
+  },
+);
+
 When(
   '{int} requests are reported that crashed one upstream each',
   function (this: GuardWorld, count: number) {
     for (let index = 0; index < count; index++) {
-      const fingerprint = `chance-${index}`;
-      const upstreams = [`u-${index}`];
-      const record = {fingerprint, reporter: 'a', upstreams};
-      this.guard.onRecord(record, this.nowMs);
+      report(this, 'a', `chance-${index}`, [{upstream: `u-${index}`}]);
     }
   },
 );
 
 When('{string} is answered', function (this: GuardWorld, fingerprint: string) {
-  this.refuted = this.guard.onAnswer(fingerprint);
+  this.refuted = this.guard.onAnswer({fingerprint}, this.nowMs);
 });
 
+When(
+  '{string} of caller {string} is answered',
+  function (this: GuardWorld, fingerprint: string, caller: string) {
+    this.refuted = this.guard.onAnswer({fingerprint, caller}, this.nowMs);
+  },
+);
+
 When(
   '{int} minutes pass for the guard',
   function (this: GuardWorld, minutes: number) {
@@ -71,20 +110,31 @@
 );
 
 Then(
-  /^"([^"]+)" is (clear|quarantined)$/,
+  /^"([^"]+)" is (clear|quarantined|a suspect)$/,
   function (this: GuardWorld, fingerprint: string, status: string) {
-    assert.equal(this.guard.statusOf(fingerprint, this.nowMs), status);
+    const found = this.guard.statusOf({fingerprint}, this.nowMs);
+    assert.equal(found, status.replace('a ', ''));
   },
 );
 
-Then('{string} is a suspect', function (this: GuardWorld, fingerprint: string) {
-  assert.equal(this.guard.statusOf(fingerprint, this.nowMs), 'suspect');
-});
+Then(
+  /^"([^"]+)" of caller "([^"]+)" is (clear|quarantined|a suspect)$/,
+  function (
+    this: GuardWorld,
+    fingerprint: string,
+    caller: string,
+    status: string,
+  ) {
+    const found = this.guard.statusOf({fingerprint, caller}, this.nowMs);
+    assert.equal(found, status.replace('a ', ''));
+  },
+);
 
 Then(
   'the answer refutes {string}',
   function (this: GuardWorld, reporters: string) {
-    assert.deepEqual([...this.refuted].sort(), reporters.split(', '));
+    const refuted = this.refuted.map(({reporter}) => reporter);
+    assert.deepEqual(refuted.sort(), toNames(reporters));
   },
 );
 
@@ -102,3 +152,20 @@
     assert.ok(crashes <= most, `${crashes} crashes`);
   },
 );
+
+function toNames(text: string): string[] {
+  return text.split(', ').filter(name => name !== '');
+}
+
+/** Applies a record that is later than all before it. */
+function report(
+  world: GuardWorld,
+  reporter: string,
+  fingerprint: string,
+  crashes: readonly Crash[],
+): void {
+  world.sequence += 1;
+  const {sequence} = world;
+  const record = {fingerprint, reporter, sequence, crashes, isAnswered: false};
+  world.guard.onRecord(record, world.nowMs);
+}
--- a/packages/balancer/src/balancer.ts
+++ b/packages/balancer/src/balancer.ts
@@ -31,6 +31,7 @@
 import {CrashMonitor, QUARANTINE_CRASHES} from './suspects/crash-monitor.js';
 import {PeerNotifier} from './suspects/peer-notifier.js';
 import {SuspectAnnouncer} from './suspects/suspect-announcer.js';
+import {parseSuspect} from './suspects/suspect-record.js';
 
 /** Adapters to a site: its store, and the formats of its records and messages. */
 export interface SiteAdapters {
@@ -134,6 +135,7 @@
     });
     this.#suspectAnnouncer = this.#createSuspectAnnouncer();
     this.#crashMonitor = new CrashMonitor({
+      entry: settings.name,
       guard: this.#crashGuard,
       announcer: this.#suspectAnnouncer,
       clock,
@@ -296,7 +298,11 @@
     const log = this.#log;
     return new SuspectAnnouncer({
       store: this.#store,
-      isInStore: key => this.#history.has(key),
+      readStored: key => {
+        const value = this.#history.read(key);
+        return value && parseSuspect(key, value);
+      },
+      random: this.#random,
       guard: this.#crashGuard,
       notifier: new PeerNotifier({
         peers: () => this.#entries.listPeers(),
--- a/packages/balancer/src/feed/record-history.ts
+++ b/packages/balancer/src/feed/record-history.ts
@@ -44,9 +44,9 @@
     this.wakeWaiting();
   }
 
-  /** Whether there is a record under a key. */
-  has(key: string): boolean {
-    return this.#records.has(key);
+  /** The value of the record under a key; undefined if there is none. */
+  read(key: string): Buffer | undefined {
+    return this.#records.get(key)?.value;
   }
 
   /** Wakes all pending `waitForChange` calls: records changed, or they can no longer be relied on. */
--- a/packages/balancer/src/serving/request-dispatcher.ts
+++ b/packages/balancer/src/serving/request-dispatcher.ts
@@ -226,10 +226,10 @@
   }
 
   /** Retries at once, unless the request is suspected already: then its retry waits until it is known whether it has crashed another upstream. */
-  async #retryAfterBreak({selected, exchange}: Attempt): Promise<void> {
+  async #retryAfterBreak(attempt: Attempt): Promise<void> {
     const isSuspect = this.#crashTracker.status !== 'clear';
-    if (!exchange.hasAnswerHead) {
-      const check = this.#crashTracker.onBreak(selected.handle);
+    if (!attempt.exchange.hasAnswerHead) {
+      const check = this.#crashTracker.onBreak(attempt);
       await (isSuspect ? check : undefined);
     }
     if (!this.#isFinished) {
--- a/packages/balancer/src/serving/routed-request.ts
+++ b/packages/balancer/src/serving/routed-request.ts
@@ -28,15 +28,10 @@
   readonly deadlineMs: number;
 }
 
-/** Fingerprint of a caller's request: callers send the same request again under another id, and to other entries. */
+/** Fingerprint of what a request does: callers send the same request again under another id, and to other entries. */
 export function fingerprintOf(request: RoutedRequest): string {
-  const {host, callerAddress, method, url, body} = request;
-  return toFingerprint({
-    scope: [host, callerAddress],
-    method,
-    path: url,
-    body,
-  });
+  const {host, method, url, body} = request;
+  return toFingerprint({scope: host, method, path: url, body});
 }
 
 /** Why a request got no upstream's answer; written to the log. */
--- a/packages/balancer/src/suspects/crash-monitor.ts
+++ b/packages/balancer/src/suspects/crash-monitor.ts
@@ -1,21 +1,41 @@
 /** Knows which requests crash upstreams, from this entry's own attempts and from the records of other entries. */
 
-import type {CrashGuard, CrashStatus, SuspectRecord} from '@wasabidyke/policy';
+import type {
+  Crash,
+  CrashGuard,
+  CrashStatus,
+  RequestIdentity,
+  SuspectRecord,
+} from '@wasabidyke/policy';
 import type {Clock} from '@wasabidyke/shared';
 import type {UpstreamRecord} from '../members/upstream-record.js';
 import type {DecisionLog} from '../reporting/decision-log.js';
-import {parseSuspect, parseSuspectKey, toSuspectKey} from './suspect-record.js';
 import type {SuspectAnnouncer} from './suspect-announcer.js';
+import {fingerprintIn, parseSuspect, toSuspectKey} from './suspect-record.js';
 
 /** Options of `CrashMonitor`. */
 export interface CrashMonitorOptions {
+  /** Name of this entry. */
+  readonly entry: string;
   readonly guard: CrashGuard;
   readonly announcer: SuspectAnnouncer;
   readonly clock: Clock;
   readonly log: DecisionLog;
 }
 
-/** Crashes under one request before it is quarantined. An idempotent request that is innocent may be retried at the next upstream that a guilty one crashes, but seldom at a third. */
+/** An upstream that crashed under a request, and when it ran it. */
+export interface UpstreamCrash {
+  readonly upstream: UpstreamRecord;
+  readonly span: Crash['span'];
+}
+
+/** Who sent a request, for the log. */
+export interface Sender {
+  readonly requestId: string | undefined;
+  readonly callerAddress: string;
+}
+
+/** Crashes under one request before it is quarantined. An innocent idempotent request may be retried at the next upstream that a guilty one crashes, but seldom at a third. */
 export const QUARANTINE_CRASHES = 3;
 
 /** Decides which requests are refused because they crash upstreams. */
@@ -31,54 +51,72 @@
     return this.#options.guard.size > 0;
   }
 
-  statusOf(fingerprint: string): CrashStatus {
+  statusOf(identity: RequestIdentity): CrashStatus {
     const {guard, clock} = this.#options;
-    return guard.statusOf(fingerprint, clock.now());
+    return guard.statusOf(identity, clock.now());
   }
 
   /** Time until a suspect is forgotten, in milliseconds. */
-  remainingMs(fingerprint: string): number {
+  remainingMs({fingerprint}: RequestIdentity): number {
     const {guard, clock} = this.#options;
     return guard.remainingMs(fingerprint, clock.now());
   }
 
-  /** Called when an upstream crashed under a request. @param requestId Identifies this send of it. */
+  /** The time since `startedAtMs` on the monotonic clock as a span on the wall clock, which entries can compare. */
+  spanSince(startedAtMs: number): Crash['span'] {
+    const {clock} = this.#options;
+    const toMs = clock.wallTime();
+    const fromMs = toMs - (clock.now() - startedAtMs);
+    return {fromMs: Math.round(fromMs), toMs: Math.round(toMs)};
+  }
+
+  /** Called when an upstream crashed under a request. */
   onCrash(
-    fingerprint: string,
-    upstream: UpstreamRecord,
-    requestId: string | undefined,
+    identity: RequestIdentity,
+    {upstream, span}: UpstreamCrash,
+    {requestId, callerAddress}: Sender,
   ): void {
     const {guard, clock, log} = this.#options;
     const {id, startedAtEpochMs = ''} = upstream;
-    guard.onCrash(fingerprint, `${id}@${startedAtEpochMs}`, clock.now());
+    const crash = {upstream: `${id}@${startedAtEpochMs}`, span};
+    guard.onCrash(identity, crash, clock.now());
     log.record('request.suspected', {
       request: requestId,
-      fingerprint,
+      fingerprint: identity.fingerprint,
+      caller: callerAddress,
       upstream: id,
-      crashes: guard.crashesOf(fingerprint),
-      outcome: this.statusOf(fingerprint),
+      crashes: guard.crashesOf(identity.fingerprint),
+      outcome: this.statusOf(identity),
     });
   }
 
   /** Called when a request ended without an answer after its connection to an upstream broke: tells the other entries of crashes. */
-  onFailure(fingerprint: string): void {
-    const {guard, announcer} = this.#options;
-    const record = guard.ownRecord(fingerprint);
-    if (record.upstreams.length > 0) {
+  onFailure({fingerprint}: RequestIdentity): void {
+    const {entry, guard, announcer} = this.#options;
+    const record = guard.recordOf(fingerprint, entry);
+    if (record !== undefined && record.crashes.length > 0) {
       announcer.announce(record);
     }
   }
 
-  /** Called when an upstream answered a request: it crashed none. Withdraws what entries reported. */
-  onAnswer(fingerprint: string): void {
-    const {guard, announcer, log} = this.#options;
-    const reporters = guard.onAnswer(fingerprint);
-    if (reporters.length > 0) {
-      const count = reporters.length;
-      log.record('suspect.cleared', {fingerprint, reporters: count});
+  /** Called when an upstream answered a request: it crashed none. Corrects what entries reported. */
+  onAnswer(identity: RequestIdentity): void {
+    const {entry, guard, announcer, clock, log} = this.#options;
+    const changed = guard.onAnswer(identity, clock.now());
+    if (changed.length === 0) {
+      return;
     }
-    for (const reporter of reporters) {
-      announcer.withdraw(fingerprint, reporter);
+    log.record('suspect.cleared', {
+      fingerprint: identity.fingerprint,
+      reporters: changed.length,
+      outcome: this.statusOf(identity),
+    });
+    for (const record of changed) {
+      if (record.reporter === entry) {
+        announcer.correct(record);
+      } else {
+        announcer.correctLater(record);
+      }
     }
   }
 
@@ -94,18 +132,7 @@
       return;
     }
     this.onRecord(record);
-  }
-
-  /** Announces a suspect of this entry again whose record ended before its time, as leases may in an outage. */
-  #onRemoved(key: string): void {
-    const {guard, announcer, clock} = this.#options;
-    const fingerprint = parseSuspectKey(key)?.fingerprint ?? '';
-    const record = guard.ownRecord(fingerprint);
-    const isOwn = key === toSuspectKey(fingerprint, record.reporter);
-    const isKnown = guard.statusOf(fingerprint, clock.now()) !== 'clear';
-    if (isOwn && isKnown && record.upstreams.length > 0) {
-      announcer.announce(record);
-    }
+    this.#announceLatest(record);
   }
 
   /** Called with each record of another entry. */
@@ -113,16 +140,39 @@
     const {guard, clock, log} = this.#options;
     const {fingerprint, reporter} = record;
     const nowMs = clock.now();
-    const before = guard.statusOf(fingerprint, nowMs);
+    const before = guard.crashesOf(fingerprint);
     guard.onRecord(record, nowMs);
-    const after = guard.statusOf(fingerprint, nowMs);
-    if (before !== after) {
+    const crashes = guard.crashesOf(fingerprint);
+    if (before !== crashes) {
+      const callers = new Set(record.crashes.map(({caller}) => caller));
+      const [caller] = callers;
       log.record('suspect.learned', {
         fingerprint,
         reporter,
-        crashes: guard.crashesOf(fingerprint),
-        outcome: after,
+        callers: callers.size,
+        crashes,
+        outcome: guard.statusOf({fingerprint, caller}, nowMs),
       });
     }
   }
+
+  /** Announces the latest record of this entry if the store holds an older one: it may have changed while that was being written. */
+  #announceLatest({fingerprint, reporter, sequence}: SuspectRecord): void {
+    const {entry, guard, announcer} = this.#options;
+    const latest = guard.recordOf(fingerprint, entry);
+    const isOlder = latest !== undefined && latest.sequence > sequence;
+    if (reporter === entry && isOlder) {
+      announcer.announce(latest);
+    }
+  }
+
+  /** Announces a suspect of this entry again whose record ended before its time, as leases may in an outage. */
+  #onRemoved(key: string): void {
+    const {entry} = this.#options;
+    const fingerprint = fingerprintIn(key);
+    const isOwn = key === toSuspectKey({fingerprint, reporter: entry});
+    if (isOwn && this.remainingMs({fingerprint}) > 0) {
+      this.onFailure({fingerprint});
+    }
+  }
 }
--- a/packages/balancer/src/suspects/crash-tracker.ts
+++ b/packages/balancer/src/suspects/crash-tracker.ts
@@ -1,7 +1,11 @@
 /** Tracks the upstreams that crash under one request. */
 
-import type {CrashStatus} from '@wasabidyke/policy';
-import type {UpstreamHandle} from '../members/upstream-handle.js';
+import {
+  toCallerFingerprint,
+  type CrashStatus,
+  type RequestIdentity,
+} from '@wasabidyke/policy';
+import type {Attempt} from '../serving/attempt-recorder.js';
 import {fingerprintOf, type RoutedRequest} from '../serving/routed-request.js';
 import type {CrashMonitor} from './crash-monitor.js';
 
@@ -11,7 +15,7 @@
   readonly #monitor: CrashMonitor;
   /** Checks of whether upstreams whose connections broke have crashed. */
   readonly #checks: Array<Promise<void>> = [];
-  #fingerprint: string | undefined;
+  #identity: RequestIdentity | undefined;
 
   constructor(request: RoutedRequest, monitor: CrashMonitor) {
     this.#request = request;
@@ -21,18 +25,18 @@
   /** Whether the request is clear, a suspect or quarantined. Skips the hash while there are no suspects at all. */
   get status(): CrashStatus {
     return this.#monitor.hasSuspects
-      ? this.#monitor.statusOf(this.#getFingerprint())
+      ? this.#monitor.statusOf(this.#getIdentity())
       : 'clear';
   }
 
   /** Time until a quarantined request may be sent again, in milliseconds. */
   get remainingMs(): number {
-    return this.#monitor.remainingMs(this.#getFingerprint());
+    return this.#monitor.remainingMs(this.#getIdentity());
   }
 
-  /** Called when the connection to an upstream ended before it answered. Resolves once it is known whether the upstream crashed. */
-  onBreak(handle: UpstreamHandle): Promise<void> {
-    const check = this.#checkUpstream(handle);
+  /** Called when the connection of an attempt ended before an answer. Resolves once it is known whether the upstream crashed. */
+  onBreak(attempt: Attempt): Promise<void> {
+    const check = this.#checkUpstream(attempt);
     this.#checks.push(check);
     return check;
   }
@@ -41,21 +45,28 @@
   async onEnd(isAnswered: boolean): Promise<void> {
     await Promise.all(this.#checks);
     if (isAnswered && this.#monitor.hasSuspects) {
-      this.#monitor.onAnswer(this.#getFingerprint());
+      this.#monitor.onAnswer(this.#getIdentity());
     } else if (this.#checks.length > 0) {
-      this.#monitor.onFailure(this.#getFingerprint());
+      this.#monitor.onFailure(this.#getIdentity());
     }
   }
 
-  async #checkUpstream(handle: UpstreamHandle): Promise<void> {
-    const {loadPath, requestId} = this.#request;
+  async #checkUpstream({selected, startedAtMs}: Attempt): Promise<void> {
+    const {loadPath, requestId, callerAddress} = this.#request;
+    const {handle} = selected;
+    const span = this.#monitor.spanSince(startedAtMs);
     if (!(await handle.isAlive(loadPath))) {
-      this.#monitor.onCrash(this.#getFingerprint(), handle.record, requestId);
+      const crash = {upstream: handle.record, span};
+      const sender = {requestId, callerAddress};
+      this.#monitor.onCrash(this.#getIdentity(), crash, sender);
     }
   }
 
-  #getFingerprint(): string {
-    this.#fingerprint ??= fingerprintOf(this.#request);
-    return this.#fingerprint;
+  #getIdentity(): RequestIdentity {
+    this.#identity ??= {
+      fingerprint: fingerprintOf(this.#request),
+      caller: toCallerFingerprint(this.#request.callerAddress),
+    };
+    return this.#identity;
   }
 }
--- a/packages/balancer/src/suspects/peer-notifier.ts
+++ b/packages/balancer/src/suspects/peer-notifier.ts
@@ -48,7 +48,8 @@
     const remaining = peers.values();
     const sendRemaining = async () => {
       for (const peer of remaining) {
-        reached += Number(await sendTo(peer, body));
+        const isTaken = await sendTo(peer, body);
+        reached += Number(isTaken);
       }
     };
     await Promise.all(Array.from({length: CONCURRENT_SENDS}, sendRemaining));
--- a/packages/balancer/src/suspects/suspect-announcer.ts
+++ b/packages/balancer/src/suspects/suspect-announcer.ts
@@ -8,6 +8,7 @@
 import {
   SUSPECT_LIFETIME_MS,
   type CrashGuard,
+  type RandomSource,
   type SuspectRecord,
 } from '@wasabidyke/policy';
 import {Backoff, type Clock} from '@wasabidyke/shared';
@@ -18,21 +19,26 @@
   RecordStoreError,
 } from '../store/record-store.js';
 import type {PeerNotifier} from './peer-notifier.js';
-import {serializeSuspect, toSuspectKey} from './suspect-record.js';
+import {
+  MAXIMUM_RECORDS,
+  serializeSuspect,
+  toSuspectKey,
+} from './suspect-record.js';
 
 /** Options of `SuspectAnnouncer`. */
 export interface SuspectAnnouncerOptions {
   readonly store: RecordStore;
-  /** Whether the store holds a record under a key, as far as this entry has read. */
-  readonly isInStore: (key: string) => boolean;
+  /** The record under a key in the store, as far as this entry has read; undefined if there is none. */
+  readonly readStored: (key: string) => SuspectRecord | undefined;
   readonly guard: CrashGuard;
   readonly notifier: PeerNotifier;
   readonly clock: Clock;
+  readonly random: RandomSource;
   readonly log: DecisionLog;
 }
 
-/** Maximum number of records that wait to be written; the one with the fewest crashes is dropped. */
-const MAXIMUM_PENDING = 64;
+/** Minimum delay until an entry corrects a record of another one, and the jitter added to it, in milliseconds: the correction of its reporter is known everywhere within it. */
+const CORRECTION_DELAY_MS = 2_000;
 
 /** Pause between writes, in milliseconds: 100 entries that lose many upstreams at once stay within the write rate of their store. */
 const WRITE_PAUSE_MS = 100;
@@ -66,26 +72,36 @@
     this.#options = options;
   }
 
-  /** Announces a record. */
+  /** Announces a record of this entry. */
   announce(record: SuspectRecord): void {
-    this.#enqueue(toSuspectKey(record.fingerprint, record.reporter), record);
+    this.#pending.set(toSuspectKey(record), record);
+    this.#dropSurplus();
+    if (!this.#isWriting) {
+      void this.#writeAll();
+    }
   }
 
-  /** Withdraws an entry's record of a request that turned out to be innocent. */
-  withdraw(fingerprint: string, reporter: string): void {
-    const key = toSuspectKey(fingerprint, reporter);
-    this.#pending.delete(key);
-    if (this.#options.isInStore(key)) {
-      this.#enqueue(key, {fingerprint, reporter, upstreams: []});
+  /** Replaces an earlier record; does nothing if the store doesn't hold one. */
+  correct(record: SuspectRecord): void {
+    const key = toSuspectKey(record);
+    if (this.#options.readStored(key) === undefined) {
+      this.#pending.delete(key);
+    } else {
+      this.announce(record);
     }
   }
 
-  #enqueue(key: string, record: SuspectRecord): void {
-    this.#pending.set(key, record);
-    this.#dropSurplus();
-    if (!this.#isWriting) {
-      void this.#writeAll();
-    }
+  /** Replaces a record of another entry, unless that entry or a third one does so first. */
+  correctLater(record: SuspectRecord): void {
+    const {random} = this.#options;
+    const delayMs = CORRECTION_DELAY_MS + random.nextBelow(CORRECTION_DELAY_MS);
+    const timer = setTimeout(() => {
+      const stored = this.#options.readStored(toSuspectKey(record));
+      if (stored !== undefined && stored.sequence < record.sequence) {
+        this.announce(record);
+      }
+    }, delayMs);
+    timer.unref();
   }
 
   /** Gives up what is not written yet. */
@@ -166,11 +182,11 @@
     error: RecordStoreError,
   ): Promise<void> {
     const {log, notifier} = this.#options;
-    const {fingerprint, upstreams} = record;
+    const {fingerprint, crashes} = record;
     this.#lease = undefined;
     log.record('suspect.unwritten', {
       fingerprint,
-      crashes: upstreams.length,
+      crashes: crashes.length,
       kind: error.kind,
       cause: error.message,
     });
@@ -190,7 +206,7 @@
   }
 
   #dropSurplus(): void {
-    if (this.#pending.size <= MAXIMUM_PENDING) {
+    if (this.#pending.size <= MAXIMUM_RECORDS) {
       return;
     }
     const {guard, log} = this.#options;
--- a/packages/balancer/src/suspects/suspect-record.ts
+++ b/packages/balancer/src/suspects/suspect-record.ts
@@ -1,58 +1,63 @@
-/** Records by which entries tell each other, through the store, of requests that may crash upstreams. */
+/** Records by which entries tell each other of requests that may crash upstreams. */
 
 import type {SuspectRecord} from '@wasabidyke/policy';
 import * as z from 'zod/mini';
 
-/** Key prefix of the records. The rest of a key is the fingerprint, a slash, and the name of the reporting entry. */
+/** Key prefix of the records in the store. The rest of a key is the fingerprint, a slash, and the name of the reporting entry. */
 export const SUSPECT_KEY_PREFIX = 'suspects/';
 
-/** Schema of a record's value. */
-const suspectValueSchema = z.object({upstreams: z.array(z.string())});
-
 /** Maximum number of records in one message between entries. */
-const MAXIMUM_RECORDS = 64;
+export const MAXIMUM_RECORDS = 64;
+
+/** Maximum number of crashes in one record. */
+const MAXIMUM_CRASHES = 64;
+
+const crashSchema = z.object({
+  upstream: z.string(),
+  caller: z.optional(z.string()),
+  span: z.optional(z.object({fromMs: z.number(), toMs: z.number()})),
+});
+
+const suspectRecordSchema = z.object({
+  fingerprint: z.string(),
+  reporter: z.string(),
+  sequence: z.int(),
+  crashes: z.array(crashSchema).check(z.maxLength(MAXIMUM_CRASHES)),
+  isAnswered: z.boolean(),
+});
 
 /** Schema of the records in a message between entries. */
 export const suspectRecordsSchema = z
-  .array(
-    z.object({
-      fingerprint: z.string(),
-      reporter: z.string(),
-      upstreams: z.array(z.string()),
-    }),
-  )
+  .array(suspectRecordSchema)
   .check(z.maxLength(MAXIMUM_RECORDS));
 
 /** Returns the key of a record. */
-export function toSuspectKey(fingerprint: string, reporter: string): string {
+export function toSuspectKey({
+  fingerprint,
+  reporter,
+}: Pick<SuspectRecord, 'fingerprint' | 'reporter'>): string {
   return `${SUSPECT_KEY_PREFIX}${fingerprint}/${reporter}`;
 }
 
-/** Serializes the value of a record. */
-export function serializeSuspect({upstreams}: SuspectRecord): Buffer {
-  return Buffer.from(JSON.stringify({upstreams}));
+/** Serializes a record. */
+export function serializeSuspect(record: SuspectRecord): Buffer {
+  return Buffer.from(JSON.stringify(record));
 }
 
-/** Parses a key; undefined if it is malformed. */
-export function parseSuspectKey(
-  key: string,
-): Pick<SuspectRecord, 'fingerprint' | 'reporter'> | undefined {
-  const parts = key.slice(SUSPECT_KEY_PREFIX.length).split('/');
-  const [fingerprint, reporter] = parts;
-  const isReadable = parts.length === 2 && !parts.includes('');
-  return isReadable ? {fingerprint, reporter} : undefined;
-}
-
-/** Parses a record; undefined if the key or the value is malformed. */
+/** Parses a record; undefined if it is malformed or belongs under another key. */
 export function parseSuspect(
   key: string,
   value: Buffer,
 ): SuspectRecord | undefined {
-  const identity = parseSuspectKey(key);
-  const parsed = suspectValueSchema.safeParse(parseJson(value));
-  return identity !== undefined && parsed.success
-    ? {...identity, upstreams: parsed.data.upstreams}
-    : undefined;
+  const parsed = suspectRecordSchema.safeParse(parseJson(value));
+  const isReadable = parsed.success && toSuspectKey(parsed.data) === key;
+  return isReadable ? parsed.data : undefined;
+}
+
+/** The fingerprint in a key; empty if the key is malformed. */
+export function fingerprintIn(key: string): string {
+  const [fingerprint] = key.slice(SUSPECT_KEY_PREFIX.length).split('/');
+  return fingerprint;
 }
 
 function parseJson(value: Buffer): unknown {
--- a/packages/entry/src/control/peer-link.ts
+++ b/packages/entry/src/control/peer-link.ts
@@ -141,7 +141,16 @@
     const {crashGuard, clock, incarnation} = this.#options;
     const {fingerprint, upstreams, reporter} = row.value;
     if (reporter !== incarnation) {
-      crashGuard.onRecord({fingerprint, reporter, upstreams}, clock.now());
+      // Rows have no numbers: each adds to what its reporter told before.
+      const known = crashGuard.recordOf(fingerprint, reporter);
+      const record = {
+        fingerprint,
+        reporter,
+        sequence: known?.sequence ?? 0,
+        crashes: upstreams.map(upstream => ({upstream})),
+        isAnswered: false,
+      };
+      crashGuard.onRecord(record, clock.now());
     }
   }
 
@@ -232,9 +241,10 @@
   }
 
   override async notify(service: string, record: SuspectRecord): Promise<void> {
-    const {fingerprint, upstreams} = record;
+    const {fingerprint, crashes} = record;
     const reporter = this.#task.self.incarnation;
-    const value = {service, fingerprint, reporter, upstreams: [...upstreams]};
+    const upstreams = crashes.map(({upstream}) => upstream);
+    const value = {service, fingerprint, reporter, upstreams};
     const expiresAtMs = Math.floor(
       this.#clock.wallTime() + SUSPECT_LIFETIME_MS,
     );
--- a/packages/entry/src/data-path/suspect-tracker.ts
+++ b/packages/entry/src/data-path/suspect-tracker.ts
@@ -1,6 +1,10 @@
 /** Tracks whether a request is suspected of crashing the upstreams that run it. */
 
-import {toFingerprint, type CrashStatus} from '@wasabidyke/policy';
+import {
+  toFingerprint,
+  type CrashStatus,
+  type RequestIdentity,
+} from '@wasabidyke/policy';
 import type {UpstreamHandle} from '../upstreams/upstream-handle.js';
 import type {DispatchJob, DispatcherOptions} from './dispatch-job.js';
 
@@ -21,7 +25,7 @@
     if (crashGuard.size === 0) {
       return 'clear';
     }
-    return crashGuard.statusOf(this.#getFingerprint(), clock.now());
+    return crashGuard.statusOf(this.#identity, clock.now());
   }
 
   /**
@@ -30,22 +34,23 @@
    */
   async onConnectionLost(handle: UpstreamHandle): Promise<void> {
     const {crashGuard, suspectNotifier, clock} = this.#options;
-    const fingerprint = this.#getFingerprint();
-    const nowMs = clock.now();
-    const record = crashGuard.onCrash(fingerprint, handle.address, nowMs);
+    const crash = {upstream: handle.address};
+    const record = crashGuard.onCrash(this.#identity, crash, clock.now());
     await suspectNotifier.notify(this.#job.service.name, record);
   }
 
   /** Called when the request has a complete answer, which clears it of suspicion. */
   onAnswer(): void {
-    if (this.#options.crashGuard.size > 0) {
-      this.#options.crashGuard.onAnswer(this.#getFingerprint());
+    const {crashGuard, clock} = this.#options;
+    if (crashGuard.size > 0) {
+      crashGuard.onAnswer(this.#identity, clock.now());
     }
   }
 
-  #getFingerprint(): string {
+  /** Callers are not told apart. */
+  get #identity(): RequestIdentity {
     this.#fingerprint ??= fingerprintOf(this.#job);
-    return this.#fingerprint;
+    return {fingerprint: this.#fingerprint};
   }
 }
 
@@ -53,7 +58,7 @@
 function fingerprintOf(job: DispatchJob): string {
   const {method, path, headers, body} = job.request;
   return toFingerprint({
-    scope: [job.service.name],
+    scope: job.service.name,
     method,
     path,
     body: Buffer.isBuffer(body)
--- a/packages/policy/src/crash-guard.ts
+++ b/packages/policy/src/crash-guard.ts
@@ -2,24 +2,43 @@
  * Protects upstreams from a request that crashes each one that runs it.
  *
  * A request in flight at an upstream that crashed becomes a suspect, and is
- * quarantined once enough upstreams crashed under it. One complete answer to
- * the same request from any upstream clears it, so a request that was in flight
- * only by chance is cleared by its next run. A crash is blamed on the request
- * with the most crashes: others that were in flight beside it are not
- * quarantined for it.
+ * quarantined once enough upstreams crashed under it, one after the other. One
+ * complete answer to the same caller clears it, so a request that was in flight
+ * only by chance is cleared by its next run. Requests that differ only in their
+ * caller are told apart, unless several callers crash upstreams with them and
+ * none gets an answer.
  */
 
+import {
+  countSuccessive,
+  isSpread,
+  mergeCrashes,
+  upstreamsOf,
+  type Crash,
+} from './crash.js';
+
 /** Whether a request may crash upstreams. */
 export type CrashStatus = 'clear' | 'suspect' | 'quarantined';
 
+/** A request as the guard tells it from others. */
+export interface RequestIdentity {
+  /** Equal for requests that do the same, whoever sends them. */
+  readonly fingerprint: string;
+  /** Fingerprint of the caller; undefined where callers are not told apart. */
+  readonly caller?: string;
+}
+
 /** Crashes that one entry saw under a request; entries exchange these records. */
 export interface SuspectRecord {
-  /** Equal for requests that do the same. */
   readonly fingerprint: string;
-  /** The entry that saw the crashes. Its records about one request add up until one without upstreams. */
+  /** The entry that saw the crashes. */
   readonly reporter: string;
-  /** Upstreams that crashed while they ran the request, by start of their process; empty if the request was cleared. */
-  readonly upstreams: readonly string[];
+  /** Rises with each change. A record replaces one with a lower number, and is merged with one of the same. */
+  readonly sequence: number;
+  /** Empty if the request was cleared. */
+  readonly crashes: readonly Crash[];
+  /** Whether another caller got an answer to the same request. */
+  readonly isAnswered: boolean;
 }
 
 /** Options of `CrashGuard`. */
@@ -36,12 +55,14 @@
 /** Maximum number of suspects; the oldest that is not quarantined is removed first. */
 const MAXIMUM_SUSPECTS = 4_096;
 
-/** Maximum number of upstreams in one record; more add nothing to a quarantine. */
-const MAXIMUM_UPSTREAMS = 16;
+/** Maximum number of crashes in one record; more add nothing to a quarantine. */
+const MAXIMUM_CRASHES = 16;
 
 interface Suspect {
-  readonly upstreamsByReporter: Map<string, readonly string[]>;
-  /** Upstreams of all reporters. */
+  readonly records: Map<string, SuspectRecord>;
+  /** Crashes of all records. */
+  crashes: readonly Crash[];
+  /** Upstreams of `crashes`. */
   upstreams: ReadonlySet<string>;
   expiresAtMs: number;
 }
@@ -49,25 +70,33 @@
 /** Tracks the requests during which upstreams crashed. */
 export class CrashGuard {
   readonly #options: CrashGuardOptions;
+  /** Suspects, and requests that were cleared, by fingerprint. */
   readonly #suspects = new Map<string, Suspect>();
   readonly #fingerprintsByUpstream = new Map<string, Set<string>>();
+  #activeCount = 0;
 
   constructor(options: CrashGuardOptions) {
     this.#options = options;
   }
 
-  /** Number of suspects, including expired ones that are not yet removed. */
+  /** Number of requests that are not cleared, including expired ones that are not yet removed. */
   get size(): number {
-    return this.#suspects.size;
+    return this.#activeCount;
   }
 
   /** Returns whether the request is clear, a suspect or quarantined. */
-  statusOf(fingerprint: string, nowMs: number): CrashStatus {
-    const suspect = this.#find(fingerprint, nowMs);
+  statusOf(identity: RequestIdentity, nowMs: number): CrashStatus {
+    const suspect = this.#find(identity.fingerprint, nowMs);
     if (suspect === undefined) {
       return 'clear';
     }
-    return this.#isQuarantined(suspect) ? 'quarantined' : 'suspect';
+    const own = suspect.crashes.filter(
+      ({caller}) => caller === identity.caller,
+    );
+    if (this.#isGuilty(own, suspect) || this.#isGuiltyForAll(suspect)) {
+      return 'quarantined';
+    }
+    return own.length > 0 ? 'suspect' : 'clear';
   }
 
   /** Number of upstreams that crashed under the request. */
@@ -80,57 +109,61 @@
     return (this.#suspects.get(fingerprint)?.expiresAtMs ?? nowMs) - nowMs;
   }
 
-  /** Called when an upstream crashed while it ran the request. Returns the record to send to other entries. */
-  onCrash(fingerprint: string, upstream: string, nowMs: number): SuspectRecord {
-    const {reporter} = this.#options;
-    this.onRecord({fingerprint, reporter, upstreams: [upstream]}, nowMs);
-    return this.ownRecord(fingerprint);
+  /** Latest record of an entry about a request. */
+  recordOf(fingerprint: string, reporter: string): SuspectRecord | undefined {
+    return this.#suspects.get(fingerprint)?.records.get(reporter);
   }
 
-  /** What this entry reports about a request; without upstreams if it saw no crash, or the request was cleared. */
-  ownRecord(fingerprint: string): SuspectRecord {
+  /** Called when an upstream crashed while it ran the request. Returns the record to send to other entries. */
+  onCrash(
+    {fingerprint, caller}: RequestIdentity,
+    crash: Omit<Crash, 'caller'>,
+    nowMs: number,
+  ): SuspectRecord {
     const {reporter} = this.#options;
-    const suspect = this.#suspects.get(fingerprint);
-    const upstreams = suspect?.upstreamsByReporter.get(reporter) ?? [];
-    return {fingerprint, reporter, upstreams};
+    const known = this.recordOf(fingerprint, reporter);
+    const crashes = mergeCrashes(known?.crashes ?? [], [{...crash, caller}]);
+    const record = {
+      fingerprint,
+      reporter,
+      sequence: (known?.sequence ?? 0) + 1,
+      crashes: crashes.slice(-MAXIMUM_CRASHES),
+      isAnswered: known?.isAnswered ?? false,
+    };
+    this.onRecord(record, nowMs);
+    return record;
   }
 
-  /** Applies a record of an entry. */
-  onRecord(
-    {fingerprint, reporter, upstreams}: SuspectRecord,
-    nowMs: number,
-  ): void {
-    const suspect = this.#find(fingerprint, nowMs) ?? createSuspect();
-    const known = suspect.upstreams;
-    const reported = suspect.upstreamsByReporter.get(reporter) ?? [];
-    const isCleared = upstreams.length === 0;
-    const all = isCleared ? [] : [...new Set([...reported, ...upstreams])];
-    suspect.upstreamsByReporter.set(reporter, all.slice(-MAXIMUM_UPSTREAMS));
-    const merged = new Set([...suspect.upstreamsByReporter.values()].flat());
-    this.#remove(fingerprint);
-    if (merged.size === 0) {
+  /** Applies a record of an entry, unless a later one is known. */
+  onRecord(record: SuspectRecord, nowMs: number): void {
+    const {fingerprint, reporter, sequence} = record;
+    const known = this.#find(fingerprint, nowMs);
+    const former = known?.records.get(reporter);
+    if (former !== undefined && former.sequence > sequence) {
       return;
     }
-    suspect.upstreams = merged;
-    // A record that is read again must not prolong a quarantine.
-    const hasNew = [...merged].some(upstream => !known.has(upstream));
-    if (hasNew) {
-      suspect.expiresAtMs = nowMs + SUSPECT_LIFETIME_MS;
-    }
-    this.#add(fingerprint, suspect);
-    this.#removeSurplus();
+    const isSame = former?.sequence === sequence;
+    const records = new Map(known?.records);
+    records.set(reporter, isSame ? mergeRecords(former, record) : record);
+    this.#replace(fingerprint, known, records, nowMs);
   }
 
-  /** Called when the request got a complete answer. Returns the entries whose records about it that refutes. */
-  onAnswer(fingerprint: string): readonly string[] {
-    const suspect = this.#suspects.get(fingerprint);
-    if (suspect === undefined || this.#isQuarantined(suspect)) {
+  /** Called when the request got a complete answer. Returns the records that changed by it; a quarantine stays. */
+  onAnswer(identity: RequestIdentity, nowMs: number): readonly SuspectRecord[] {
+    const {fingerprint, caller} = identity;
+    const suspect = this.#find(fingerprint, nowMs);
+    if (
+      suspect === undefined ||
+      this.statusOf(identity, nowMs) === 'quarantined'
+    ) {
       return [];
     }
-    this.#remove(fingerprint);
-    return [...suspect.upstreamsByReporter]
-      .filter(([, upstreams]) => upstreams.length > 0)
-      .map(([reporter]) => reporter);
+    const changed = [...suspect.records.values()]
+      .filter(({crashes}) => crashes.length > 0)
+      .map(record => toAnswered(record, caller))
+      .filter(record => record !== undefined);
+    changed.forEach(record => this.onRecord(record, nowMs));
+    return changed;
   }
 
   #find(fingerprint: string, nowMs: number): Suspect | undefined {
@@ -142,15 +175,23 @@
     return suspect;
   }
 
-  #isQuarantined({upstreams}: Suspect): boolean {
+  /** Whether enough upstreams crashed, one after the other, for which no other request is to blame. */
+  #isGuilty(crashes: readonly Crash[], {upstreams}: Suspect): boolean {
     const {quarantineCrashes} = this.#options;
-    if (upstreams.size < quarantineCrashes) {
+    if (crashes.length < quarantineCrashes) {
       return false;
     }
-    const blamed = [...upstreams].filter(
-      upstream => !this.#isExplained(upstream, upstreams.size),
+    const blamed = crashes.filter(
+      ({upstream}) => !this.#isExplained(upstream, upstreams.size),
     );
-    return blamed.length >= quarantineCrashes;
+    return countSuccessive(blamed) >= quarantineCrashes;
+  }
+
+  /** Whether the request is guilty whoever sends it: several callers crash upstreams with it, and none gets an answer. */
+  #isGuiltyForAll(suspect: Suspect): boolean {
+    const {crashes, records} = suspect;
+    const isAnswered = [...records.values()].some(record => record.isAnswered);
+    return !isAnswered && isSpread(crashes) && this.#isGuilty(crashes, suspect);
   }
 
   /** Whether a request with more than `crashes` crashes was in flight at the upstream too. */
@@ -161,8 +202,30 @@
     );
   }
 
+  #replace(
+    fingerprint: string,
+    known: Suspect | undefined,
+    records: Map<string, SuspectRecord>,
+    nowMs: number,
+  ): void {
+    const reported = [...records.values()].map(({crashes}) => crashes);
+    const crashes = reported.reduce(mergeCrashes, []);
+    const upstreams = upstreamsOf(crashes);
+    // A record that is read again must not prolong a quarantine.
+    const hasNew =
+      known === undefined ||
+      [...upstreams].some(upstream => !known.upstreams.has(upstream));
+    const expiresAtMs = hasNew
+      ? nowMs + SUSPECT_LIFETIME_MS
+      : known.expiresAtMs;
+    this.#remove(fingerprint);
+    this.#add(fingerprint, {records, crashes, upstreams, expiresAtMs});
+    this.#removeSurplus();
+  }
+
   #add(fingerprint: string, suspect: Suspect): void {
     this.#suspects.set(fingerprint, suspect);
+    this.#activeCount += Number(suspect.crashes.length > 0);
     for (const upstream of suspect.upstreams) {
       const fingerprints = this.#fingerprintsByUpstream.get(upstream);
       if (fingerprints === undefined) {
@@ -175,8 +238,12 @@
 
   #remove(fingerprint: string): void {
     const suspect = this.#suspects.get(fingerprint);
+    if (suspect === undefined) {
+      return;
+    }
     this.#suspects.delete(fingerprint);
-    for (const upstream of suspect?.upstreams ?? []) {
+    this.#activeCount -= Number(suspect.crashes.length > 0);
+    for (const upstream of suspect.upstreams) {
       const fingerprints = this.#fingerprintsByUpstream.get(upstream);
       fingerprints?.delete(fingerprint);
       if (fingerprints?.size === 0) {
@@ -200,10 +267,26 @@
   }
 }
 
-function createSuspect(): Suspect {
-  return {
-    upstreamsByReporter: new Map(),
-    upstreams: new Set(),
-    expiresAtMs: 0,
-  };
+/** Merges two records of the same number, which two entries may have written at the same time. */
+function mergeRecords(
+  left: SuspectRecord,
+  right: SuspectRecord,
+): SuspectRecord {
+  const crashes = mergeCrashes(left.crashes, right.crashes);
+  const isAnswered = left.isAnswered || right.isAnswered;
+  return {...left, crashes: crashes.slice(-MAXIMUM_CRASHES), isAnswered};
+}
+
+/** The record after an answer to a caller; undefined if it changes nothing. */
+function toAnswered(
+  record: SuspectRecord,
+  caller: string | undefined,
+): SuspectRecord | undefined {
+  const crashes = record.crashes.filter(crash => crash.caller !== caller);
+  const isAnswered = crashes.length > 0;
+  const isChanged =
+    crashes.length < record.crashes.length || isAnswered !== record.isAnswered;
+  return isChanged
+    ? {...record, sequence: record.sequence + 1, crashes, isAnswered}
+    : undefined;
 }
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -2,6 +2,7 @@
 
 export * from './admission-queue.js';
 export * from './crash-guard.js';
+export type {Crash} from './crash.js';
 export * from './create-selection.js';
 export * from './expected-loss.js';
 export * from './group-failure-share.js';
--- a/packages/policy/src/request-fingerprint.ts
+++ b/packages/policy/src/request-fingerprint.ts
@@ -2,10 +2,10 @@
 
 import {createHash} from 'node:crypto';
 
-/** What makes two sends the same request. */
+/** What makes two requests equal, whoever sends them. */
 export interface FingerprintInput {
-  /** What the path is relative to, such as a service, or a host and a caller. */
-  readonly scope: readonly string[];
+  /** What the path is relative to: a service, or a host. */
+  readonly scope: string;
   readonly method: string;
   /** Path and query. */
   readonly path: string;
@@ -16,6 +16,9 @@
 /** Length of a fingerprint before encoding, in bytes: 128 bits make equal fingerprints of different requests improbable. */
 const FINGERPRINT_BYTES = 16;
 
+/** Length of a caller's fingerprint before encoding, in bytes: 48 bits tell the callers of one request apart. */
+const CALLER_BYTES = 6;
+
 /** Returns the fingerprint of a request, in base64url. */
 export function toFingerprint(input: FingerprintInput): string {
   const {scope, method, path, body} = input;
@@ -26,3 +29,9 @@
   }
   return hash.digest().subarray(0, FINGERPRINT_BYTES).toString('base64url');
 }
+
+/** Returns the fingerprint of a caller's address, in base64url. */
+export function toCallerFingerprint(address: string): string {
+  const digest = createHash('sha256').update(address).digest();
+  return digest.subarray(0, CALLER_BYTES).toString('base64url');
+}
