fix(entry): a hedged look-up is not refused for what a request beside it crashed in turn

Cause: the guard took crashes that overlap for as much evidence as crashes in turn. Change: attempts of packages/entry carry when they began and broke, as those of packages/balancer do, and a crash is blamed on the request with the most crashes in turn. Overlapping crashes still count where no other request explains them: a slow poisonous request that is hedged is held to two.

The new scenario of features/policy/crash-guard.feature can't be run against the guard before, which takes no times in.

--- a/features/policy/crash-guard.feature
+++ b/features/policy/crash-guard.feature
@@ -77,6 +77,18 @@
       | u3       | 90   | 102 |
     Then "innocent" is a suspect
 
+  # Guards against a hedged look-up that is refused for a request beside it, which crashed both of its upstreams in turn.
+  Scenario: A hedged request is not blamed for what another one crashed in turn
+    Given a crash guard that quarantines after 2 crashes, also if they overlap
+    When entry "a" reports that "hedged" was under way at these upstreams when they crashed
+      | upstream | from | to  |
+      | u1       | 0    | 100 |
+      | u2       | 50   | 140 |
+    Then "hedged" is quarantined
+    When entry "b" reports that "guilty" crashed "u1, u2"
+    Then "hedged" is a suspect
+    And "guilty" is quarantined
+
   Scenario: Upstreams that crash one after the other count one by one
     When entry "a" reports that "guilty" was under way at these upstreams when they crashed
       | upstream | from | to  |
--- a/features/steps/crash-guard.steps.ts
+++ b/features/steps/crash-guard.steps.ts
@@ -15,12 +15,27 @@
 Given(
   'a crash guard that quarantines after {int} crashes',
   function (this: GuardWorld, quarantineCrashes: number) {
-    this.guard = new CrashGuard({reporter: 'self', quarantineCrashes});
+    this.guard = new CrashGuard({
+      reporter: 'self',
+      quarantineCrashes,
+      countsOverlapping: false,
+    });
     this.nowMs = 0;
     this.sequence = 0;
   },
 );
 
+Given(
+  'a crash guard that quarantines after {int} crashes, also if they overlap',
+  function (this: GuardWorld, quarantineCrashes: number) {
+    this.guard = new CrashGuard({
+      reporter: 'self',
+      quarantineCrashes,
+      countsOverlapping: true,
+    });
+  },
+);
+
 When(
   'entry {string} reports that {string} crashed {string}',
   function (
--- a/packages-private/prove/src/weakened/index.ts
+++ b/packages-private/prove/src/weakened/index.ts
@@ -104,7 +104,11 @@
       container.register({
         crashGuard: asFunction(
           ({incarnation}: EntryCradle) =>
-            new BlindCrashGuard({reporter: incarnation, quarantineCrashes: 2}),
+            new BlindCrashGuard({
+              reporter: incarnation,
+              quarantineCrashes: 2,
+              countsOverlapping: true,
+            }),
         ).singleton(),
       });
     },
--- a/packages/balancer/src/balancer.ts
+++ b/packages/balancer/src/balancer.ts
@@ -132,6 +132,7 @@
     this.#crashGuard = new CrashGuard({
       reporter: settings.name,
       quarantineCrashes: QUARANTINE_CRASHES,
+      countsOverlapping: false,
     });
     this.#suspectAnnouncer = this.#createSuspectAnnouncer();
     this.#crashMonitor = new CrashMonitor({
--- a/packages/entry/src/data-path-container.ts
+++ b/packages/entry/src/data-path-container.ts
@@ -40,6 +40,8 @@
         new CrashGuard({
           reporter: incarnation,
           quarantineCrashes: QUARANTINE_CRASHES,
+          // A request that is hedged may crash both upstreams at once.
+          countsOverlapping: true,
         }),
     ).singleton(),
     suspectNotifier: asFunction(() => new NoSuspectNotifier()).singleton(),
--- a/packages/entry/src/data-path/dispatch.ts
+++ b/packages/entry/src/data-path/dispatch.ts
@@ -237,7 +237,7 @@
     }
     if (result.kind === 'broken' && result.isConnectionLost) {
       this.#suspectNotifications.push(
-        this.#suspectTracker.onConnectionLost(handle),
+        this.#suspectTracker.onConnectionLost(handle, startedAtMs),
       );
     }
     this.#excluded.add(handle);
--- a/packages/entry/src/data-path/suspect-tracker.ts
+++ b/packages/entry/src/data-path/suspect-tracker.ts
@@ -32,9 +32,14 @@
    * Called when the connection to an upstream was lost while it ran the
    * request. Resolves once other entries were notified.
    */
-  async onConnectionLost(handle: UpstreamHandle): Promise<void> {
+  async onConnectionLost(
+    handle: UpstreamHandle,
+    startedAtMs: number,
+  ): Promise<void> {
     const {crashGuard, suspectNotifier, clock} = this.#options;
-    const crash = {upstream: handle.address};
+    const toMs = clock.wallTime();
+    const fromMs = toMs - (clock.now() - startedAtMs);
+    const crash = {upstream: handle.address, span: {fromMs, toMs}};
     const record = crashGuard.onCrash(this.#identity, crash, clock.now());
     await suspectNotifier.notify(this.#job.service.name, record);
   }
--- a/packages/policy/src/crash-guard.ts
+++ b/packages/policy/src/crash-guard.ts
@@ -47,6 +47,8 @@
   readonly reporter: string;
   /** Number of different upstreams that must have crashed before a request is quarantined. */
   readonly quarantineCrashes: number;
+  /** Whether upstreams that crashed while the request was in flight at all of them count one by one, rather than once. */
+  readonly countsOverlapping: boolean;
 }
 
 /** Time after its last crash at which a suspect or a quarantine expires, in milliseconds. */
@@ -64,6 +66,8 @@
   crashes: readonly Crash[];
   /** Upstreams of `crashes`. */
   upstreams: ReadonlySet<string>;
+  /** Number of upstreams that crashed one after the other. */
+  successive: number;
   expiresAtMs: number;
 }
 
@@ -176,15 +180,18 @@
   }
 
   /** Whether enough upstreams crashed, one after the other, for which no other request is to blame. */
-  #isGuilty(crashes: readonly Crash[], {upstreams}: Suspect): boolean {
-    const {quarantineCrashes} = this.#options;
+  #isGuilty(crashes: readonly Crash[], {successive}: Suspect): boolean {
+    const {quarantineCrashes, countsOverlapping} = this.#options;
     if (crashes.length < quarantineCrashes) {
       return false;
     }
     const blamed = crashes.filter(
-      ({upstream}) => !this.#isExplained(upstream, upstreams.size),
+      ({upstream}) => !this.#isExplained(upstream, successive),
     );
-    return countSuccessive(blamed) >= quarantineCrashes;
+    const count = countsOverlapping
+      ? upstreamsOf(blamed).size
+      : countSuccessive(blamed);
+    return count >= quarantineCrashes;
   }
 
   /** Whether the request is guilty whoever sends it: several callers crash upstreams with it, and none gets an answer. */
@@ -194,11 +201,12 @@
     return !isAnswered && isSpread(crashes) && this.#isGuilty(crashes, suspect);
   }
 
-  /** Whether a request with more than `crashes` crashes was in flight at the upstream too. */
-  #isExplained(upstream: string, crashes: number): boolean {
+  /** Whether a request with more than `successive` crashes, one after the other, was in flight at the upstream too. */
+  #isExplained(upstream: string, successive: number): boolean {
     const fingerprints = this.#fingerprintsByUpstream.get(upstream) ?? [];
     return [...fingerprints].some(
-      fingerprint => this.crashesOf(fingerprint) > crashes,
+      fingerprint =>
+        (this.#suspects.get(fingerprint)?.successive ?? 0) > successive,
     );
   }
 
@@ -211,6 +219,7 @@
     const reported = [...records.values()].map(({crashes}) => crashes);
     const crashes = reported.reduce(mergeCrashes, []);
     const upstreams = upstreamsOf(crashes);
+    const successive = countSuccessive(crashes);
     // A record that is read again must not prolong a quarantine.
     const hasNew =
       known === undefined ||
@@ -219,7 +228,13 @@
       ? nowMs + SUSPECT_LIFETIME_MS
       : known.expiresAtMs;
     this.#remove(fingerprint);
-    this.#add(fingerprint, {records, crashes, upstreams, expiresAtMs});
+    this.#add(fingerprint, {
+      records,
+      crashes,
+      upstreams,
+      successive,
+      expiresAtMs,
+    });
     this.#removeSurplus();
   }
 
--- a/packages/policy/src/crash.ts
+++ b/packages/policy/src/crash.ts
@@ -23,12 +23,12 @@
   left: readonly Crash[],
   right: readonly Crash[],
 ): readonly Crash[] {
-  const isKnown = (crash: Crash) =>
-    left.some(
-      ({upstream, caller}) =>
-        upstream === crash.upstream && caller === crash.caller,
-    );
-  return [...left, ...right.filter(crash => !isKnown(crash))];
+  const known = new Set(left.map(toIdentity));
+  return [...left, ...right.filter(crash => !known.has(toIdentity(crash)))];
+}
+
+function toIdentity({upstream, caller = ''}: Crash): string {
+  return `${upstream} ${caller}`;
 }
 
 /**
