test(soak): all entries are lost at once and another one joins, beside crashing requests

What entries know of crashing requests must outlast them, and reach those that start later. Drawn with numbers of their own, so that the series of a seed stay as they were.

--- a/packages-private/soak/src/acts.ts
+++ b/packages-private/soak/src/acts.ts
@@ -13,6 +13,8 @@
 /** What acts are done to. */
 export interface Site {
   readonly entries: readonly EntryProcess[];
+  /** An entry that isn't started yet. */
+  readonly spare: EntryProcess;
   readonly workers: readonly WorkerSlot[];
   readonly store: StoreStandIn;
   readonly operator: Operator;
@@ -57,7 +59,13 @@
 export async function act(site: Site, step: Step): Promise<void> {
   if (step.act === 'crashing-request') {
     // It is sent until the end of the run; the run doesn't wait for it.
-    void sendCrashing(site.entries, site.history, step.subject);
+    const entries = [...site.entries, site.spare];
+    void sendCrashing(entries, site.history, step.subject);
+  } else if (step.act === 'entries-kill') {
+    killAll(site);
+  } else if (step.act === 'entries-join') {
+    // It runs until the end; the run doesn't wait for it.
+    void site.spare.run();
   } else if (step.act === 'move-route') {
     site.operator.moveRoute();
   } else if (step.act.startsWith('store-')) {
@@ -130,6 +138,21 @@
   }
 }
 
+/** Kills all entries at the same moment: what they know is what the store holds. */
+function killAll({entries, spare, history}: Site): void {
+  const fromMs = nowMs();
+  for (const entry of [...entries, spare]) {
+    history.disturbances.push({
+      subject: entry.address,
+      what: 'entries-kill',
+      fromMs,
+      toMs: fromMs,
+      isPlanned: false,
+    });
+    entry.signal('SIGKILL');
+  }
+}
+
 async function actOnWorker(site: Site, step: Step): Promise<void> {
   const {workers, history} = site;
   const slot = workers[step.subject % workers.length];
--- a/packages-private/soak/src/schedule.ts
+++ b/packages-private/soak/src/schedule.ts
@@ -30,8 +30,9 @@
   'move-route',
 ] as const;
 
-/** One kind of act. */
-export type Act = (typeof ACTS)[number] | 'crashing-request';
+/** One kind of act. The last three are no part of a series: a request that crashes workers, the loss of all entries at once, and an entry that joins. */
+export type Act =
+  (typeof ACTS)[number] | 'crashing-request' | 'entries-kill' | 'entries-join';
 
 /** One act of a run. */
 export interface Step {
@@ -85,16 +86,19 @@
     }
     atMs += random.nextBelow(2 * SERIES_GAP_MS);
   }
-  return {seed, lengthMs, steps: [...steps, ...drawCrashing(seed, lastMs)]};
+  return {seed, lengthMs, steps: [...steps, ...drawSingle(seed, lastMs)]};
 }
 
-/** Draws the crashing requests with numbers of their own, so that they change nothing else that a seed stands for. */
-function drawCrashing(seed: number, lastMs: number): readonly Step[] {
+/** Draws the acts of which a run has few with numbers of their own, so that they change nothing else that a seed stands for. */
+function drawSingle(seed: number, lastMs: number): readonly Step[] {
   const random = new SeededRandom(seed + SUBJECTS);
-  return Array.from({length: CRASHING_REQUESTS}, () => ({
-    act: 'crashing-request' as const,
-    atMs: random.nextBelow(lastMs),
-    forMs: 0,
-    subject: random.nextBelow(SUBJECTS),
-  }));
+  const acts: Act[] = Array(CRASHING_REQUESTS).fill('crashing-request');
+  return [...acts, 'entries-kill' as const, 'entries-join' as const].map(
+    act => ({
+      act,
+      atMs: random.nextBelow(lastMs),
+      forMs: 0,
+      subject: random.nextBelow(SUBJECTS),
+    }),
+  );
 }
--- a/packages-private/soak/src/soak.ts
+++ b/packages-private/soak/src/soak.ts
@@ -50,13 +50,13 @@
 export async function runSoak(options: SoakOptions): Promise<SoakReport> {
   mkdirSync(options.directory, {recursive: true});
   const site = await createSite(options);
-  const {history, entries, workers, store} = site;
+  const {history, entries, spare, workers, store} = site;
   const runs = entries.map(entry => entry.run());
   try {
     await waitUntilReady(entries);
     await play(site, options);
   } finally {
-    for (const entry of entries) {
+    for (const entry of [...entries, spare]) {
       entry.end();
     }
     await Promise.all(runs);
@@ -93,26 +93,28 @@
   for (const worker of workers) {
     await worker.start();
   }
-  const ports = await findFreePorts(options.entries * PORTS_PER_ENTRY);
-  const entries = Array.from(
-    {length: options.entries},
-    (_, index) =>
-      new EntryProcess({
-        name: `entry-${index + 1}`,
-        zone: ZONES[index % ZONES.length],
-        regionByZone: REGION_BY_ZONE,
-        ports: ports.slice(index * PORTS_PER_ENTRY),
-        storeAddress,
-        program: options.program,
-        directory: options.directory,
-        history,
-      }),
+  const ports = await findFreePorts((options.entries + 1) * PORTS_PER_ENTRY);
+  const createEntry = (index: number) =>
+    new EntryProcess({
+      name: `entry-${index + 1}`,
+      zone: ZONES[index % ZONES.length],
+      regionByZone: REGION_BY_ZONE,
+      ports: ports.slice(index * PORTS_PER_ENTRY),
+      storeAddress,
+      program: options.program,
+      directory: options.directory,
+      history,
+    });
+  const entries = Array.from({length: options.entries}, (_, index) =>
+    createEntry(index),
   );
-  return {entries, workers, store, operator, history};
+  const spare = createEntry(options.entries);
+  return {entries, spare, workers, store, operator, history};
 }
 
 async function play(site: Site, options: SoakOptions): Promise<void> {
-  const {entries, history} = site;
+  const {history, spare} = site;
+  const entries = [...site.entries, spare];
   const {seed, steps, lengthMs} = options.schedule;
   const links = new Map<string, string>();
   for (const entry of entries) {
