fix(policy): a request that crashed upstreams in turn is not let go for what ran beside it

A hedged look-up beside it had been at both of its upstreams, and then lost a third one that was killed from outside. Other entries are told of upstreams without times, so it had three crashes in turn where the poisonous one had two, and took the blame.

Change: where overlapping crashes count (packages/entry), only a request whose crashes overlap can be found innocent, and only if another one crashed as many in turn as a quarantine takes. The new scenario failed before.

--- a/features/peer/row-table.feature
+++ b/features/peer/row-table.feature
@@ -21,3 +21,12 @@
     When each entry reports that one request crashed "127.0.0.1:7001"
     And entry 1 reports that it crashed "127.0.0.1:7002" as well
     Then every entry knows within 5 seconds that it crashed 2 upstreams
+
+  # Guards against a request that crashes upstreams again through each entry that starts.
+  Scenario: An entry that joins learns of crashes that were seen before
+    Given 3 entries in region "north" that talk to each other
+    When each entry reports that one request crashed "127.0.0.1:7001"
+    And entry 1 reports that it crashed "127.0.0.1:7002" as well
+    Then every entry knows within 5 seconds that it crashed 2 upstreams
+    When another entry joins
+    Then the entry that joined knows within 5 seconds that it crashed 2 upstreams
--- a/features/policy/crash-guard.feature
+++ b/features/policy/crash-guard.feature
@@ -89,6 +89,13 @@
     Then "hedged" is a suspect
     And "guilty" is quarantined
 
+  # Guards against a guilty request that goes free because one beside it lost a further upstream by chance.
+  Scenario: A request that crashed upstreams in turn stays quarantined whatever ran beside it
+    Given a crash guard that quarantines after 2 crashes, also if they overlap
+    When entry "a" reports that "guilty" crashed "u1, u2"
+    And entry "b" reports that "beside" crashed "u1, u2, u3"
+    Then "guilty" is quarantined
+
   Scenario: Upstreams that crash one after the other count one by one
     When entry "a" reports that "guilty" was under way at these upstreams when they crashed
       | upstream | from | to  |
--- a/features/steps/peer.steps.ts
+++ b/features/steps/peer.steps.ts
@@ -475,6 +475,22 @@
   },
 );
 
+When('another entry joins', async function (this: PeerWorld) {
+  const {region} = seatOf(this, 1).task.self;
+  this.newSeat = await this.group!.add({entry: 'joining', region});
+});
+
+Then(
+  'the entry that joined knows within {int} seconds that it crashed {int} upstreams',
+  async function (this: PeerWorld, seconds: number, count: number) {
+    const isKnown = () => {
+      const [suspect] = this.newSeat.task.suspects();
+      return suspect?.upstreams.size === count;
+    };
+    await assertSoon(isKnown, seconds, 'knowing the crashes');
+  },
+);
+
 Then(
   'after {int} exchanges no entry lists it',
   START_TIMEOUT,
--- a/packages/policy/src/crash-guard.ts
+++ b/packages/policy/src/crash-guard.ts
@@ -66,7 +66,7 @@
   crashes: readonly Crash[];
   /** Upstreams of `crashes`. */
   upstreams: ReadonlySet<string>;
-  /** Number of upstreams that crashed one after the other. */
+  /** Number of upstreams that crashed in turn. */
   successive: number;
   expiresAtMs: number;
 }
@@ -179,19 +179,34 @@
     return suspect;
   }
 
-  /** Whether enough upstreams crashed, one after the other, for which no other request is to blame. */
-  #isGuilty(crashes: readonly Crash[], {successive}: Suspect): boolean {
+  #isGuilty(crashes: readonly Crash[], suspect: Suspect): boolean {
     const {quarantineCrashes, countsOverlapping} = this.#options;
     if (crashes.length < quarantineCrashes) {
       return false;
     }
+    return countsOverlapping
+      ? this.#isGuiltyByCount(crashes)
+      : this.#isGuiltyInTurn(crashes, suspect);
+  }
+
+  /** Whether enough upstreams crashed in turn, or at once with no other request to blame. */
+  #isGuiltyByCount(crashes: readonly Crash[]): boolean {
+    const {quarantineCrashes} = this.#options;
+    if (countSuccessive(crashes) >= quarantineCrashes) {
+      return true;
+    }
+    const blamed = crashes.filter(
+      ({upstream}) => !this.#isExplained(upstream, quarantineCrashes),
+    );
+    return upstreamsOf(blamed).size >= quarantineCrashes;
+  }
+
+  /** Whether enough upstreams crashed in turn for which no other request is to blame. */
+  #isGuiltyInTurn(crashes: readonly Crash[], {successive}: Suspect): boolean {
     const blamed = crashes.filter(
-      ({upstream}) => !this.#isExplained(upstream, successive),
+      ({upstream}) => !this.#isExplained(upstream, successive + 1),
     );
-    const count = countsOverlapping
-      ? upstreamsOf(blamed).size
-      : countSuccessive(blamed);
-    return count >= quarantineCrashes;
+    return countSuccessive(blamed) >= this.#options.quarantineCrashes;
   }
 
   /** Whether the request is guilty whoever sends it: several callers crash upstreams with it, and none gets an answer. */
@@ -201,12 +216,12 @@
     return !isAnswered && isSpread(crashes) && this.#isGuilty(crashes, suspect);
   }
 
-  /** Whether a request with more than `successive` crashes, one after the other, was in flight at the upstream too. */
+  /** Whether a request with at least `successive` crashes in turn was in flight at the upstream too. */
   #isExplained(upstream: string, successive: number): boolean {
     const fingerprints = this.#fingerprintsByUpstream.get(upstream) ?? [];
     return [...fingerprints].some(
       fingerprint =>
-        (this.#suspects.get(fingerprint)?.successive ?? 0) > successive,
+        (this.#suspects.get(fingerprint)?.successive ?? 0) >= successive,
     );
   }
 
