fix(policy): a request that is sent several times at once is quarantined by its next crash

Change: overlapping crashes count one by one as soon as there is one in turn after them. Crashes that are all together, such as the loss of a rack, still quarantine nothing.

--- a/features/policy/crash-guard.feature
+++ b/features/policy/crash-guard.feature
@@ -69,7 +69,7 @@
     And "page" of caller "x" is a suspect
 
   # Guards against the loss of a rack that is blamed on a request which was under way at several of its upstreams.
-  Scenario: Upstreams that crash together count once
+  Scenario: Upstreams that crash together quarantine nothing
     When entry "a" reports that "innocent" was under way at these upstreams when they crashed
       | upstream | from | to  |
       | u1       | 0    | 100 |
@@ -96,6 +96,15 @@
     And entry "b" reports that "beside" crashed "u1, u2, u3"
     Then "guilty" is quarantined
 
+  # Guards against a guilty request that is sent several times at once, or waits at a busy upstream while it is sent again.
+  Scenario: Sends that overlap are held to the same number of upstreams, once there is a crash after them
+    When entry "a" reports that "guilty" was under way at these upstreams when they crashed
+      | upstream | from | to  |
+      | u1       | 0    | 100 |
+      | u2       | 50   | 101 |
+      | u3       | 110  | 120 |
+    Then "guilty" is quarantined
+
   Scenario: Upstreams that crash one after the other count one by one
     When entry "a" reports that "guilty" was under way at these upstreams when they crashed
       | upstream | from | to  |
--- a/packages/policy/src/crash-guard.ts
+++ b/packages/policy/src/crash-guard.ts
@@ -2,7 +2,7 @@
  * Protects upstreams from a request that crashes each one that runs it.
  *
  * A request in flight at an upstream that crashed becomes a suspect, and is
- * quarantined once enough upstreams crashed under it, one after the other. One
+ * quarantined once enough upstreams crashed under it, not all together. One
  * complete answer to the same caller clears it, so a request that was in flight
  * only by chance is cleared by its next run. Requests that differ only in their
  * caller are told apart, unless several callers crash upstreams with them and
@@ -47,7 +47,7 @@
   readonly reporter: string;
   /** Number of different upstreams that must have crashed before a request is quarantined. */
   readonly quarantineCrashes: number;
-  /** Whether upstreams that crashed while the request was in flight at all of them count one by one, rather than once. */
+  /** Whether upstreams that crashed together are enough for a quarantine. */
   readonly countsOverlapping: boolean;
 }
 
@@ -60,6 +60,9 @@
 /** Maximum number of crashes in one record; more add nothing to a quarantine. */
 const MAXIMUM_CRASHES = 16;
 
+/** Minimum number of crashes in turn: upstreams that are lost together, such as those of a rack, have a cause of their own. */
+const MINIMUM_SUCCESSIVE = 2;
+
 interface Suspect {
   readonly records: Map<string, SuspectRecord>;
   /** Crashes of all records. */
@@ -186,7 +189,7 @@
     }
     return countsOverlapping
       ? this.#isGuiltyByCount(crashes)
-      : this.#isGuiltyInTurn(crashes, suspect);
+      : this.#isGuiltyOverTime(crashes, suspect);
   }
 
   /** Whether enough upstreams crashed in turn, or at once with no other request to blame. */
@@ -201,12 +204,15 @@
     return upstreamsOf(blamed).size >= quarantineCrashes;
   }
 
-  /** Whether enough upstreams crashed in turn for which no other request is to blame. */
-  #isGuiltyInTurn(crashes: readonly Crash[], {successive}: Suspect): boolean {
+  /** Whether enough upstreams crashed, not all of them together, for which no other request is to blame. */
+  #isGuiltyOverTime(crashes: readonly Crash[], {successive}: Suspect): boolean {
     const blamed = crashes.filter(
       ({upstream}) => !this.#isExplained(upstream, successive + 1),
     );
-    return countSuccessive(blamed) >= this.#options.quarantineCrashes;
+    return (
+      upstreamsOf(blamed).size >= this.#options.quarantineCrashes &&
+      countSuccessive(blamed) >= MINIMUM_SUCCESSIVE
+    );
   }
 
   /** Whether the request is guilty whoever sends it: several callers crash upstreams with it, and none gets an answer. */
--- a/packages/policy/src/crash.ts
+++ b/packages/policy/src/crash.ts
@@ -32,9 +32,8 @@
 }
 
 /**
- * Greatest number of upstreams that crashed one after the other. Upstreams that
- * crash together, such as those of a rack, have a cause of their own: a request
- * that was in flight at several of them counts only once.
+ * Greatest number of upstreams that crashed in turn: the request was sent to
+ * each of them after the one before had crashed.
  */
 export function countSuccessive(crashes: readonly Crash[]): number {
   const byUpstream = new Map(crashes.map(crash => [crash.upstream, crash]));
