--- a/packages/balancer/src/suspects/crash-monitor.ts
+++ b/packages/balancer/src/suspects/crash-monitor.ts
@@ -99,7 +99,7 @@
     }
   }
 
-  /** Called when an upstream answered a request: it crashed none. Corrects what entries reported. */
+  /** Called when an upstream answered a request, which refutes what entries reported of it for that caller. */
   onAnswer(identity: RequestIdentity): void {
     const {entry, guard, announcer, clock, log} = this.#options;
     const changed = guard.onAnswer(identity, clock.now());
@@ -135,7 +135,7 @@
     this.#announceLatest(record);
   }
 
-  /** Called with each record of another entry. */
+  /** Called with each record of an entry, from the store or from that entry itself. */
   onRecord(record: SuspectRecord): void {
     const {guard, clock, log} = this.#options;
     const {fingerprint, reporter} = record;
--- a/packages/balancer/src/suspects/suspect-announcer.ts
+++ b/packages/balancer/src/suspects/suspect-announcer.ts
@@ -72,7 +72,7 @@
     this.#options = options;
   }
 
-  /** Announces a record of this entry. */
+  /** Writes a record to the store, and again until it is there. */
   announce(record: SuspectRecord): void {
     this.#pending.set(toSuspectKey(record), record);
     this.#dropSurplus();
@@ -81,7 +81,7 @@
     }
   }
 
-  /** Replaces an earlier record; does nothing if the store doesn't hold one. */
+  /** Replaces a record of this entry; does nothing if the store doesn't hold one. */
   correct(record: SuspectRecord): void {
     const key = toSuspectKey(record);
     if (this.#options.readStored(key) === undefined) {
@@ -198,7 +198,7 @@
     await sleep(this.#backoff.nextDelayMs());
   }
 
-  /** Keeps a record that replaced the written one. */
+  /** Removes a record from those to be written, unless another one has replaced it meanwhile. */
   #removePending(key: string, record: SuspectRecord): void {
     if (this.#pending.get(key) === record) {
       this.#pending.delete(key);
