refactor(features): steps of the balancer and of entries in files of one subject each

Steps for what a balancer reads from the store, for suspects and for nonsense stand apart; what the steps of entries share is in support/peer-world.ts. No step changed.

--- a/features/steps/peer.steps.ts
+++ b/features/steps/peer.steps.ts
@@ -3,41 +3,25 @@
 import assert from 'node:assert/strict';
 import {After, Given, Then, When} from '@cucumber/cucumber';
 import type {LedgerRecord, MemberState} from '@wasabidyke/peer';
-import {MINUTE_MS, SECOND_MS, SystemClock} from '@wasabidyke/shared';
-import {eventually} from '../support/eventually.js';
+import {MINUTE_MS, SECOND_MS} from '@wasabidyke/shared';
 import {PeerGroup, type PeerSeat} from '../support/peer-group.js';
-import {sendRandomMessages} from '../support/random-messages.js';
-
-interface PeerWorld {
-  group?: PeerGroup;
-  newSeat: PeerSeat;
-  acceptedKeys: ReadonlySet<string>;
-}
+import {
+  assertSoon,
+  countLive,
+  readCounter,
+  seatOf,
+  seatsOf,
+  START_TIMEOUT,
+  type PeerWorld,
+} from '../support/peer-world.js';
 
 const REGIONS = ['north', 'east', 'west'];
 const KILOBYTE = 1_000;
-const HOUR_MS = 60 * MINUTE_MS;
-const SERVICE = 'shop';
-const FINGERPRINT = 'request-1';
 /** Dozens of entries in one process at the usual period. */
 const CALM_TIMINGS = {periodMs: SECOND_MS};
-const START_TIMEOUT = {timeout: 30 * SECOND_MS};
 const DIGEST = '5'.repeat(64);
 const RECORD = 'the record of revision 5';
 
-class SkewedClock extends SystemClock {
-  readonly #leadMs: number;
-
-  constructor(leadMs: number) {
-    super();
-    this.#leadMs = leadMs;
-  }
-
-  override wallTime(): number {
-    return super.wallTime() + this.#leadMs;
-  }
-}
-
 async function addEntries(
   group: PeerGroup,
   region: string,
@@ -49,39 +33,12 @@
   }
 }
 
-function seatsOf(world: PeerWorld): readonly PeerSeat[] {
-  return world.group!.seats;
-}
-
-function seatOf(world: PeerWorld, number: number): PeerSeat {
-  return seatsOf(world)[number - 1];
-}
-
-function countLive({task}: PeerSeat): number {
-  return task.members().filter(({health}) => health === 'live').length;
-}
-
 function knowsDeparture({task}: PeerSeat, vm: string): boolean {
   return task
     .rows('departure')
     .some(({value}) => value.target.kind === 'vm' && value.target.name === vm);
 }
 
-function readCounter({registry}: PeerSeat, name: string): number {
-  const lines = registry.render().split('\n');
-  return lines
-    .filter(line => line.startsWith(name))
-    .reduce((sum, line) => sum + Number(line.split(' ').at(-1)), 0);
-}
-
-function assertSoon(
-  condition: () => boolean,
-  seconds: number,
-  what: string,
-): Promise<void> {
-  return eventually(what, condition, seconds * SECOND_MS);
-}
-
 async function assertDepartureKnown(
   seats: readonly PeerSeat[],
   vm: string,
@@ -297,56 +254,6 @@
   },
 );
 
-When(
-  'each entry reports that one request crashed {string}',
-  function (this: PeerWorld, upstream: string) {
-    for (const {task} of seatsOf(this)) {
-      task.publish({
-        kind: 'suspect',
-        value: {
-          service: SERVICE,
-          fingerprint: FINGERPRINT,
-          reporter: task.self.incarnation,
-          upstreams: [upstream],
-        },
-        expiresAtMs: Date.now() + MINUTE_MS,
-      });
-    }
-  },
-);
-
-When(
-  'entry {int} reports that it crashed {string} as well',
-  function (this: PeerWorld, number: number, upstream: string) {
-    const {task} = seatOf(this, number);
-    const [first] = task.suspects();
-    task.publish({
-      kind: 'suspect',
-      value: {
-        service: SERVICE,
-        fingerprint: FINGERPRINT,
-        reporter: task.self.incarnation,
-        upstreams: [...first.upstreams, upstream],
-      },
-      expiresAtMs: Date.now() + MINUTE_MS,
-    });
-  },
-);
-
-Then(
-  'every entry knows within {int} seconds that it crashed {int} upstreams',
-  async function (this: PeerWorld, seconds: number, count: number) {
-    const isKnown = () =>
-      seatsOf(this).every(
-        ({task}) =>
-          task.rows('suspect').length === seatsOf(this).length &&
-          task.suspects().length === 1 &&
-          task.suspects()[0].upstreams.size === count,
-      );
-    await assertSoon(isKnown, seconds, 'knowing the crashes');
-  },
-);
-
 When(
   'revision 5 comes into force at entry {int}',
   function (this: PeerWorld, number: number) {
@@ -427,82 +334,3 @@
     assert.equal(records.at(-1)?.body[0], 7);
   },
 );
-
-When(
-  'entry {int} is sent {int} random messages of seed {int}',
-  START_TIMEOUT,
-  async function (
-    this: PeerWorld,
-    number: number,
-    count: number,
-    seed: number,
-  ) {
-    const {peerAddress} = seatOf(this, number).task.self;
-    await sendRandomMessages(peerAddress, count, seed);
-  },
-);
-
-Then(
-  'entry {int} still lists only the {int} entries and answers their exchanges',
-  START_TIMEOUT,
-  async function (this: PeerWorld, number: number, count: number) {
-    const seat = seatOf(this, number);
-    const name = 'wasabidyke_peer_calls_answered_total{procedure="exchange"';
-    const before = readCounter(seat, name);
-    const isAnswering = () => readCounter(seat, name) > before + 3;
-    await assertSoon(isAnswering, 10, 'answering exchanges');
-    const names = seatsOf(this).map(({task}) => task.self.entry);
-    const listed = seat.task.members().map(({member}) => member.entry);
-    assert.deepEqual(listed, names);
-    assert.equal(countLive(seat), count);
-  },
-);
-
-Then(
-  'entry {int} has counted refusals',
-  function (this: PeerWorld, number: number) {
-    const name = 'wasabidyke_peer_refusals_total';
-    assert.ok(readCounter(seatOf(this, number), name) > 0);
-  },
-);
-
-When(
-  'an entry whose clock runs 1 hour ahead joins',
-  async function (this: PeerWorld) {
-    const clock = new SkewedClock(HOUR_MS);
-    const {region} = seatOf(this, 1).task.self;
-    this.newSeat = await this.group!.add({entry: 'ahead', region, clock});
-  },
-);
-
-When('another entry joins', async function (this: PeerWorld) {
-  const {region} = seatOf(this, 1).task.self;
-  this.newSeat = await this.group!.add({entry: 'joining', region});
-});
-
-Then(
-  'the entry that joined knows within {int} seconds that it crashed {int} upstreams',
-  async function (this: PeerWorld, seconds: number, count: number) {
-    const isKnown = () => {
-      const [suspect] = this.newSeat.task.suspects();
-      return suspect?.upstreams.size === count;
-    };
-    await assertSoon(isKnown, seconds, 'knowing the crashes');
-  },
-);
-
-Then(
-  'after {int} exchanges no entry lists it',
-  START_TIMEOUT,
-  async function (this: PeerWorld, exchanges: number) {
-    const name = 'wasabidyke_peer_calls_made_total{procedure="exchange"';
-    const isDone = () => readCounter(this.newSeat, name) >= exchanges;
-    await assertSoon(isDone, 20, 'the exchanges');
-    const {entry} = this.newSeat.task.self;
-    const others = seatsOf(this).filter(seat => seat !== this.newSeat);
-    const names = others.flatMap(({task}) =>
-      task.members().map(({member}) => member.entry),
-    );
-    assert.ok(!names.includes(entry));
-  },
-);
