--- a/packages-private/stand-ins/src/caller/exchange.ts
+++ b/packages-private/stand-ins/src/caller/exchange.ts
@@ -3,7 +3,7 @@
 import {createHash} from 'node:crypto';
 import {Readable} from 'node:stream';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {outcomeSchema, type Outcome} from '@wasabidyke/shared';
+import {outcomeSchema, parseJson, type Outcome} from '@wasabidyke/shared';
 import {request, type Dispatcher} from 'undici';
 import {z} from 'zod';
 import type {HistoryEventOf} from '../history/index.js';
@@ -150,11 +150,3 @@
     payload.length === payloadBytes && digest === head.data.payloadDigest;
   return {run, answeredRequest, isWhole};
 }
-
-function parseJson(text: string): unknown {
-  try {
-    return JSON.parse(text);
-  } catch {
-    return undefined;
-  }
-}
--- a/packages/balancer/src/cluster-state.ts
+++ b/packages/balancer/src/cluster-state.ts
@@ -1,6 +1,6 @@
 /** State of the deployment as read from the store: the applied configuration, the upstreams and the entries. */
 
-import type {Clock} from '@wasabidyke/shared';
+import {parseJson, type Clock} from '@wasabidyke/shared';
 import {entryRecordSchema} from './members/entry-record.js';
 import type {RecordHistory} from './feed/record-history.js';
 import type {EntryRoster} from './members/entry-roster.js';
@@ -190,7 +190,9 @@
       entries.onVanished(name, clock.now(), mayReappear);
       return;
     }
-    const parsed = entryRecordSchema.safeParse(parseJson(value));
+    const parsed = entryRecordSchema.safeParse(
+      parseJson(value.toString('utf8')),
+    );
     if (parsed.success && parsed.data.name === name) {
       entries.onRecord(parsed.data, revision);
     } else {
@@ -198,12 +200,3 @@
     }
   }
 }
-
-function parseJson(value: Buffer): unknown {
-  try {
-    return JSON.parse(value.toString('utf8'));
-  } catch {
-    // The caller logs a record that can't be parsed.
-    return undefined;
-  }
-}
--- a/packages/balancer/src/feed/feed-server.ts
+++ b/packages/balancer/src/feed/feed-server.ts
@@ -12,13 +12,14 @@
   type Server,
   type ServerResponse,
 } from 'node:http';
+import type {SuspectRecord} from '@wasabidyke/policy';
+import {parseJson} from '@wasabidyke/shared';
 import type {ListenAddress} from '../serving/discovery-server.js';
 import {
   MAXIMUM_FEED_AGE_MS,
   FEED_PATH,
   serializeFeed,
 } from './feed-messages.js';
-import type {SuspectRecord} from '@wasabidyke/policy';
 import {readBody} from '../serving/body-reader.js';
 import {SUSPECTS_PATH} from '../suspects/peer-notifier.js';
 import {suspectRecordsSchema} from '../suspects/suspect-record.js';
@@ -145,12 +146,3 @@
   });
   response.end(body);
 }
-
-function parseJson(text: string): unknown {
-  try {
-    return JSON.parse(text);
-  } catch {
-    // The schema rejects undefined.
-    return undefined;
-  }
-}
--- a/packages/balancer/src/suspects/suspect-record.ts
+++ b/packages/balancer/src/suspects/suspect-record.ts
@@ -1,6 +1,7 @@
 /** Records by which entries tell each other of requests that may crash upstreams. */
 
 import type {SuspectRecord} from '@wasabidyke/policy';
+import {parseJson} from '@wasabidyke/shared';
 import * as z from 'zod/mini';
 
 /** Key prefix of the records in the store. The rest of a key is the fingerprint, a slash, and the name of the reporting entry. */
@@ -49,7 +50,9 @@
   key: string,
   value: Buffer,
 ): SuspectRecord | undefined {
-  const parsed = suspectRecordSchema.safeParse(parseJson(value));
+  const parsed = suspectRecordSchema.safeParse(
+    parseJson(value.toString('utf8')),
+  );
   const isReadable = parsed.success && toSuspectKey(parsed.data) === key;
   return isReadable ? parsed.data : undefined;
 }
@@ -59,12 +62,3 @@
   const [fingerprint] = key.slice(SUSPECT_KEY_PREFIX.length).split('/');
   return fingerprint;
 }
-
-function parseJson(value: Buffer): unknown {
-  try {
-    return JSON.parse(value.toString('utf8'));
-  } catch {
-    // The schema rejects undefined.
-    return undefined;
-  }
-}
--- a/packages/policy/src/load-report.ts
+++ b/packages/policy/src/load-report.ts
@@ -3,6 +3,7 @@
  * Source: Open Request Cost Aggregation (ORCA), the `endpoint-load-metrics` header in its JSON form.
  */
 
+import {parseJson} from '@wasabidyke/shared';
 import {z} from 'zod';
 
 /** Name of the header that carries a load report. */
@@ -61,11 +62,3 @@
     madeAtMs: nowMs,
   };
 }
-
-function parseJson(text: string): unknown {
-  try {
-    return JSON.parse(text);
-  } catch {
-    return undefined;
-  }
-}
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -10,6 +10,7 @@
 export * from './life-cycle.js';
 export * from './metrics.js';
 export * from './outcome.js';
+export * from './parse-json.js';
 export * from './reporter.js';
 export * from './result.js';
 export * from './task.js';
--- a/packages/store/src/etcd-store.ts
+++ b/packages/store/src/etcd-store.ts
@@ -1,6 +1,6 @@
 /** The store behind etcd v3's published HTTP/JSON gateway. */
 
-import {Err, Ok, type Result} from '@wasabidyke/shared';
+import {Err, Ok, parseJson, type Result} from '@wasabidyke/shared';
 import {
   GRPC_NOT_FOUND,
   decodeBase64,
@@ -12,7 +12,7 @@
   watchAnswerSchema,
   type GatewayKeyValue,
 } from './gateway-messages.js';
-import {Gateway, parseJson, type GatewayOptions} from './gateway.js';
+import {Gateway, type GatewayOptions} from './gateway.js';
 import {
   Store,
   type Lease,
--- a/packages/store/src/gateway.ts
+++ b/packages/store/src/gateway.ts
@@ -4,6 +4,7 @@
 import {
   Err,
   Ok,
+  parseJson,
   type Clock,
   type MetricRegistry,
   type Result,
@@ -196,15 +197,6 @@
   return {kind, code, message};
 }
 
-/** Parses JSON; undefined where it is none. */
-export function parseJson(text: string): unknown {
-  try {
-    return JSON.parse(text);
-  } catch {
-    return undefined;
-  }
-}
-
 function firstLine(text: string): string {
   const end = text.trimStart().indexOf('\n');
   return end === -1 ? text : text.trimStart().slice(0, end);
