--- a/packages/balancer/src/serving/request-dispatcher.ts
+++ b/packages/balancer/src/serving/request-dispatcher.ts
@@ -18,6 +18,7 @@
   isErrorAnswer,
   type Attempt,
 } from './attempt-recorder.js';
+import {hedgeDelayMs, isHedgeInTime} from './hedge-timing.js';
 import type {UpstreamSelector, SelectedUpstream} from './upstream-selector.js';
 import type {RouteState} from './route-state.js';
 import {freeSlotDelayMs, toLastUpstream} from './refusal-details.js';
@@ -44,15 +45,6 @@
 /** Limit of attempts that fail before a byte is sent; they don't count as attempts of the route, as they cost upstreams nothing. */
 const MAXIMUM_UNSENT_ATTEMPTS = 4;
 
-/** A hedge is sent once the first attempt takes this many times its estimate. */
-const HEDGE_DELAY_FACTOR = 1.6;
-
-/** Shortest delay before a hedge, in milliseconds. */
-const MINIMUM_HEDGE_DELAY_MS = 25;
-
-/** Longest estimate of a hedge, as a share of the remaining time. */
-const MAXIMUM_HEDGE_SHARE = 0.9;
-
 /** Size of a typical answer with its headers, for the estimate of transfer costs. */
 const TYPICAL_ANSWER_BYTES = 1_200;
 
@@ -288,10 +280,7 @@
     if (!isHedgeAllowed) {
       return;
     }
-    const delayMs = Math.max(
-      MINIMUM_HEDGE_DELAY_MS,
-      attempt.selected.estimateMs * HEDGE_DELAY_FACTOR,
-    );
+    const delayMs = hedgeDelayMs(attempt.selected.estimateMs);
     this.#hedgeTimer = setTimeout(() => void this.#hedge(attempt), delayMs);
   }
 
@@ -304,13 +293,7 @@
       return;
     }
     const nowMs = this.#options.clock.now();
-    const targetRemainingMs =
-      this.#request.arrivedAtMs + this.#request.route.targetLatencyMs - nowMs;
-    const remainingMs =
-      targetRemainingMs > 0
-        ? targetRemainingMs
-        : this.#request.deadlineMs - nowMs;
-    const isInTime = selected.estimateMs < remainingMs * MAXIMUM_HEDGE_SHARE;
+    const isInTime = isHedgeInTime(selected.estimateMs, this.#request, nowMs);
     if (isInTime && this.#repeatBudget.take(nowMs)) {
       this.#options.log.record('request.hedged', {
         request: this.#request.requestId,
