fix(balancer): what entries keep of suspects is bounded over all entries too

Seen in review. A suspect was bounded in the crashes of each entry, but not in the number of entries; and an entry could write ten records a second for as long as their leases last, six thousand, which the store and each entry that feeds others would hold.

Change: 32 entries for one request, the one that is longest unchanged is removed; 128 records of one entry in the store, and beyond these only requests under which several upstreams crashed. Each scenario of the incident has a line on the failure that it guards against.

--- a/features/balancer/crashes.feature
+++ b/features/balancer/crashes.feature
@@ -26,6 +26,7 @@
     And it is sent 12 times more
     Then it reached workers at most 3 times more
 
+  # Guards against knowledge of crashes that is lost with all entries at once.
   Scenario: Entries that all start anew refuse it
     Given "POST /write/crash" is sent to the entries in turn until it has crashed 3 workers
     When 3000 ms pass at the site
@@ -49,6 +50,7 @@
     Then every entry serves what differs from it in its path
     And the first entry sends on what differs from it in its body or its caller
 
+  # Guards against look-ups that are blamed for what ran beside them.
   Scenario: Look-ups that were under way beside it are served when they are sent again
     Given every worker "slow"
     And "POST /write/crash" is sent to the entries in turn until it has crashed 3 workers, each beside 6 look-ups
@@ -85,7 +87,14 @@
     And it is sent 1 time more
     Then no entry has a suspect soon
 
+  # Guards against a record of another writer that ends an entry or its service.
   Scenario: A record that can't be read disturbs nothing
     When the store shows bytes that can't be read as a record of a suspect
     Then the log has a "suspect.unreadable" line
     And every entry serves "POST /write/a"
+
+  # Guards against a store and a feed that fill with the records of innocent requests.
+  Scenario: Records of suspects in the store are bounded, but for requests that crashed several workers
+    Given an announcer of suspects
+    When it announces 150 requests with one crash each, and then one with 2 crashes
+    Then the store has at most 129 records of suspects, among them the last
--- a/features/balancer/log.feature
+++ b/features/balancer/log.feature
@@ -37,6 +37,7 @@
     Then the answer is 503
     And the log tells that "w1" was expected to answer too late
 
+  # Guards against a crashing request that can't be followed from one send to the next.
   Scenario: Broken attempts at the same request can be matched though each send has its own id
     Given a balancer on the platform
     And a configuration
--- a/features/policy/crash-guard.feature
+++ b/features/policy/crash-guard.feature
@@ -3,6 +3,7 @@
   Background:
     Given a crash guard that quarantines after 3 crashes
 
+  # Guards against crashes that are counted at each entry by itself.
   Scenario: Crashes that several entries report add up
     When entry "a" reports that "guilty" crashed "u1, u2"
     And entry "b" reports that "guilty" crashed "u2, u3"
@@ -22,12 +23,14 @@
     Then "guilty" is quarantined
     And "beside" is a suspect
 
+  # Guards against a guilty request that hides behind another one.
   Scenario: Two guilty requests are both quarantined
     When entry "a" reports that "guilty" crashed "u1, u2, u3, u4"
     And entry "b" reports that "other" crashed "u4, u5, u6, u7"
     Then "guilty" is quarantined
     And "other" is quarantined
 
+  # Guards against an innocent request that stays a suspect although it was answered.
   Scenario: An answer clears a suspect, and tells whose reports it refutes
     When entry "a" reports that "innocent" crashed "u1"
     And entry "b" reports that "innocent" crashed "u2"
@@ -35,6 +38,7 @@
     Then the answer refutes "a, b"
     And "innocent" is clear
 
+  # Guards against a report that stays in force at others after its entry has taken it back.
   Scenario: An entry takes its report back
     When entry "a" reports that "innocent" crashed "u1"
     And entry "a" reports that "innocent" crashed ""
@@ -47,6 +51,7 @@
     And a record of "innocent" arrives that entry "a" wrote before
     Then "innocent" is clear
 
+  # Guards against callers that are refused for what another one sends.
   Scenario: A request is quarantined for the caller whose sends crash upstreams
     When entry "a" reports that "page" of caller "x" crashed "u1, u2, u3"
     Then "page" of caller "x" is quarantined
@@ -105,6 +110,7 @@
       | u3       | 110  | 120 |
     Then "guilty" is quarantined
 
+  # Guards against a guilty request whose crashes are taken for the loss of a rack.
   Scenario: Upstreams that crash one after the other count one by one
     When entry "a" reports that "guilty" was under way at these upstreams when they crashed
       | upstream | from | to  |
@@ -113,6 +119,7 @@
       | u3       | 101  | 102 |
     Then "guilty" is quarantined
 
+  # Guards against a request that is refused for ever.
   Scenario: A quarantine ends ten minutes after the last crash, though its records are read again
     When entry "a" reports that "guilty" crashed "u1, u2, u3"
     And 9 minutes pass for the guard
@@ -128,7 +135,14 @@
     Then at most 4096 suspects are kept
     And "guilty" is quarantined
 
+  # Guards against memory that grows with each crash of one request.
   Scenario: Crashes of one request are bounded
     When this entry sees 100 crashes of "guilty"
     Then "guilty" is quarantined
     And at most 16 crashes of "guilty" are kept
+
+  # Guards against memory that grows with each entry that reports a request.
+  Scenario: Entries that report one request are bounded
+    When 100 entries report that "guilty" crashed one upstream each
+    Then "guilty" is quarantined
+    And at most 32 crashes of "guilty" are kept
--- a/features/steps/balancer-crashes.steps.ts
+++ b/features/steps/balancer-crashes.steps.ts
@@ -3,8 +3,12 @@
 import assert from 'node:assert/strict';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Given, Then, When} from '@cucumber/cucumber';
+import {PeerNotifier, SuspectAnnouncer} from '@wasabidyke/balancer';
+import {CrashGuard, SeededRandom, type SuspectRecord} from '@wasabidyke/policy';
+import {SystemClock} from '@wasabidyke/shared';
 import {
   BalancerSite,
+  MemoryLog,
   type CallerAnswer,
   type CallerRequest,
 } from '../support/balancer-site.js';
@@ -18,12 +22,22 @@
 
 const OTHER_CALLER = '127.0.0.2';
 
+/** Time in which a configuration is in force at all entries, in milliseconds. */
+const CONFIGURED_MS = 2_500;
+
+/** Name of the announcer that is tried by itself, the pause between what it announces, and the time for all of it, in milliseconds. */
+const ANNOUNCER = 'announcer';
+const ANNOUNCING_PAUSE_MS = 120;
+const ANNOUNCING_TIMEOUT_MS = 60_000;
+
 interface CrashWorld {
   balancerSite: BalancerSite;
   request: CallerRequest;
   lastAnswer: CallerAnswer;
   reachedBefore: number;
   lookUps: CallerRequest[];
+  guard: CrashGuard;
+  announcer: SuspectAnnouncer;
 }
 
 Given(
@@ -59,7 +73,7 @@
 );
 
 Given(
-  '{string} is sent {int} times',
+  '{string} is sent {int} time(s)',
   async function (this: CrashWorld, line: string, count: number) {
     this.request = toRequest(line);
     await sendInTurn(this, count);
@@ -74,6 +88,55 @@
   },
 );
 
+Given(
+  'routes that allow {int} attempts',
+  async function (this: CrashWorld, attempts: number) {
+    this.balancerSite.configure({}, attempts);
+    await sleep(CONFIGURED_MS);
+  },
+);
+
+Given('an announcer of suspects', function (this: CrashWorld) {
+  this.guard = new CrashGuard({
+    reporter: ANNOUNCER,
+    quarantineCrashes: 3,
+    countsOverlapping: false,
+  });
+  const log = new MemoryLog();
+  this.announcer = new SuspectAnnouncer({
+    store: this.balancerSite.store,
+    readStored: () => undefined,
+    guard: this.guard,
+    notifier: new PeerNotifier({peers: () => [], log}),
+    clock: new SystemClock(),
+    random: new SeededRandom(1),
+    log,
+  });
+});
+
+When(
+  'it announces {int} requests with one crash each, and then one with {int} crashes',
+  {timeout: ANNOUNCING_TIMEOUT_MS},
+  async function (this: CrashWorld, count: number, crashes: number) {
+    for (let index = 0; index < count; index++) {
+      this.announcer.announce(reportCrashes(this.guard, `chance-${index}`, 1));
+      await sleep(ANNOUNCING_PAUSE_MS);
+    }
+    this.announcer.announce(reportCrashes(this.guard, 'guilty', crashes));
+  },
+);
+
+Then(
+  'the store has at most {int} records of suspects, among them the last',
+  async function (this: CrashWorld, most: number) {
+    const last = `suspects/guilty/${ANNOUNCER}`;
+    await eventually('it is there', () => listSuspectKeys(this).includes(last));
+    const {length} = listSuspectKeys(this);
+    assert.ok(length <= most, `${length} records`);
+    this.announcer.stop();
+  },
+);
+
 When('another balancer joins', async function (this: CrashWorld) {
   await this.balancerSite.addEntry();
   await this.balancerSite.ready();
@@ -181,6 +244,18 @@
   },
 );
 
+/** Has the guard see crashes under a request; returns the record of it. */
+function reportCrashes(
+  guard: CrashGuard,
+  fingerprint: string,
+  crashes: number,
+): SuspectRecord {
+  const records = Array.from({length: crashes}, (_, index) =>
+    guard.onCrash({fingerprint}, {upstream: `${fingerprint}-${index}`}, 0),
+  );
+  return records[crashes - 1];
+}
+
 function listSuspectKeys({balancerSite}: CrashWorld): readonly string[] {
   return balancerSite.store.keys.filter(key => key.startsWith('suspects/'));
 }
--- a/features/steps/crash-guard.steps.ts
+++ b/features/steps/crash-guard.steps.ts
@@ -88,6 +88,16 @@
   },
 );
 
+When(
+  '{int} entries report that {string} crashed one upstream each',
+  function (this: GuardWorld, count: number, fingerprint: string) {
+    for (let index = 0; index < count; index++) {
+      const crashes = [{upstream: `u-${index}`}];
+      report(this, `entry-${index}`, fingerprint, crashes);
+    }
+  },
+);
+
 When(
   'a record of {string} arrives that entry {string} wrote before',
   function (this: GuardWorld, fingerprint: string, reporter: string) {
--- a/features/support/balancer-site.ts
+++ b/features/support/balancer-site.ts
@@ -142,14 +142,14 @@
   }
 
   /** Writes a configuration; idempotent requests go to `/read/`, others to `/write/`. */
-  configure(changes: object = {}): void {
+  configure(changes: object = {}, attempts = 2): void {
     this.#version += 1;
     const route = {
       host: HOST,
       timeout: `${ROUTE_TIMEOUT_MS}ms`,
       target_latency: '200ms',
       priority: 1,
-      max_attempts: 2,
+      max_attempts: attempts,
       service: 'shop',
     };
     this.store.set('op/config', {
--- a/packages/balancer/src/index.ts
+++ b/packages/balancer/src/index.ts
@@ -19,3 +19,5 @@
 export * from './settings-file.js';
 export * from './store/record-store.js';
 export * from './store/store-watcher.js';
+export * from './suspects/peer-notifier.js';
+export * from './suspects/suspect-announcer.js';
--- a/packages/balancer/src/suspects/suspect-announcer.ts
+++ b/packages/balancer/src/suspects/suspect-announcer.ts
@@ -40,6 +40,9 @@
 /** Minimum delay until an entry corrects a record of another one, and the jitter added to it, in milliseconds: the correction of its reporter is known everywhere within it. */
 const CORRECTION_DELAY_MS = 2_000;
 
+/** Maximum number of records of this entry in the store. Beyond it only requests under which several upstreams crashed are announced. */
+const MAXIMUM_ANNOUNCED = 128;
+
 /** Pause between writes, in milliseconds: 100 entries that lose many upstreams at once stay within the write rate of their store. */
 const WRITE_PAUSE_MS = 100;
 
@@ -64,6 +67,8 @@
   });
   /** Records to be written, by key. */
   readonly #pending = new Map<string, SuspectRecord>();
+  /** When the written records end, at the latest. */
+  readonly #endsAtMsByKey = new Map<string, number>();
   #lease: UsedLease | undefined;
   #isWriting = false;
   #isStopped = false;
@@ -74,6 +79,10 @@
 
   /** Writes a record to the store, and again until it is there. */
   announce(record: SuspectRecord): void {
+    if (!this.#hasRoomFor(record)) {
+      this.#drop(record);
+      return;
+    }
     this.#pending.set(toSuspectKey(record), record);
     this.#dropSurplus();
     if (!this.#isWriting) {
@@ -109,6 +118,26 @@
     this.#isStopped = true;
   }
 
+  /** Whether the record may be added to those of this entry in the store. */
+  #hasRoomFor(record: SuspectRecord): boolean {
+    const key = toSuspectKey(record);
+    const nowMs = this.#options.clock.now();
+    for (const [announced, endsAtMs] of this.#endsAtMsByKey) {
+      if (endsAtMs <= nowMs) {
+        this.#endsAtMsByKey.delete(announced);
+      }
+    }
+    return (
+      this.#endsAtMsByKey.size < MAXIMUM_ANNOUNCED ||
+      this.#endsAtMsByKey.has(key) ||
+      record.crashes.length !== 1
+    );
+  }
+
+  #drop({fingerprint}: SuspectRecord): void {
+    this.#options.log.record('suspect.dropped', {fingerprint});
+  }
+
   async #writeAll(): Promise<void> {
     this.#isWriting = true;
     for (;;) {
@@ -157,6 +186,8 @@
       return written.error;
     }
     this.#removePending(key, record);
+    const endsAtMs = this.#options.clock.now() + lease.lifetimeMs;
+    this.#endsAtMsByKey.set(key, endsAtMs);
     return undefined;
   }
 
@@ -209,13 +240,13 @@
     if (this.#pending.size <= MAXIMUM_RECORDS) {
       return;
     }
-    const {guard, log} = this.#options;
+    const {guard} = this.#options;
     const crashesOf = ([, {fingerprint}]: [string, SuspectRecord]) =>
       guard.crashesOf(fingerprint);
     const [fewest] = [...this.#pending].sort(
       (left, right) => crashesOf(left) - crashesOf(right),
     );
     this.#pending.delete(fewest[0]);
-    log.record('suspect.dropped', {fingerprint: fewest[1].fingerprint});
+    this.#drop(fewest[1]);
   }
 }
--- a/packages/policy/src/crash-guard.ts
+++ b/packages/policy/src/crash-guard.ts
@@ -63,6 +63,9 @@
 /** Minimum number of crashes in turn: upstreams that are lost together, such as those of a rack, have a cause of their own. */
 const MINIMUM_SUCCESSIVE = 2;
 
+/** Maximum number of entries whose records about one request are kept; the record that is longest unchanged is removed first. */
+const MAXIMUM_REPORTERS = 32;
+
 interface Suspect {
   readonly records: Map<string, SuspectRecord>;
   /** Crashes of all records. */
@@ -151,7 +154,12 @@
     }
     const isSame = former?.sequence === sequence;
     const records = new Map(known?.records);
+    records.delete(reporter);
     records.set(reporter, isSame ? mergeRecords(former, record) : record);
+    const [oldestReporter] = records.keys();
+    if (records.size > MAXIMUM_REPORTERS) {
+      records.delete(oldestReporter);
+    }
     this.#replace(fingerprint, known, records, nowMs);
   }
 
