fix: innocent requests beside a guilty one are not tried on to a third crash, nor refused for minutes

Cause: an idempotent request was tried at up to max_attempts upstreams within milliseconds, while the guilty one was too, and the third crash quarantined it. A quarantine ended by no answer, though other sends of the same request got theirs: callers that share an address share their suspects.

Change: a request under which another upstream crashes while it is suspected is left to its caller. An answer ends a quarantine as well. The soak checks that nothing innocent is refused for minutes (blamed).

--- a/features/balancer/crashes.feature
+++ b/features/balancer/crashes.feature
@@ -93,6 +93,13 @@
     Then the log has a "suspect.unreadable" line
     And every entry serves "POST /write/a"
 
+  # Guards against a request that crashes as many workers with each send as its route allows attempts, and against look-ups
+  # that follow it from one worker to the next.
+  Scenario: A look-up under which two workers crashed is left to its caller
+    Given routes that allow 5 attempts
+    When "GET /read/crash" is sent 1 time
+    Then the workers got 2 requests in all
+
   # Guards against a store and a feed that fill with the records of innocent requests.
   Scenario: Records of suspects in the store are bounded, but for requests that crashed several workers
     Given an announcer of suspects
--- a/features/policy/crash-guard.feature
+++ b/features/policy/crash-guard.feature
@@ -146,3 +146,10 @@
     When 100 entries report that "guilty" crashed one upstream each
     Then "guilty" is quarantined
     And at most 32 crashes of "guilty" are kept
+
+  # Guards against a page that many ask for and that is refused for minutes, since several sends of it ran beside a guilty request.
+  Scenario: An answer ends a quarantine
+    When entry "a" reports that "page" crashed "u1, u2, u3"
+    Then "page" is quarantined
+    When "page" is answered
+    Then "page" is clear
--- a/features/soak/soak.feature
+++ b/features/soak/soak.feature
@@ -26,6 +26,7 @@
       | regress       | an entry went back to an older configuration         |
       | budget        | a hundred look-ups were sent twice                   |
       | crashes       | a request crashed workers on and on                  |
+      | blamed        | a look-up was refused for ten minutes                |
       | gone          | requests reached workers long after their callers left |
       | lost          | a planned stop cut off a request                     |
       | recover       | nothing was served after the last fault              |
--- a/features/steps/soak.steps.ts
+++ b/features/steps/soak.steps.ts
@@ -122,6 +122,11 @@
       call.status = 502;
     }
   },
+  'a look-up was refused for ten minutes': history => {
+    const {call} = addServed(history, {});
+    call.status = 503;
+    call.retryAfterSeconds = 600;
+  },
   'a request crashed workers, and three more much later': history => {
     for (const sentAtMs of [0, 1, 2, 9_000, 9_001, 9_002]) {
       const path = '/read/crashing';
--- a/packages-private/soak/src/caller.ts
+++ b/packages-private/soak/src/caller.ts
@@ -179,7 +179,7 @@
           record.body = Buffer.concat(chunks).toString('utf8');
           const seal = response.headers['wasabidyke-server-seal'];
           record.worker = seal?.toString().replace('seal-', '');
-          record.hasRetryAfter = 'retry-after' in response.headers;
+          record.retryAfterSeconds = Number(response.headers['retry-after']);
           end();
         });
       });
--- a/packages-private/soak/src/checks.ts
+++ b/packages-private/soak/src/checks.ts
@@ -35,6 +35,9 @@
 const CRASHES = 3;
 const ARRIVALS_AFTER_CRASHES = 3;
 
+/** Longest time in seconds for which a request may be told to stay away that crashes nothing: room is back long before. */
+const BLAMED_SECONDS = 60;
+
 /** Share of requests that must be served once all faults are over. Source: a system without faults and at low load serves all; the rest are requests that faults still hold. */
 const CALM_SHARE = 0.95;
 
@@ -60,6 +63,7 @@
     regress: checkRegress,
     budget: checkBudget,
     crashes: checkCrashes,
+    blamed: checkBlamed,
     gone: checkGone,
     lost: checkLost,
     recover: checkRecover,
@@ -262,6 +266,17 @@
   return found;
 }
 
+/** A request that crashes nothing is never told to stay away for as long as one that does. */
+function checkBlamed({calls}: History): string[] {
+  return calls
+    .filter(({isCrashing}) => isCrashing === undefined)
+    .filter(({retryAfterSeconds = 0}) => retryAfterSeconds > BLAMED_SECONDS)
+    .map(
+      ({id, path, entry, retryAfterSeconds}) =>
+        `${id} ${path} was refused by ${entry} for ${retryAfterSeconds} s`,
+    );
+}
+
 /** The rule holds for entries that were left alone: a paused one can't see a caller leave. */
 function checkGone(history: History): string[] {
   const {calls, arrivals} = history;
--- a/packages-private/soak/src/crashing-request.ts
+++ b/packages-private/soak/src/crashing-request.ts
@@ -53,7 +53,7 @@
       {host, port, path: record.path, method, headers, agent: false},
       response => {
         record.status = response.statusCode;
-        record.hasRetryAfter = 'retry-after' in response.headers;
+        record.retryAfterSeconds = Number(response.headers['retry-after']);
         response.resume();
         response.on('error', () => resolve());
         response.on('end', () => resolve());
--- a/packages-private/soak/src/history.ts
+++ b/packages-private/soak/src/history.ts
@@ -13,7 +13,8 @@
   status?: number;
   body?: string;
   worker?: string;
-  hasRetryAfter?: boolean;
+  /** When the answer says to come back, in seconds. */
+  retryAfterSeconds?: number;
   error?: string;
   /** Whether it crashes each worker that begins to run it. */
   readonly isCrashing?: true;
--- a/packages/balancer/src/serving/request-dispatcher.ts
+++ b/packages/balancer/src/serving/request-dispatcher.ts
@@ -217,15 +217,18 @@
     }
   }
 
-  /** Retries at once, unless the request is suspected already: then its retry waits until it is known whether it has crashed another upstream. */
+  /** Retries, unless another upstream crashed under a request that is suspected of that already. */
   async #retryAfterBreak(attempt: Attempt): Promise<void> {
-    const isSuspect = this.#crashTracker.status !== 'clear';
-    if (!attempt.exchange.hasAnswerHead) {
-      const check = this.#crashTracker.onBreak(attempt);
-      await (isSuspect ? check : undefined);
+    const mayRetry =
+      attempt.exchange.hasAnswerHead ||
+      (await this.#crashTracker.onBreak(attempt));
+    if (this.#isFinished) {
+      return;
     }
-    if (!this.#isFinished) {
+    if (mayRetry) {
       this.#retry();
+    } else {
+      this.#endWithoutSuccess('broken');
     }
   }
 
--- a/packages/balancer/src/suspects/crash-tracker.ts
+++ b/packages/balancer/src/suspects/crash-tracker.ts
@@ -14,7 +14,7 @@
   readonly #request: RoutedRequest;
   readonly #monitor: CrashMonitor;
   /** Checks of whether upstreams whose connections broke have crashed. */
-  readonly #checks: Array<Promise<void>> = [];
+  readonly #checks: Array<Promise<boolean>> = [];
   #identity: RequestIdentity | undefined;
 
   constructor(request: RoutedRequest, monitor: CrashMonitor) {
@@ -34,11 +34,24 @@
     return this.#monitor.remainingMs(this.#getIdentity());
   }
 
-  /** Called when the connection of an attempt ended before an answer. Resolves once it is known whether the upstream crashed. */
-  onBreak(attempt: Attempt): Promise<void> {
+  /**
+   * Called when the connection of an attempt ended before an answer. Returns
+   * whether the request may be retried: a suspect under which another upstream
+   * crashed is left to its caller, since it may crash the next one too, or run
+   * beside a request that does.
+   */
+  async onBreak(attempt: Attempt): Promise<boolean> {
+    const earlierChecks = [...this.#checks];
+    const isFirst = this.status === 'clear' && earlierChecks.length === 0;
     const check = this.#checkUpstream(attempt);
     this.#checks.push(check);
-    return check;
+    if (isFirst) {
+      return true;
+    }
+    await Promise.all(earlierChecks);
+    const wasClear = this.status === 'clear';
+    const hasCrashed = await check;
+    return wasClear || !hasCrashed;
   }
 
   /** Called when the request has ended. Other entries are told of crashes only then: most innocent requests are answered by their next attempt. */
@@ -51,15 +64,18 @@
     }
   }
 
-  async #checkUpstream({selected, startedAtMs}: Attempt): Promise<void> {
+  /** Returns whether the upstream of an attempt crashed. */
+  async #checkUpstream({selected, startedAtMs}: Attempt): Promise<boolean> {
     const {loadPath, requestId, callerAddress} = this.#request;
     const {handle} = selected;
     const span = this.#monitor.spanSince(startedAtMs);
-    if (!(await handle.isAlive(loadPath))) {
-      const crash = {upstream: handle.record, span};
-      const sender = {requestId, callerAddress};
-      this.#monitor.onCrash(this.#getIdentity(), crash, sender);
+    if (await handle.isAlive(loadPath)) {
+      return false;
     }
+    const crash = {upstream: handle.record, span};
+    const sender = {requestId, callerAddress};
+    this.#monitor.onCrash(this.#getIdentity(), crash, sender);
+    return true;
   }
 
   #getIdentity(): RequestIdentity {
--- a/packages/policy/src/crash-guard.ts
+++ b/packages/policy/src/crash-guard.ts
@@ -163,14 +163,13 @@
     this.#replace(fingerprint, known, records, nowMs);
   }
 
-  /** Called when the request got a complete answer. Returns the records that changed by it; a quarantine stays. */
-  onAnswer(identity: RequestIdentity, nowMs: number): readonly SuspectRecord[] {
-    const {fingerprint, caller} = identity;
+  /** Called when the request got a complete answer, which also ends a quarantine: a send that was in flight shows that it was blamed wrongly. Returns the records that changed. */
+  onAnswer(
+    {fingerprint, caller}: RequestIdentity,
+    nowMs: number,
+  ): readonly SuspectRecord[] {
     const suspect = this.#find(fingerprint, nowMs);
-    if (
-      suspect === undefined ||
-      this.statusOf(identity, nowMs) === 'quarantined'
-    ) {
+    if (suspect === undefined) {
       return [];
     }
     const changed = [...suspect.records.values()]
