fix(policy): only reports of the same moment explain a crash where upstreams are named by address

Cause: entries with a manifest name an upstream by its address, which stays when its process starts again. Two seconds before, another request had crashed the same two in turn, and was taken for the one to blame.

Change: where overlapping crashes count, another request explains a crash only if this entry learned of both within a second. The platform's upstreams are named by the start of their process; nothing changes there. The new scenario fails without the limit.

--- a/features/policy/crash-guard.feature
+++ b/features/policy/crash-guard.feature
@@ -94,6 +94,17 @@
     Then "hedged" is a suspect
     And "guilty" is quarantined
 
+  # Guards against a guilty request that goes free because another one crashed the same upstreams before.
+  Scenario: An earlier crash of the same upstreams explains nothing
+    Given a crash guard that quarantines after 2 crashes, also if they overlap
+    When entry "b" reports that "earlier" crashed "u1, u2"
+    And 1 minutes pass for the guard
+    And entry "a" reports that "guilty" was under way at these upstreams when they crashed
+      | upstream | from  | to    |
+      | u1       | 60000 | 60100 |
+      | u2       | 60050 | 60140 |
+    Then "guilty" is quarantined
+
   # Guards against a guilty request that goes free because one beside it lost a further upstream by chance.
   Scenario: A request that crashed upstreams in turn stays quarantined whatever ran beside it
     Given a crash guard that quarantines after 2 crashes, also if they overlap
--- a/features/steps/balancer-crashes.steps.ts
+++ b/features/steps/balancer-crashes.steps.ts
@@ -101,6 +101,7 @@
     reporter: ANNOUNCER,
     quarantineCrashes: 3,
     countsOverlapping: false,
+    sameCrashMs: Infinity,
   });
   const log = new MemoryLog();
   this.announcer = new SuspectAnnouncer({
--- a/features/steps/crash-guard.steps.ts
+++ b/features/steps/crash-guard.steps.ts
@@ -3,7 +3,7 @@
 import assert from 'node:assert/strict';
 import {Given, Then, When, type DataTable} from '@cucumber/cucumber';
 import {CrashGuard, type Crash, type SuspectRecord} from '@wasabidyke/policy';
-import {MINUTE_MS} from '@wasabidyke/shared';
+import {MINUTE_MS, SECOND_MS} from '@wasabidyke/shared';
 
 interface GuardWorld {
   guard: CrashGuard;
@@ -19,6 +19,7 @@
       reporter: 'self',
       quarantineCrashes,
       countsOverlapping: false,
+      sameCrashMs: Infinity,
     });
     this.nowMs = 0;
     this.sequence = 0;
@@ -32,6 +33,7 @@
       reporter: 'self',
       quarantineCrashes,
       countsOverlapping: true,
+      sameCrashMs: SECOND_MS,
     });
   },
 );
--- a/packages-private/prove/src/weakened/index.ts
+++ b/packages-private/prove/src/weakened/index.ts
@@ -108,6 +108,7 @@
               reporter: incarnation,
               quarantineCrashes: 2,
               countsOverlapping: true,
+              sameCrashMs: 0,
             }),
         ).singleton(),
       });
--- a/packages/balancer/src/balancer.ts
+++ b/packages/balancer/src/balancer.ts
@@ -133,6 +133,7 @@
       reporter: settings.name,
       quarantineCrashes: QUARANTINE_CRASHES,
       countsOverlapping: false,
+      sameCrashMs: Infinity,
     });
     this.#suspectAnnouncer = this.#createSuspectAnnouncer();
     this.#crashMonitor = new CrashMonitor({
--- a/packages/entry/src/data-path-container.ts
+++ b/packages/entry/src/data-path-container.ts
@@ -29,6 +29,9 @@
 /** Upstreams that one request may crash: the promise of the product. */
 const QUARANTINE_CRASHES = 2;
 
+/** Time for reports of one crash to reach this entry, in milliseconds: several times what other entries get to acknowledge a suspect. An upstream may crash again later at the same address. */
+const SAME_CRASH_MS = 1_000;
+
 /** Registers the data path, in its form for an entry without peers. */
 export function registerDataPath(container: EntryContainer): void {
   container.register({
@@ -42,6 +45,7 @@
           quarantineCrashes: QUARANTINE_CRASHES,
           // A request that is hedged may crash both upstreams at once.
           countsOverlapping: true,
+          sameCrashMs: SAME_CRASH_MS,
         }),
     ).singleton(),
     suspectNotifier: asFunction(() => new NoSuspectNotifier()).singleton(),
--- a/packages/policy/src/crash-guard.ts
+++ b/packages/policy/src/crash-guard.ts
@@ -49,6 +49,8 @@
   readonly quarantineCrashes: number;
   /** Whether upstreams that crashed together are enough for a quarantine. */
   readonly countsOverlapping: boolean;
+  /** Time within which this entry learns of one crash from all requests that were in flight, in milliseconds; infinite where upstreams are named by the start of their process. */
+  readonly sameCrashMs: number;
 }
 
 /** Time after its last crash at which a suspect or a quarantine expires, in milliseconds. */
@@ -70,8 +72,8 @@
   readonly records: Map<string, SuspectRecord>;
   /** Crashes of all records. */
   crashes: readonly Crash[];
-  /** Upstreams of `crashes`. */
-  upstreams: ReadonlySet<string>;
+  /** Upstreams of `crashes`, with the time at which this entry learned of each crash. */
+  upstreams: ReadonlyMap<string, number>;
   /** Number of upstreams that crashed in turn. */
   successive: number;
   expiresAtMs: number;
@@ -195,26 +197,27 @@
       return false;
     }
     return countsOverlapping
-      ? this.#isGuiltyByCount(crashes)
+      ? this.#isGuiltyByCount(crashes, suspect)
       : this.#isGuiltyOverTime(crashes, suspect);
   }
 
   /** Whether enough upstreams crashed in turn, or at once with no other request to blame. */
-  #isGuiltyByCount(crashes: readonly Crash[]): boolean {
+  #isGuiltyByCount(crashes: readonly Crash[], suspect: Suspect): boolean {
     const {quarantineCrashes} = this.#options;
     if (countSuccessive(crashes) >= quarantineCrashes) {
       return true;
     }
     const blamed = crashes.filter(
-      ({upstream}) => !this.#isExplained(upstream, quarantineCrashes),
+      ({upstream}) => !this.#isExplained(upstream, quarantineCrashes, suspect),
     );
     return upstreamsOf(blamed).size >= quarantineCrashes;
   }
 
   /** Whether enough upstreams crashed, not all of them together, for which no other request is to blame. */
-  #isGuiltyOverTime(crashes: readonly Crash[], {successive}: Suspect): boolean {
+  #isGuiltyOverTime(crashes: readonly Crash[], suspect: Suspect): boolean {
     const blamed = crashes.filter(
-      ({upstream}) => !this.#isExplained(upstream, successive + 1),
+      ({upstream}) =>
+        !this.#isExplained(upstream, suspect.successive + 1, suspect),
     );
     return (
       upstreamsOf(blamed).size >= this.#options.quarantineCrashes &&
@@ -229,13 +232,21 @@
     return !isAnswered && isSpread(crashes) && this.#isGuilty(crashes, suspect);
   }
 
-  /** Whether a request with at least `successive` crashes in turn was in flight at the upstream too. */
-  #isExplained(upstream: string, successive: number): boolean {
+  /** Whether a request with at least `successive` crashes in turn was in flight at the upstream at the same crash. */
+  #isExplained(
+    upstream: string,
+    successive: number,
+    {upstreams}: Suspect,
+  ): boolean {
     const fingerprints = this.#fingerprintsByUpstream.get(upstream) ?? [];
-    return [...fingerprints].some(
-      fingerprint =>
-        (this.#suspects.get(fingerprint)?.successive ?? 0) >= successive,
-    );
+    const learnedAtMs = upstreams.get(upstream) ?? 0;
+    return [...fingerprints].some(fingerprint => {
+      const other = this.#suspects.get(fingerprint);
+      const otherLearnedAtMs = other?.upstreams.get(upstream) ?? -Infinity;
+      const apartMs = Math.abs(otherLearnedAtMs - learnedAtMs);
+      const isStronger = (other?.successive ?? 0) >= successive;
+      return isStronger && apartMs <= this.#options.sameCrashMs;
+    });
   }
 
   #replace(
@@ -246,12 +257,17 @@
   ): void {
     const reported = [...records.values()].map(({crashes}) => crashes);
     const crashes = reported.reduce(mergeCrashes, []);
-    const upstreams = upstreamsOf(crashes);
+    const upstreams = new Map(
+      [...upstreamsOf(crashes)].map(upstream => [
+        upstream,
+        known?.upstreams.get(upstream) ?? nowMs,
+      ]),
+    );
     const successive = countSuccessive(crashes);
     // A record that is read again must not prolong a quarantine.
     const hasNew =
       known === undefined ||
-      [...upstreams].some(upstream => !known.upstreams.has(upstream));
+      [...upstreams.keys()].some(upstream => !known.upstreams.has(upstream));
     const expiresAtMs = hasNew
       ? nowMs + SUSPECT_LIFETIME_MS
       : known.expiresAtMs;
@@ -269,7 +285,7 @@
   #add(fingerprint: string, suspect: Suspect): void {
     this.#suspects.set(fingerprint, suspect);
     this.#activeCount += Number(suspect.crashes.length > 0);
-    for (const upstream of suspect.upstreams) {
+    for (const upstream of suspect.upstreams.keys()) {
       const fingerprints = this.#fingerprintsByUpstream.get(upstream);
       if (fingerprints === undefined) {
         this.#fingerprintsByUpstream.set(upstream, new Set([fingerprint]));
@@ -286,7 +302,7 @@
     }
     this.#suspects.delete(fingerprint);
     this.#activeCount -= Number(suspect.crashes.length > 0);
-    for (const upstream of suspect.upstreams) {
+    for (const upstream of suspect.upstreams.keys()) {
       const fingerprints = this.#fingerprintsByUpstream.get(upstream);
       fingerprints?.delete(fingerprint);
       if (fingerprints?.size === 0) {
