--- a/packages-private/soak/src/acts.ts
+++ b/packages-private/soak/src/acts.ts
@@ -13,8 +13,12 @@
 /** What acts are done to. */
 export interface Site {
   readonly entries: readonly EntryProcess[];
-  /** An entry that isn't started yet. */
-  readonly spare: EntryProcess;
+  /** Entries that joined; they aren't the subjects of acts. */
+  readonly joined: EntryProcess[];
+  /** Where callers reach an entry, by the address that it names. */
+  readonly links: Map<string, string>;
+  /** Starts another entry, which runs until the end. */
+  readonly join: () => Promise<void>;
   readonly workers: readonly WorkerSlot[];
   readonly store: StoreStandIn;
   readonly operator: Operator;
@@ -59,13 +63,12 @@
 export async function act(site: Site, step: Step): Promise<void> {
   if (step.act === 'crashing-request') {
     // It is sent until the end of the run; the run doesn't wait for it.
-    const entries = [...site.entries, site.spare];
+    const entries = () => [...site.entries, ...site.joined];
     void sendCrashing(entries, site.history, step.subject);
   } else if (step.act === 'entries-kill') {
     killAll(site);
   } else if (step.act === 'entries-join') {
-    // It runs until the end; the run doesn't wait for it.
-    void site.spare.run();
+    await site.join();
   } else if (step.act === 'move-route') {
     site.operator.moveRoute();
   } else if (step.act.startsWith('store-')) {
@@ -139,9 +142,9 @@
 }
 
 /** Kills all entries at the same moment: what they know is what the store holds. */
-function killAll({entries, spare, history}: Site): void {
+function killAll({entries, joined, history}: Site): void {
   const fromMs = nowMs();
-  for (const entry of [...entries, spare]) {
+  for (const entry of [...entries, ...joined]) {
     history.disturbances.push({
       subject: entry.address,
       what: 'entries-kill',
--- a/packages-private/soak/src/crashing-request.ts
+++ b/packages-private/soak/src/crashing-request.ts
@@ -12,9 +12,9 @@
 const PAUSE_MS = 250;
 const DEADLINE_MS = 1_000;
 
-/** Sends a crashing request until the run is over. @param seed Draws its kind and the entries that it is sent to. */
+/** Sends a crashing request until the run is over. @param listEntries Entries that may run now. @param seed Draws its kind and the entries that it is sent to. */
 export async function sendCrashing(
-  entries: readonly EntryProcess[],
+  listEntries: () => readonly EntryProcess[],
   history: History,
   seed: number,
 ): Promise<void> {
@@ -23,6 +23,7 @@
   const prefix = kind === 'safe' ? '/read/' : '/write/';
   const path = `${prefix}${CRASHING_PATH}${seed}-${history.calls.length}`;
   for (let sent = 1; !history.isOver; sent++) {
+    const entries = listEntries();
     const entry = entries[random.nextBelow(entries.length)];
     const record: CallRecord = {
       id: `${path}-${sent}`,
--- a/packages-private/soak/src/soak.ts
+++ b/packages-private/soak/src/soak.ts
@@ -50,13 +50,13 @@
 export async function runSoak(options: SoakOptions): Promise<SoakReport> {
   mkdirSync(options.directory, {recursive: true});
   const site = await createSite(options);
-  const {history, entries, spare, workers, store} = site;
+  const {history, entries, joined, workers, store} = site;
   const runs = entries.map(entry => entry.run());
   try {
     await waitUntilReady(entries);
     await play(site, options);
   } finally {
-    for (const entry of [...entries, spare]) {
+    for (const entry of [...entries, ...joined]) {
       entry.end();
     }
     await Promise.all(runs);
@@ -93,30 +93,38 @@
   for (const worker of workers) {
     await worker.start();
   }
-  const ports = await findFreePorts((options.entries + 1) * PORTS_PER_ENTRY);
-  const createEntry = (index: number) =>
+  const ports = await findFreePorts(options.entries * PORTS_PER_ENTRY);
+  const createEntry = (index: number, entryPorts: readonly number[]) =>
     new EntryProcess({
       name: `entry-${index + 1}`,
       zone: ZONES[index % ZONES.length],
       regionByZone: REGION_BY_ZONE,
-      ports: ports.slice(index * PORTS_PER_ENTRY),
+      ports: entryPorts,
       storeAddress,
       program: options.program,
       directory: options.directory,
       history,
     });
   const entries = Array.from({length: options.entries}, (_, index) =>
-    createEntry(index),
+    createEntry(index, ports.slice(index * PORTS_PER_ENTRY)),
   );
-  const spare = createEntry(options.entries);
-  return {entries, spare, workers, store, operator, history};
+  const joined: EntryProcess[] = [];
+  const links = new Map<string, string>();
+  const join = async () => {
+    // Ports that are chosen earlier may be taken by others meanwhile.
+    const entryPorts = await findFreePorts(PORTS_PER_ENTRY);
+    const entry = createEntry(entries.length + joined.length, entryPorts);
+    links.set(entry.address, await entry.callers.listen());
+    joined.push(entry);
+    // Its processes are ended with those of the others.
+    void entry.run();
+  };
+  return {entries, joined, join, links, workers, store, operator, history};
 }
 
 async function play(site: Site, options: SoakOptions): Promise<void> {
-  const {history, spare} = site;
-  const entries = [...site.entries, spare];
+  const {history, entries, links} = site;
   const {seed, steps, lengthMs} = options.schedule;
-  const links = new Map<string, string>();
   for (const entry of entries) {
     links.set(entry.address, await entry.callers.listen());
   }
