test(balancer): an entry that is cut off from its upstreams serves nobody

Four real entries with links of their own to eight workers; one of them loses its links for a while (silent, one way, reset, or new connections refused), or three, or all.

--- a/features/support/balancer-site.ts
+++ b/features/support/balancer-site.ts
@@ -8,11 +8,11 @@
   type LogFields,
 } from '@wasabidyke/balancer';
 import {
-  PlatformDecoder,
   PlatformDiscoveryProtocol,
   PlatformWireProtocol,
 } from '@wasabidyke/platform';
 import {findFreePorts} from '@wasabidyke/stand-ins';
+import {EntryLinks} from './entry-links.js';
 import {eventually} from './eventually.js';
 import {MemoryRecordStore} from './memory-record-store.js';
 import {ScriptedWorker} from './scripted-worker.js';
@@ -33,6 +33,24 @@
   override flush(): void {}
 }
 
+/** Adds the name of an entry to each line. */
+class EntryLog extends DecisionLog {
+  readonly #entry: string;
+  readonly #log: MemoryLog;
+
+  constructor(entry: string, log: MemoryLog) {
+    super();
+    this.#entry = entry;
+    this.#log = log;
+  }
+
+  override record(event: string, fields: LogFields): void {
+    this.#log.record(event, {entry: this.#entry, ...fields});
+  }
+
+  override flush(): void {}
+}
+
 /** What a caller got. */
 export interface CallerAnswer {
   readonly status: number;
@@ -48,6 +66,7 @@
   readonly body?: string;
   readonly id?: string;
   readonly deadlineMs?: number;
+  readonly headers?: Readonly<Record<string, string>>;
   /** Index of the entry that it is sent to; the first one unless stated. */
   readonly entry?: number;
   /** Loopback address of the caller. */
@@ -59,6 +78,7 @@
   readonly balancer: Balancer;
   /** Ports for callers, for lists of entries, for readiness and metrics, and for followers. */
   readonly ports: readonly number[];
+  readonly links: EntryLinks;
 }
 
 const HOST = 'shop.example';
@@ -96,6 +116,16 @@
     return this.#entries.map(({ports}) => `127.0.0.1:${ports[0]}`);
   }
 
+  /** The links of an entry to the workers. */
+  linksOf(entry: number): EntryLinks {
+    return this.#entries[entry].links;
+  }
+
+  /** Where another entry reaches an entry. */
+  feedPortOf(entry: number): number {
+    return this.#entries[entry].ports[3];
+  }
+
   /** Stops the entry that was started last; it counts no longer. */
   async stopLastEntry(): Promise<void> {
     await this.#entries.pop()?.balancer.stop();
@@ -127,17 +157,19 @@
         entryListAge: '2s',
       }),
     ).unwrap();
+    const links = new EntryLinks();
+    await Promise.all(this.workers.map(worker => links.add(worker.address)));
     const balancer = new Balancer(
       settings,
       {
         store: this.store,
-        decoder: new PlatformDecoder(),
+        decoder: links.decoder,
         wireProtocol: new PlatformWireProtocol(),
         discoveryProtocol: new PlatformDiscoveryProtocol(),
       },
-      this.log,
+      new EntryLog(settings.name, this.log),
     );
-    this.#entries.push({balancer, ports});
+    this.#entries.push({balancer, ports, links});
     await balancer.start();
   }
 
@@ -184,6 +216,9 @@
     const worker = new ScriptedWorker(id);
     await worker.listen();
     this.workers.push(worker);
+    await Promise.all(
+      this.#entries.map(({links}) => links.add(worker.address)),
+    );
     this.announce(worker, {});
     return worker;
   }
@@ -237,6 +272,7 @@
   async call(request: CallerRequest): Promise<CallerAnswer> {
     this.#sent += 1;
     const headers = {
+      ...request.headers,
       host: HOST,
       'wasabidyke-attempt-id': request.id ?? `request-${this.#sent}`,
       'wasabidyke-request-deadline-ms': String(request.deadlineMs ?? 3_000),
@@ -252,6 +288,7 @@
 
   async close(): Promise<void> {
     await Promise.all(this.#entries.map(({balancer}) => balancer.stop()));
+    this.#entries.forEach(({links}) => links.close());
     for (const worker of this.workers) {
       worker.close();
     }
--- a/packages-private/stand-ins/src/link/link.ts
+++ b/packages-private/stand-ins/src/link/link.ts
@@ -35,6 +35,7 @@
   #state: LinkState;
   #address: string;
   #isVerifying = false;
+  #isClosed = false;
 
   constructor(settings: LinkSettings) {
     this.settings = settings;
@@ -66,10 +67,18 @@
     }
   }
 
+  /** Stops listening; open connections live on until their ends close them. */
+  close(): void {
+    this.#isClosed = true;
+    this.#server.close();
+  }
+
   #onConnection(socket: Socket): void {
     this.counts.connections += 1;
+    const {mode} = this.#state;
     if (
-      this.#state.mode === 'reset' ||
+      mode === 'reset' ||
+      mode === 'refusing' ||
       this.#pipes.size > 2 * MAXIMUM_CONNECTIONS
     ) {
       socket.resetAndDestroy();
@@ -92,11 +101,11 @@
       return;
     }
     this.#isVerifying = true;
-    while (!(await isOpen(this.#connect()))) {
+    while (!this.#isClosed && !(await isOpen(this.#connect()))) {
       this.#server.close();
       await sleep(VERIFY_PERIOD_MS);
     }
-    if (!this.#server.listening) {
+    if (!this.#isClosed && !this.#server.listening) {
       await this.listen();
     }
     this.#isVerifying = false;
--- a/packages-private/stand-ins/src/link/settings.ts
+++ b/packages-private/stand-ins/src/link/settings.ts
@@ -14,6 +14,8 @@
   'silent',
   /** Carries towards the target alone. */
   'half-open',
+  /** Resets new connections; those that are open carry both ways. */
+  'refusing',
 ]);
 
 /** What of a link can be changed while it runs. */
