--- a/features/balancer/cut-off.feature
+++ b/features/balancer/cut-off.feature
@@ -1,7 +1,7 @@
 Feature: An entry that lost its links to the upstreams serves its callers all the same
 
   Background:
-    Given 4 balancers on the platform
+    Given 4 balancers on the platform with links of their own
     And a configuration
     And workers "w1, w2, w3, w4, w5, w6, w7, w8"
     And every entry knows the others
--- a/features/steps/cut-off.steps.ts
+++ b/features/steps/cut-off.steps.ts
@@ -4,7 +4,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {After, Given, Then, When} from '@cucumber/cucumber';
 import type {LinkState} from '@wasabidyke/stand-ins';
-import type {BalancerSite, CallerAnswer} from '../support/balancer-site.js';
+import {BalancerSite, type CallerAnswer} from '../support/balancer-site.js';
 import {eventually} from '../support/eventually.js';
 
 /** A first try of a caller. */
@@ -25,6 +25,16 @@
   relayedBefore: number;
 }
 
+Given(
+  '{int} balancers on the platform with links of their own',
+  async function (this: CutOffWorld, count: number) {
+    this.balancerSite = new BalancerSite(true);
+    for (let index = 0; index < count; index++) {
+      await this.balancerSite.addEntry();
+    }
+  },
+);
+
 Given('every entry knows the others', async function (this: CutOffWorld) {
   const site = this.balancerSite;
   await site.settle();
@@ -141,6 +151,14 @@
   },
 );
 
+Then('no entry has a suspect', async function (this: CutOffWorld) {
+  for (let entry = 0; entry < this.balancerSite.entries; entry++) {
+    const {body} = await this.balancerSite.get(2, '/metrics', entry);
+    const suspects = /^wasabidyke_suspects (\d+)$/m.exec(body)?.[1];
+    assert.equal(Number(suspects), 0, `entry ${entry + 1}`);
+  }
+});
+
 Then('no order ran twice', function (this: CutOffWorld) {
   const orders = this.balancerSite.workers
     .flatMap(({requests}) => requests)
--- a/features/support/balancer-site.ts
+++ b/features/support/balancer-site.ts
@@ -91,11 +91,17 @@
   readonly store = new MemoryRecordStore();
   readonly log = new MemoryLog();
   readonly workers: ScriptedWorker[] = [];
+  readonly #hasLinks: boolean;
   #entries: SiteEntry[] = [];
   #started = 0;
   #version = 1;
   #sent = 0;
 
+  /** @param hasLinks Whether each entry has links of its own to the workers. */
+  constructor(hasLinks = false) {
+    this.#hasLinks = hasLinks;
+  }
+
   /** Starts the first entry; it waits for its configuration. */
   start(): Promise<void> {
     return this.addEntry();
@@ -158,7 +164,9 @@
       }),
     ).unwrap();
     const links = new EntryLinks();
-    await Promise.all(this.workers.map(worker => links.add(worker.address)));
+    if (this.#hasLinks) {
+      await Promise.all(this.workers.map(worker => links.add(worker.address)));
+    }
     const balancer = new Balancer(
       settings,
       {
@@ -216,9 +224,11 @@
     const worker = new ScriptedWorker(id);
     await worker.listen();
     this.workers.push(worker);
-    await Promise.all(
-      this.#entries.map(({links}) => links.add(worker.address)),
-    );
+    if (this.#hasLinks) {
+      await Promise.all(
+        this.#entries.map(({links}) => links.add(worker.address)),
+      );
+    }
     this.announce(worker, {});
     return worker;
   }
--- a/packages/balancer/src/balancer.ts
+++ b/packages/balancer/src/balancer.ts
@@ -3,7 +3,6 @@
 import {randomInt} from 'node:crypto';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-  CrashGuard,
   LivenessTracker,
   SeededRandom,
   TokenBucket,
@@ -15,6 +14,7 @@
 import type {BalancerSettings} from './balancer-settings.js';
 import {ClusterState} from './cluster-state.js';
 import type {WireProtocol} from './exchange/wire-protocol.js';
+import {EntryShare} from './entry-share.js';
 import {EntryClient} from './feed/entry-client.js';
 import {FollowerRecordStore} from './feed/follower-record-store.js';
 import {FeedServer} from './feed/feed-server.js';
@@ -22,7 +22,13 @@
 import {LimitNotifier} from './limits/limit-notifier.js';
 import {EntryMonitor} from './members/entry-monitor.js';
 import {EntryRoster} from './members/entry-roster.js';
-import {UpstreamRegistry} from './members/upstream-registry.js';
+import {
+  distanceTo,
+  UpstreamRegistry,
+  type Locality,
+} from './members/upstream-registry.js';
+import {RelayReceiver} from './relay/relay-receiver.js';
+import {RelaySender} from './relay/relay-sender.js';
 import type {DecisionLog} from './reporting/decision-log.js';
 import {CallerServer} from './serving/caller-server.js';
 import {UpstreamSelector} from './serving/upstream-selector.js';
@@ -33,10 +39,7 @@
 import type {RecordDecoder} from './store/record-decoder.js';
 import type {RecordStore} from './store/record-store.js';
 import {StoreWatcher} from './store/store-watcher.js';
-import {CrashMonitor, QUARANTINE_CRASHES} from './suspects/crash-monitor.js';
-import {PeerNotifier} from './suspects/peer-notifier.js';
-import {SuspectAnnouncer} from './suspects/suspect-announcer.js';
-import {parseSuspect} from './suspects/suspect-record.js';
+import {SuspectParts} from './suspects/suspect-parts.js';
 
 /** Adapters to a site: its store, and the formats of its records and messages. */
 export interface SiteAdapters {
@@ -65,19 +68,9 @@
 /** The process exits by itself this long before it would be killed, in milliseconds. */
 const EXIT_MARGIN_MS = 400;
 
-/** Share of the allowed load queries that is used. */
-const LOAD_QUERY_SHARE = 0.8;
-
 /** Burst of load queries that may accumulate, in milliseconds at the allowed rate. */
 const LOAD_QUERY_BURST_MS = 2_000;
 
-/** Share of the connections to an upstream that is divided among the entries: not all entries use all upstreams. */
-const CONNECTION_SHARE = 0.9;
-
-/** Factor on the number of known entries that allows for entries that are joining. */
-const JOINING_FACTOR = 1.4;
-
-const MINIMUM_CONNECTIONS = 2;
 const SEED_BOUND = 2 ** 31;
 
 /** A balancer process. */
@@ -92,6 +85,12 @@
   readonly #entries: EntryRoster;
   readonly #entryMonitor: EntryMonitor;
   readonly #registry: UpstreamRegistry;
+  readonly #entryShare = new EntryShare({
+    settings: () => this.#settings,
+    table: () => this.#clusterState.table,
+    entries: () => this.#entries.size,
+    upstreams: () => this.#registry.size,
+  });
   readonly #clusterState: ClusterState;
   readonly #history: RecordHistory;
   readonly #store: FollowerRecordStore;
@@ -99,12 +98,12 @@
   readonly #feedServer: FeedServer;
   readonly #storeWatcher: StoreWatcher;
   readonly #announcer: EntryAnnouncer;
-  readonly #crashGuard: CrashGuard;
-  readonly #suspectAnnouncer: SuspectAnnouncer;
-  readonly #crashMonitor: CrashMonitor;
+  readonly #suspects: SuspectParts;
   readonly #loadQueryBudget: TokenBucket;
   readonly #upstreamSelector: UpstreamSelector;
+  readonly #relaySender: RelaySender;
   readonly #callerServer: CallerServer;
+  readonly #relayReceiver: RelayReceiver;
   readonly #discoveryServer: DiscoveryServer;
   #state: BalancerState = 'starting';
   #tickTimer: NodeJS.Timeout | undefined;
@@ -149,17 +148,13 @@
       random: this.#random,
       log,
     });
-    this.#crashGuard = new CrashGuard({
-      reporter: settings.name,
-      quarantineCrashes: QUARANTINE_CRASHES,
-      countsOverlapping: false,
-      sameCrashMs: Infinity,
-    });
-    this.#suspectAnnouncer = this.#createSuspectAnnouncer();
-    this.#crashMonitor = new CrashMonitor({
+    this.#suspects = new SuspectParts({
       entry: settings.name,
-      guard: this.#crashGuard,
-      announcer: this.#suspectAnnouncer,
+      store: this.#store,
+      history: this.#history,
+      client: this.#entryClient,
+      peers: () => this.#entries.listPeers(),
+      random: this.#random,
       clock,
       log,
     });
@@ -172,9 +167,13 @@
     });
     this.#feedServer = new FeedServer({
       history: this.#history,
-      onSuspect: record => this.#crashMonitor.onRecord(record),
+      onSuspect: record => this.#suspects.monitor.onRecord(record),
       liveness: this.#entryMonitor,
       onLimits: message => this.#limitNotifier.onMessage(message),
+      relay: {
+        serve: (request, response) =>
+          this.#relayReceiver.serve(request, response),
+      },
       ageMs: () => (this.#storeWatcher.isLost ? Infinity : this.#store.ageMs),
     });
     this.#registry = this.#createRegistry();
@@ -183,7 +182,7 @@
       history: this.#history,
       entries: this.#entries,
       registry: this.#registry,
-      crashMonitor: this.#crashMonitor,
+      crashMonitor: this.#suspects.monitor,
       clock,
       log,
       onTable: table => {
@@ -209,7 +208,14 @@
       nowMs: clock.now(),
     });
     this.#upstreamSelector = this.#createUpstreamSelector();
-    this.#callerServer = this.#createCallerServer(metrics);
+    this.#relaySender = this.#createRelaySender();
+    const dispatching = this.#createDispatcherOptions();
+    this.#callerServer = new CallerServer({...dispatching, metrics});
+    this.#relayReceiver = new RelayReceiver({
+      ...dispatching,
+      isEntry: address => this.#entries.isPeerAddress(address),
+      inFlight: () => this.#callerServer.inFlight,
+    });
     this.#discoveryServer = new DiscoveryServer({
       protocol: site.discoveryProtocol,
       roster: this.#entries,
@@ -225,7 +231,7 @@
       registry: this.#registry,
       entries: this.#entries,
       liveness: this.#liveness,
-      crashGuard: this.#crashGuard,
+      crashGuard: this.#suspects.guard,
     });
   }
 
@@ -273,14 +279,19 @@
       this.#settings.stopWithin -
       EXIT_MARGIN_MS -
       (this.#clock.now() - startedAtMs);
-    const finished = Promise.all([this.#callerServer.stop(), withdrawn]);
+    const finished = Promise.all([
+      this.#callerServer.stop(),
+      this.#relayReceiver.stop(),
+      withdrawn,
+    ]);
     await Promise.race([finished, sleep(remainingMs)]);
     this.#storeWatcher.stop();
     this.#entryMonitor.stop();
-    this.#suspectAnnouncer.stop();
+    this.#suspects.announcer.stop();
     clearInterval(this.#tickTimer);
     this.#discoveryServer.close();
     this.#registry.close();
+    this.#relaySender.close();
     this.#feedServer.close();
     await this.#store.close();
     this.#state = 'stopped';
@@ -305,43 +316,26 @@
     const nowMs = this.#clock.now();
     this.#clusterState.onTick(nowMs);
     this.#registry.applyEntries(this.#entries.listUp(), nowMs);
-    const ratePerUpstream =
-      this.#settings.loadQueriesPerSecond * LOAD_QUERY_SHARE;
-    const ratePerSecond =
-      (ratePerUpstream * this.#registry.size) / this.#entries.size;
-    this.#loadQueryBudget.applyRate(ratePerSecond, nowMs);
+    this.#loadQueryBudget.applyRate(
+      this.#entryShare.loadQueriesPerSecond,
+      nowMs,
+    );
   }
 
-  #createSuspectAnnouncer(): SuspectAnnouncer {
-    const log = this.#log;
-    return new SuspectAnnouncer({
-      store: this.#store,
-      readStored: key => {
-        const value = this.#history.read(key);
-        return value && parseSuspect(key, value);
-      },
-      random: this.#random,
-      guard: this.#crashGuard,
-      notifier: new PeerNotifier({
-        peers: () => this.#entries.listPeers(),
-        client: this.#entryClient,
-        log,
-      }),
-      clock: this.#clock,
-      log,
-    });
+  get #locality(): Locality {
+    const {region, zone, regionByZone} = this.#settings;
+    return {region, zone, regionByZone, roundTripsMs: ROUND_TRIPS_MS};
   }
 
   #createRegistry(): UpstreamRegistry {
-    const {region, zone, regionByZone} = this.#settings;
     return new UpstreamRegistry({
       entry: this.#settings.name,
-      locality: {region, zone, regionByZone, roundTripsMs: ROUND_TRIPS_MS},
+      locality: this.#locality,
       protocol: this.#site.wireProtocol,
       clock: this.#clock,
       random: this.#random,
       onLimit: (handle, source) => this.#limitNotifier.onChange(handle, source),
-      connectionLimit: service => this.#connectionLimit(service),
+      connectionLimit: service => this.#entryShare.connectionLimit(service),
       onUnresponsive: ({id, service, address}, cause) =>
         this.#log.record('upstream.silent', {
           upstream: id,
@@ -349,18 +343,16 @@
           address,
           cause,
         }),
+      onReach: (service, isDoubtful) => {
+        if (isDoubtful) {
+          this.#log.record('service.unreached', {service});
+        } else {
+          this.#log.record('service.reached', {service});
+        }
+      },
     });
   }
 
-  #connectionLimit(service: string): number {
-    const connections =
-      this.#clusterState.table?.findService(service)?.connections ??
-      MINIMUM_CONNECTIONS;
-    const entries = this.#entries.size * JOINING_FACTOR;
-    const share = Math.floor((connections * CONNECTION_SHARE) / entries);
-    return Math.max(MINIMUM_CONNECTIONS, share);
-  }
-
   #createUpstreamSelector(): UpstreamSelector {
     return new UpstreamSelector({
       registry: this.#registry,
@@ -371,24 +363,37 @@
     });
   }
 
-  #createCallerServer(metrics: MetricRegistry): CallerServer {
-    const routeState = new RouteState(this.#random, () => ({
-      ratio: this.#settings.repeats.ratio,
-      slack: this.#settings.repeats.slack,
-      windowMs: this.#settings.repeats.window,
-      entries: Math.ceil(this.#entries.size * JOINING_FACTOR),
-    }));
-    return new CallerServer({
+  #createRelaySender(): RelaySender {
+    return new RelaySender({
+      peers: () =>
+        this.#entries
+          .listPeers()
+          .filter(({name}) => this.#liveness.isResponsive(name)),
+      distanceTo: zone => distanceTo(zone, this.#locality),
+      roundTripsMs: ROUND_TRIPS_MS,
+      memory: this.#registry.answerMemory,
+      clock: this.#clock,
+      random: this.#random,
+      log: this.#log,
+    });
+  }
+
+  #createDispatcherOptions() {
+    const routeState = new RouteState(
+      this.#random,
+      () => this.#entryShare.repeats,
+    );
+    return {
       selector: this.#upstreamSelector,
       routeState,
-      metrics,
       registry: this.#registry,
       protocol: this.#site.wireProtocol,
       clock: this.#clock,
       random: this.#random,
       log: this.#log,
-      crashMonitor: this.#crashMonitor,
+      crashMonitor: this.#suspects.monitor,
+      relay: this.#relaySender,
       table: () => this.#clusterState.table,
-    });
+    };
   }
 }
--- a/packages/balancer/src/exchange/exchange.ts
+++ b/packages/balancer/src/exchange/exchange.ts
@@ -80,6 +80,7 @@
   #controller: Dispatcher.DispatchController | undefined;
   #isSent = false;
   #isEnded = false;
+  #isAborted = false;
   #isComplete = false;
   #answerKind: AnswerKind | undefined;
   #status = 0;
@@ -114,6 +115,11 @@
     return this.#answerKind !== undefined;
   }
 
+  /** Whether this entry ended the exchange. */
+  get isAborted(): boolean {
+    return this.#isAborted;
+  }
+
   /** Sends the request. */
   start(): void {
     const {method} = this.#request;
@@ -137,6 +143,7 @@
     if (this.#isEnded) {
       return;
     }
+    this.#isAborted = true;
     if (this.#isSent) {
       this.#end({kind: 'given-up'});
       this.#controller?.abort(new Error('exchange aborted by this entry'));
--- a/packages/balancer/src/feed/feed-server.ts
+++ b/packages/balancer/src/feed/feed-server.ts
@@ -20,6 +20,7 @@
   FEED_PATH,
   serializeFeed,
 } from './feed-messages.js';
+import {RELAY_PATH} from '../relay/relay-messages.js';
 import {readBody} from '../serving/body-reader.js';
 import {LIMITS_PATH, MAXIMUM_LIMITS_BYTES} from '../limits/limit-messages.js';
 import {
@@ -65,6 +66,13 @@
   readonly liveness?: LivenessResponder;
   /** Takes limits of upstreams from other entries; returns undefined if the message can't be read. */
   readonly onLimits?: (message: unknown) => string | undefined;
+  /** Takes requests of other entries. */
+  readonly relay?: RelayResponder;
+}
+
+/** Serves requests of other entries. */
+export interface RelayResponder {
+  serve(request: IncomingMessage, response: ServerResponse): Promise<void>;
 }
 
 /** Serves records to followers over HTTP. */
@@ -97,6 +105,11 @@
     response: ServerResponse,
   ): Promise<void> {
     const url = new URL(request.url ?? '/', 'http://entry');
+    const {relay} = this.#options;
+    if (request.method === 'POST' && url.pathname === RELAY_PATH && relay) {
+      await relay.serve(request, response);
+      return;
+    }
     if (request.method === 'POST') {
       await this.#takeMessage(url.pathname, request, response);
       return;
--- a/packages/balancer/src/members/entry-roster.ts
+++ b/packages/balancer/src/members/entry-roster.ts
@@ -90,6 +90,13 @@
       .filter(({feedAddress}) => feedAddress !== undefined);
   }
 
+  /** Whether another entry that takes messages has an IP address. */
+  isPeerAddress(address: string): boolean {
+    return this.listPeers().some(({feedAddress}) =>
+      feedAddress?.startsWith(`${address}:`),
+    );
+  }
+
   /** Adds or updates an entry. @param revision Store revision of its announcement. */
   onRecord(record: EntryRecord, revision: number): void {
     this.#liveness.onAnnounced(record.name, record.sequence ?? 0);
--- a/packages/balancer/src/members/upstream-handle.ts
+++ b/packages/balancer/src/members/upstream-handle.ts
@@ -5,6 +5,7 @@
   type Distance,
   type GroupFailureShare,
   type RequestLimit,
+  type ServiceReach,
 } from '@wasabidyke/policy';
 import {Backoff, type Clock} from '@wasabidyke/shared';
 import type {IncomingHttpHeaders} from 'node:http';
@@ -28,6 +29,8 @@
   readonly connectionLimit: number;
   /** Failure share of the upstreams of its service in the same distance group. */
   readonly groupFailureShare: GroupFailureShare;
+  /** What is known of the links to its service. */
+  readonly reach: ServiceReach;
   readonly protocol: WireProtocol;
   readonly clock: Clock;
   readonly limit: RequestLimit;
@@ -47,6 +50,9 @@
 /** Limit of the body of an answer to a load query, in bytes: the load is in its head. */
 const MAXIMUM_LOAD_ANSWER_BYTES = 65_536;
 
+/** Time in which no connection is opened after one that could not be, in milliseconds: the shortest pause after a failed load query. */
+const OPEN_PAUSE_MS = 300;
+
 /** Minimum and maximum pause after a failed load query, in milliseconds. An upstream that recovers is detected within the maximum. */
 const MINIMUM_BACKOFF_MS = 300;
 const MAXIMUM_BACKOFF_MS = 2_000;
@@ -61,6 +67,8 @@
   #lifeCheck: Promise<boolean> | undefined;
   #isOverdue = false;
   #nextQueryAtMs = -Infinity;
+  /** No connection is opened before this time. */
+  #opensAtMs = -Infinity;
   readonly #queryBackoff = new Backoff({
     minimumMs: MINIMUM_BACKOFF_MS,
     maximumMs: MAXIMUM_BACKOFF_MS,
@@ -76,6 +84,7 @@
       roundTripMs,
       record.slots,
       options.groupFailureShare,
+      options.reach,
     );
     this.connections = new ConnectionPool(record.address, connectionLimit);
     this.applyRecord(record);
@@ -140,6 +149,19 @@
     this.connections.close();
   }
 
+  /** Whether a request has a connection to be sent on: an idle one, or one that is likely to be opened. */
+  hasConnection(nowMs: number): boolean {
+    const {idleCount, isFull} = this.connections;
+    return idleCount > 0 || (!isFull && nowMs >= this.#opensAtMs);
+  }
+
+  /** Called when a connection could not be opened. */
+  onConnectFailure(): void {
+    const nowMs = this.#options.clock.now();
+    this.#opensAtMs = nowMs + OPEN_PAUSE_MS;
+    this.statistics.onUnreachable(nowMs);
+  }
+
   /** Whether a load query is likely to be answered soon: none is overdue, and none has failed recently. */
   isResponsive(nowMs: number): boolean {
     return !this.#isOverdue && nowMs >= this.#nextQueryAtMs;
@@ -250,6 +272,9 @@
           'message' in result ? result.message : result.kind,
         );
       }
+      if (!this.#isDraining && result.kind !== 'other-upstream') {
+        this.statistics.onUnreachable(nowMs);
+      }
     }
     this.#isOverdue = false;
   }
--- a/packages/balancer/src/members/upstream-registry.ts
+++ b/packages/balancer/src/members/upstream-registry.ts
@@ -4,6 +4,7 @@
   GroupFailureShare,
   rendezvousHash,
   RequestLimit,
+  ServiceReach,
   type Distance,
   type RandomSource,
 } from '@wasabidyke/policy';
@@ -37,6 +38,8 @@
   readonly onLimit: (handle: UpstreamHandle, source: LimitSource) => void;
   /** Called with the cause when a load query is not answered in time, or can't be sent. */
   readonly onUnresponsive: (record: UpstreamRecord, cause: string) => void;
+  /** Called when this entry begins or ceases to doubt that it reaches the upstreams of a service. */
+  readonly onReach: (service: string, isDoubtful: boolean) => void;
 }
 
 const DISTANCE_RANKS: Readonly<Record<Distance, number>> = {
@@ -50,7 +53,9 @@
   readonly #options: UpstreamRegistryOptions;
   readonly #handles = new Map<string, UpstreamHandle>();
   readonly #handlesByService = new Map<string, UpstreamHandle[]>();
-  readonly #answerMemory = new AnswerMemory();
+  /** Memory for answers that are being received. */
+  readonly answerMemory = new AnswerMemory();
+  readonly #reaches = new Map<string, ServiceReach>();
   /** The entries that are up, this one included. */
   #entries: readonly string[] = [];
   readonly #groupFailureShares = new Map<string, GroupFailureShare>();
@@ -78,6 +83,26 @@
     return Math.max(1, this.#entries.length);
   }
 
+  /** Whether this entry reaches the upstreams of a service. */
+  reach(service: string): ServiceReach {
+    const known = this.#reaches.get(service);
+    if (known !== undefined) {
+      return known;
+    }
+    const reach = new ServiceReach({
+      upstreams: () => this.list(service).length,
+      onChange: isDoubtful => this.#options.onReach(service, isDoubtful),
+    });
+    this.#reaches.set(service, reach);
+    return reach;
+  }
+
+  /** Number of services whose upstreams this entry may not reach. */
+  get doubtfulServices(): number {
+    return [...this.#reaches.values()].filter(({isDoubtful}) => isDoubtful)
+      .length;
+  }
+
   /** Number of upstreams that name a limit. */
   get limitedCount(): number {
     return [...this.#handles.values()].filter(
@@ -110,9 +135,9 @@
   }
 
   add(record: UpstreamRecord): void {
-    const distance = this.#distanceTo(record.zone);
     const {locality, protocol, clock, connectionLimit, onUnresponsive} =
       this.#options;
+    const distance = distanceTo(record.zone, locality);
     const {entry, random, onLimit} = this.#options;
     const limit = new RequestLimit({upstream: record.id, entry, random});
     limit.applyEntries(this.#entries, clock.now());
@@ -122,10 +147,11 @@
       roundTripMs: locality.roundTripsMs[distance],
       connectionLimit: connectionLimit(record.service),
       groupFailureShare: this.groupFailureShare(record.service, distance),
+      reach: this.reach(record.service),
       protocol,
       clock,
       limit,
-      answerMemory: this.#answerMemory,
+      answerMemory: this.answerMemory,
       onLimit: source => onLimit(handle, source),
       onUnresponsive,
     });
@@ -172,13 +198,13 @@
     );
     return ranked.map(({handle}) => handle);
   }
+}
 
-  #distanceTo(zone: string): Distance {
-    const {locality} = this.#options;
-    if (zone === locality.zone) {
-      return 'same-zone';
-    }
-    const region = locality.regionByZone[zone];
-    return region === locality.region ? 'same-region' : 'other-region';
+/** Returns the distance from this entry to an availability zone. */
+export function distanceTo(zone: string, locality: Locality): Distance {
+  if (zone === locality.zone) {
+    return 'same-zone';
   }
+  const region = locality.regionByZone[zone];
+  return region === locality.region ? 'same-region' : 'other-region';
 }
--- /dev/null
+++ b/packages/balancer/src/relay/relay-receiver.ts
@@ -0,0 +1,191 @@
+/** Sends requests to upstreams for other entries, which don't reach these. */
+
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Clock} from '@wasabidyke/shared';
+import type {RoutingTable} from '../routing/routing-table.js';
+import {readBody} from '../serving/body-reader.js';
+import type {DispatchResult} from '../serving/dispatch-result.js';
+import type {RequestDispatcherOptions} from '../serving/dispatcher-options.js';
+import {RequestDispatcher} from '../serving/request-dispatcher.js';
+import type {RefusalReason, RoutedRequest} from '../serving/routed-request.js';
+import {
+  IN_FLIGHT_HEADER,
+  MAXIMUM_LINE_BYTES,
+  parseRequest,
+  REASON_HEADER,
+  RESULT_HEADER,
+  RETRY_AFTER_HEADER,
+  serializeAnswer,
+  type RelayedRequest,
+  type RelayResult,
+} from './relay-messages.js';
+
+/** Options of `RelayReceiver`. */
+export interface RelayReceiverOptions extends RequestDispatcherOptions {
+  /** Returns the current routing table; undefined before the first configuration. */
+  readonly table: () => RoutingTable | undefined;
+  /** Whether an IP address is that of another entry. */
+  readonly isEntry: (address: string) => boolean;
+  /** Requests of callers in flight. */
+  readonly inFlight: () => number;
+  readonly clock: Clock;
+}
+
+/** Attempts of one relayed request: the entry that relays it decides on repeats. */
+const RELAYED_ATTEMPTS = 1;
+
+/** Takes requests of other entries. */
+export class RelayReceiver {
+  readonly #options: RelayReceiverOptions;
+  #inFlight = 0;
+  #isStopping = false;
+  #onIdle: (() => void) | undefined;
+
+  constructor(options: RelayReceiverOptions) {
+    this.#options = options;
+  }
+
+  /** Number of relayed requests in flight. */
+  get inFlight(): number {
+    return this.#inFlight;
+  }
+
+  /** Refuses further requests; resolves once those in flight are answered. */
+  async stop(): Promise<void> {
+    this.#isStopping = true;
+    if (this.#inFlight > 0) {
+      await new Promise<void>(resolve => (this.#onIdle = resolve));
+    }
+  }
+
+  /** Serves one request of another entry. */
+  async serve(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    this.#inFlight += 1;
+    response.once('close', () => {
+      this.#inFlight -= 1;
+      if (this.#inFlight === 0) {
+        this.#onIdle?.();
+      }
+    });
+    const {isEntry, table} = this.#options;
+    const address = request.socket.remoteAddress ?? '';
+    if (!isEntry(address)) {
+      this.#options.log.record('relay.foreign', {address});
+      response.writeHead(403, {connection: 'close'}).end();
+      return;
+    }
+    const routing = table();
+    if (this.#isStopping || routing === undefined) {
+      const reason = this.#isStopping ? 'stopping' : 'no-configuration';
+      this.#refuse(response, 'not-run', reason, 0);
+      return;
+    }
+    const limitBytes = routing.limits.bodyBytes + MAXIMUM_LINE_BYTES;
+    const read = await readBody(request, limitBytes);
+    const message =
+      read.kind === 'body' && read.body !== null
+        ? parseRequest(read.body)
+        : undefined;
+    if (message === undefined) {
+      response.writeHead(400, {connection: 'close'}).end();
+      return;
+    }
+    const routed = this.#toRoutedRequest(routing, message);
+    if (routed === undefined) {
+      this.#refuse(response, 'not-run', 'other-configuration', 0);
+      return;
+    }
+    await this.#dispatch(routed, response);
+  }
+
+  /** Undefined if this entry's configuration doesn't send such a request to that service. */
+  #toRoutedRequest(
+    table: RoutingTable,
+    {request, body}: {request: RelayedRequest; body: Buffer | null},
+  ): RoutedRequest | undefined {
+    const {headers, url, service, kind, elapsedMs, remainingMs} = request;
+    const host = String(headers.host ?? '');
+    const route = table.findRoute(host, url);
+    const isAllowed =
+      route?.kind === kind && route.targets.some(({name}) => name === service);
+    if (route === undefined || !isAllowed) {
+      return undefined;
+    }
+    const nowMs = this.#options.clock.now();
+    const arrivedAtMs = nowMs - elapsedMs;
+    return {
+      requestId: request.requestId,
+      method: request.method,
+      url,
+      headers,
+      body,
+      callerAddress: request.callerAddress,
+      host,
+      route: {...route, maximumAttempts: RELAYED_ATTEMPTS},
+      service,
+      loadPath: table.findService(service)?.loadPath ?? '/',
+      configurationVersion: table.version,
+      arrivedAtMs,
+      deadlineMs: Math.min(nowMs + remainingMs, arrivedAtMs + route.timeoutMs),
+      relayed: {excluded: request.excluded},
+    };
+  }
+
+  async #dispatch(
+    request: RoutedRequest,
+    response: ServerResponse,
+  ): Promise<void> {
+    if (response.destroyed) {
+      return;
+    }
+    const dispatcher = new RequestDispatcher(request, this.#options);
+    // The other entry closes its connection when its caller has left.
+    const onClose = () => dispatcher.cancel();
+    response.once('close', onClose);
+    dispatcher.start();
+    const result = await dispatcher.result;
+    response.off('close', onClose);
+    if (result !== undefined) {
+      this.#send(response, result);
+    }
+  }
+
+  #send(response: ServerResponse, result: NonNullable<DispatchResult>): void {
+    if (result.kind === 'refusal') {
+      const {isNotRun, reason, retryAfterMs = 0} = result.refusal;
+      const kind = isNotRun ? 'not-run' : 'unknown';
+      this.#refuse(response, kind, reason, retryAfterMs);
+      return;
+    }
+    const {answer, upstream} = result;
+    const body = serializeAnswer({upstream, answer});
+    response.writeHead(200, {
+      ...this.#toHeaders('answer'),
+      'content-length': body.length,
+    });
+    response.end(body);
+  }
+
+  #refuse(
+    response: ServerResponse,
+    result: RelayResult,
+    reason: RefusalReason,
+    retryAfterMs: number,
+  ): void {
+    response.writeHead(200, {
+      ...this.#toHeaders(result),
+      [REASON_HEADER]: reason,
+      [RETRY_AFTER_HEADER]: Math.round(retryAfterMs),
+      'content-length': 0,
+    });
+    response.end();
+  }
+
+  #toHeaders(result: RelayResult): Record<string, string | number> {
+    const inFlight = this.#options.inFlight() + this.#inFlight;
+    return {[RESULT_HEADER]: result, [IN_FLIGHT_HEADER]: inFlight};
+  }
+}
--- a/packages/balancer/src/serving/caller-server.ts
+++ b/packages/balancer/src/serving/caller-server.ts
@@ -21,10 +21,8 @@
 import type {CallerLimits} from '../routing/routing-configuration.js';
 import type {RoutingTable} from '../routing/routing-table.js';
 import {readBody} from './body-reader.js';
-import {
-  RequestDispatcher,
-  type RequestDispatcherOptions,
-} from './request-dispatcher.js';
+import type {RequestDispatcherOptions} from './dispatcher-options.js';
+import {RequestDispatcher} from './request-dispatcher.js';
 import type {Refusal, RoutedRequest} from './routed-request.js';
 
 /** Options of `CallerServer`. */
--- /dev/null
+++ b/packages/balancer/src/serving/dispatcher-options.ts
@@ -0,0 +1,25 @@
+/** Dependencies of the dispatch of requests. */
+
+import type {RandomSource} from '@wasabidyke/policy';
+import type {Clock} from '@wasabidyke/shared';
+import type {WireProtocol} from '../exchange/wire-protocol.js';
+import type {UpstreamRegistry} from '../members/upstream-registry.js';
+import type {RelaySender} from '../relay/relay-sender.js';
+import type {DecisionLog} from '../reporting/decision-log.js';
+import type {CrashMonitor} from '../suspects/crash-monitor.js';
+import type {RouteState} from './route-state.js';
+import type {UpstreamSelector} from './upstream-selector.js';
+
+/** Options of `RequestDispatcher`. */
+export interface RequestDispatcherOptions {
+  readonly selector: UpstreamSelector;
+  readonly routeState: RouteState;
+  readonly registry: UpstreamRegistry;
+  readonly protocol: WireProtocol;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly log: DecisionLog;
+  readonly crashMonitor: CrashMonitor;
+  /** Sends requests through other entries. */
+  readonly relay: RelaySender;
+}
--- a/packages/balancer/src/serving/request-dispatcher.ts
+++ b/packages/balancer/src/serving/request-dispatcher.ts
@@ -1,54 +1,29 @@
 /** Sends one request to upstreams until it is answered or refused, with retries and hedges. */
 
-import {hedgeReserve, type RandomSource} from '@wasabidyke/policy';
-import type {Clock} from '@wasabidyke/shared';
-import {
-  Exchange,
-  type CompleteAnswer,
-  type ExchangeResult,
-} from '../exchange/exchange.js';
-import type {WireProtocol} from '../exchange/wire-protocol.js';
+import type {CompleteAnswer, ExchangeResult} from '../exchange/exchange.js';
 import type {UpstreamHandle} from '../members/upstream-handle.js';
-import type {UpstreamRegistry} from '../members/upstream-registry.js';
-import type {DecisionLog} from '../reporting/decision-log.js';
-import type {CrashMonitor} from '../suspects/crash-monitor.js';
 import {CrashTracker} from '../suspects/crash-tracker.js';
-import {
-  AttemptRecorder,
-  isErrorAnswer,
-  type Attempt,
-} from './attempt-recorder.js';
-import {hedgeDelayMs, isHedgeInTime} from './hedge-timing.js';
+import type {RelayAttempt} from '../relay/relay-sender.js';
+import {RequestRelay} from '../relay/request-relay.js';
+import {AttemptRecorder, isErrorAnswer} from './attempt-recorder.js';
+import {isHedgeInTime} from './hedge-timing.js';
+import {Hedging} from './hedging.js';
 import {LimitGate} from './limit-gate.js';
-import type {UpstreamSelector, SelectedUpstream} from './upstream-selector.js';
-import type {RouteState} from './route-state.js';
-import {freeSlotDelayMs, toLastUpstream} from './refusal-details.js';
-import type {Refusal, RefusalReason, RoutedRequest} from './routed-request.js';
-
-/** Options of `RequestDispatcher`. */
-export interface RequestDispatcherOptions {
-  readonly selector: UpstreamSelector;
-  readonly routeState: RouteState;
-  readonly registry: UpstreamRegistry;
-  readonly protocol: WireProtocol;
-  readonly clock: Clock;
-  readonly random: RandomSource;
-  readonly log: DecisionLog;
-  readonly crashMonitor: CrashMonitor;
-}
-
-/** Result of a request; undefined if the caller closed its connection first. */
-export type DispatchResult =
-  | {readonly kind: 'answer'; readonly answer: CompleteAnswer}
-  | {readonly kind: 'refusal'; readonly refusal: Refusal}
-  | undefined;
+import type {SelectedUpstream} from './upstream-selector.js';
+import type {RequestDispatcherOptions} from './dispatcher-options.js';
+import type {DispatchResult, UpstreamAnswer} from './dispatch-result.js';
+import {Refusals} from './refusals.js';
+import type {RefusalReason, RoutedRequest} from './routed-request.js';
+import {
+  isUpstreamAttempt,
+  UpstreamSender,
+  type PendingAttempt,
+  type UpstreamAttempt,
+} from './upstream-sender.js';
 
 /** Limit of attempts that fail before a byte is sent; they don't count as attempts of the route, as they cost upstreams nothing. */
 const MAXIMUM_UNSENT_ATTEMPTS = 4;
 
-/** Size of a typical answer with its headers, for the estimate of transfer costs. */
-const TYPICAL_ANSWER_BYTES = 1_200;
-
 /** Sends one request and decides on its retries and hedges. */
 export class RequestDispatcher {
   readonly #request: RoutedRequest;
@@ -56,20 +31,23 @@
   readonly #recorder: AttemptRecorder;
   readonly #crashTracker: CrashTracker;
   readonly #limitGate: LimitGate;
+  readonly #sender: UpstreamSender;
+  readonly #relay: RequestRelay;
+  readonly #hedging: Hedging;
+  readonly #refusals: Refusals;
   /** Upstreams that were tried; further attempts go elsewhere. */
   readonly #tried = new Set<UpstreamHandle>();
-  readonly #activeAttempts = new Set<Attempt>();
+  readonly #activeAttempts = new Set<PendingAttempt>();
   readonly #resolve: (result: DispatchResult) => void;
   /** Settles when the request has its answer; never rejects. */
   readonly result: Promise<DispatchResult>;
   #deadlineTimer: NodeJS.Timeout | undefined;
-  #hedgeTimer: NodeJS.Timeout | undefined;
   #isFinished = false;
   /** Whether an upstream may have run the request. */
   #mayHaveRun = false;
   #sentCount = 0;
   #unsentCount = 0;
-  #lastErrorAnswer: CompleteAnswer | undefined;
+  #lastErrorAnswer: UpstreamAnswer | undefined;
   #lastSelected: SelectedUpstream | undefined;
 
   constructor(request: RoutedRequest, options: RequestDispatcherOptions) {
@@ -77,7 +55,18 @@
     this.#options = options;
     this.#recorder = new AttemptRecorder(request, options);
     this.#limitGate = new LimitGate(request, options);
+    this.#sender = new UpstreamSender(request, options);
+    this.#relay = new RequestRelay(request, options);
+    this.#hedging = new Hedging(request, options);
+    for (const id of request.relayed?.excluded ?? []) {
+      this.#exclude(id);
+    }
     this.#crashTracker = new CrashTracker(request, options.crashMonitor);
+    this.#refusals = new Refusals(request, {
+      ...options,
+      limitGate: this.#limitGate,
+      crashTracker: this.#crashTracker,
+    });
     let resolveResult: (result: DispatchResult) => void = () => {};
     this.result = new Promise(resolve => (resolveResult = resolve));
     this.#resolve = resolveResult;
@@ -87,7 +76,10 @@
   start(): void {
     const remainingMs = this.#request.deadlineMs - this.#options.clock.now();
     this.#deadlineTimer = setTimeout(() => this.#onDeadline(), remainingMs);
-    this.#repeatBudget.onRequest(this.#options.clock.now());
+    if (this.#request.relayed === undefined) {
+      // The entry that relays a request counts it.
+      this.#repeatBudget.onRequest(this.#options.clock.now());
+    }
     void this.#startAttempt();
   }
 
@@ -100,10 +92,6 @@
     return this.#options.routeState.repeatBudget(this.#request.service);
   }
 
-  get #isIdempotent(): boolean {
-    return this.#request.route.kind === 'idempotent';
-  }
-
   /** Selects an upstream and sends the request there. */
   async #startAttempt(): Promise<void> {
     if (this.#crashTracker.status === 'quarantined') {
@@ -114,6 +102,15 @@
     if (this.#isFinished) {
       return;
     }
+    if (this.#relay.isUnreached(selected, this.#tried)) {
+      if (this.#sendThroughEntry()) {
+        return;
+      }
+      if (this.#relay.isLost()) {
+        this.#endWithoutSuccess('unreached');
+        return;
+      }
+    }
     if (selected === undefined) {
       const {isServiceLimited} = this.#limitGate;
       this.#endWithoutSuccess(isServiceLimited ? 'over-limit' : 'no-upstream');
@@ -144,60 +141,85 @@
       workEstimate: this.#options.routeState.workEstimate(route),
       targetAtMs: arrivedAtMs + route.targetLatencyMs,
       deadlineMs,
-      bytes: TYPICAL_ANSWER_BYTES + (body?.length ?? 0),
+      bodyBytes: body?.length ?? 0,
       excluded: this.#tried,
       mayUseLimited: this.#limitGate.mayUseLimited,
     });
   }
 
   #send(selected: SelectedUpstream): void {
-    const {handle} = selected;
-    const {clock, protocol} = this.#options;
-    const connection = handle.connections.take();
-    this.#tried.add(handle);
+    this.#tried.add(selected.handle);
     this.#lastSelected = selected;
-    if (connection === undefined) {
-      this.#retryAfterUnsent();
-      return;
-    }
-    if (!handle.limit.take(clock.now())) {
-      // Another request has taken the last one since the selection.
-      handle.connections.release(connection);
+    const attempt = this.#sender.send(selected, (ended, result) =>
+      this.#onAttemptEnd(ended, result),
+    );
+    if (attempt === undefined) {
       this.#retryAfterUnsent();
-      return;
+    } else {
+      this.#onSent(attempt);
     }
-    const startedAtMs = clock.now();
-    const remainingMs = Math.max(
-      1,
-      Math.floor(this.#request.deadlineMs - startedAtMs),
-    );
-    const {method, url, headers, body, requestId} = this.#request;
-    const upstreamHeaders = protocol.toUpstreamHeaders(headers, {
-      remainingMs,
-      upstreamId: handle.id,
-    });
-    const exchange = new Exchange(
-      connection,
-      {method, path: url, headers: upstreamHeaders, body},
-      {
-        classifyAnswer: (status, answerHeaders) =>
-          protocol.classifyAnswer(status, answerHeaders, requestId),
-        memory: handle.answerMemory,
-      },
-    );
-    const attempt = {selected, exchange, startedAtMs};
+  }
+
+  #onSent(attempt: PendingAttempt): void {
     this.#activeAttempts.add(attempt);
     this.#sentCount += 1;
-    handle.statistics.onSend();
-    exchange.start();
     this.#scheduleHedge(attempt);
-    void exchange.result.then(result => {
-      handle.release(connection, exchange);
-      this.#onAttemptEnd(attempt, result);
-    });
   }
 
-  #onAttemptEnd(attempt: Attempt, result: ExchangeResult): void {
+  /** Sends the request through another entry; returns false if none is likely to serve it. */
+  #sendThroughEntry(): boolean {
+    const nowMs = this.#options.clock.now();
+    if (this.#sentCount > 0 && !this.#repeatBudget.has(nowMs)) {
+      return false;
+    }
+    const attempt = this.#relay.send(this.#tried);
+    if (attempt === undefined) {
+      return false;
+    }
+    if (this.#sentCount > 0) {
+      this.#repeatBudget.take(nowMs);
+    }
+    this.#onSent(attempt);
+    void attempt.exchange.result.then(result =>
+      this.#onRelayEnd(attempt, result),
+    );
+    return true;
+  }
+
+  #onRelayEnd(attempt: RelayAttempt, result: ExchangeResult): void {
+    this.#activeAttempts.delete(attempt);
+    const outcome = this.#options.relay.finish(attempt, result);
+    if (this.#isFinished) {
+      return;
+    }
+    switch (outcome.kind) {
+      case 'answered':
+        this.#exclude(outcome.upstream);
+        this.#onAnswer(outcome.answer, outcome.upstream);
+        return;
+      case 'unreached':
+        this.#sentCount -= 1;
+        if (this.#activeAttempts.size === 0) {
+          void this.#startAttempt();
+        }
+        return;
+      case 'refused':
+        this.#endWithoutSuccess(outcome.reason, outcome.retryAfterMs);
+        return;
+      case 'unknown':
+        this.#mayHaveRun = true;
+        this.#retry();
+    }
+  }
+
+  #exclude(upstreamId: string): void {
+    const handle = this.#options.registry.find(upstreamId);
+    if (handle !== undefined) {
+      this.#tried.add(handle);
+    }
+  }
+
+  #onAttemptEnd(attempt: UpstreamAttempt, result: ExchangeResult): void {
     this.#activeAttempts.delete(attempt);
     this.#recorder.updateStatistics(attempt, result);
     if (this.#isFinished) {
@@ -206,7 +228,7 @@
     this.#recorder.logIfNotable(attempt, result, this.#sentCount);
     switch (result.kind) {
       case 'answered':
-        this.#onAnswer(result.answer);
+        this.#onAnswer(result.answer, attempt.selected.handle.id);
         return;
       case 'other-upstream':
         this.#options.registry.remove(attempt.selected.handle.record);
@@ -230,7 +252,7 @@
   }
 
   /** Retries, unless another upstream crashed under a request that is suspected of that already. */
-  async #retryAfterBreak(attempt: Attempt): Promise<void> {
+  async #retryAfterBreak(attempt: UpstreamAttempt): Promise<void> {
     const mayRetry =
       attempt.exchange.hasAnswerHead ||
       (await this.#crashTracker.onBreak(attempt));
@@ -244,13 +266,14 @@
     }
   }
 
-  #onAnswer(answer: CompleteAnswer): void {
+  #onAnswer(answer: CompleteAnswer, upstream: string): void {
     this.#mayHaveRun = true;
+    const result: UpstreamAnswer = {kind: 'answer', answer, upstream};
     if (!isErrorAnswer(answer)) {
-      this.#end({kind: 'answer', answer});
+      this.#end(result);
       return;
     }
-    this.#lastErrorAnswer = answer;
+    this.#lastErrorAnswer = result;
     this.#retry();
   }
 
@@ -259,8 +282,8 @@
     if (this.#activeAttempts.size > 0) {
       return;
     }
-    const {maximumAttempts} = this.#request.route;
-    const isSafeToRepeat = !this.#mayHaveRun || this.#isIdempotent;
+    const {maximumAttempts, kind} = this.#request.route;
+    const isSafeToRepeat = !this.#mayHaveRun || kind === 'idempotent';
     const isAllowed =
       isSafeToRepeat &&
       this.#sentCount <
@@ -279,64 +302,53 @@
       return;
     }
     if (this.#unsentCount >= MAXIMUM_UNSENT_ATTEMPTS) {
-      this.#endWithoutSuccess('no-upstream');
+      if (!this.#sendThroughEntry()) {
+        this.#endWithoutSuccess('no-upstream');
+      }
       return;
     }
     void this.#startAttempt();
   }
 
   /** Schedules a hedge for the case that the attempt takes much longer than estimated. */
-  #scheduleHedge(attempt: Attempt): void {
+  #scheduleHedge(attempt: PendingAttempt): void {
+    const {maximumAttempts, kind} = this.#request.route;
     const isHedgeAllowed =
-      this.#isIdempotent &&
+      kind === 'idempotent' &&
       this.#crashTracker.status === 'clear' &&
-      this.#sentCount < this.#request.route.maximumAttempts &&
+      this.#sentCount < maximumAttempts &&
       this.#activeAttempts.size === 1;
-    if (!isHedgeAllowed) {
-      return;
+    if (isHedgeAllowed) {
+      this.#hedging.schedule(attempt, () => this.#hedge(attempt));
     }
-    const delayMs = hedgeDelayMs(attempt.selected.estimateMs);
-    this.#hedgeTimer = setTimeout(() => void this.#hedge(attempt), delayMs);
   }
 
-  async #hedge(first: Attempt): Promise<void> {
+  async #hedge(first: PendingAttempt): Promise<void> {
     if (!this.#mayHedge(first)) {
       return;
     }
     const selected = await this.#selectUpstream();
-    if (selected === undefined || !this.#mayHedge(first)) {
+    if (!this.#mayHedge(first)) {
+      return;
+    }
+    if (this.#relay.isUnreached(selected, this.#tried)) {
+      this.#sendThroughEntry();
+      return;
+    }
+    if (selected === undefined) {
       return;
     }
     const nowMs = this.#options.clock.now();
     const isInTime = isHedgeInTime(selected.estimateMs, this.#request, nowMs);
     if (isInTime && this.#repeatBudget.take(nowMs)) {
-      this.#options.log.record('request.hedged', {
-        request: this.#request.requestId,
-        upstream: selected.handle.id,
-        estimateMs: Math.round(selected.estimateMs),
-        firstUpstream: first.selected.handle.id,
-        firstEstimateMs: Math.round(first.selected.estimateMs),
-        firstElapsedMs: Math.round(nowMs - first.startedAtMs),
-      });
+      this.#hedging.log(first, selected);
       this.#send(selected);
     }
   }
 
-  /** Whether the first attempt is still in flight and the budget exceeds what retries of failing requests need. */
-  #mayHedge(first: Attempt): boolean {
-    const nowMs = this.#options.clock.now();
-    const {registry} = this.#options;
-    const {service} = this.#request;
-    const groupFailureShare = registry.groupFailureShare(
-      service,
-      first.selected.handle.statistics.distance,
-    );
-    const reservedShare = hedgeReserve(
-      groupFailureShare.share(nowMs),
-      this.#repeatBudget.ratio,
-    );
+  #mayHedge(first: PendingAttempt): boolean {
     const isInFlight = !this.#isFinished && this.#activeAttempts.has(first);
-    return isInFlight && this.#repeatBudget.has(nowMs, reservedShare);
+    return isInFlight && this.#hedging.isAffordable(first, this.#repeatBudget);
   }
 
   #onDeadline(): void {
@@ -345,46 +357,33 @@
   }
 
   /** Ends the request with the last error answer, or else with a refusal; does nothing while another attempt may succeed. */
-  #endWithoutSuccess(reason: RefusalReason): void {
+  #endWithoutSuccess(reason: RefusalReason, retryAfterMs?: number): void {
     if (this.#activeAttempts.size > 0 && reason !== 'timeout') {
       return;
     }
     if (this.#lastErrorAnswer !== undefined) {
-      this.#end({kind: 'answer', answer: this.#lastErrorAnswer});
+      this.#end(this.#lastErrorAnswer);
       return;
     }
-    const isNotRun = !this.#mayHaveRun;
-    const refusal = {
+    const refusal = this.#refusals.create(
       reason,
-      isNotRun,
-      retryAfterMs: isNotRun ? this.#retryAfterMs(reason) : undefined,
-      lastUpstream: this.#lastSelected && toLastUpstream(this.#lastSelected),
-    };
+      !this.#mayHaveRun,
+      this.#lastSelected,
+      retryAfterMs,
+    );
     this.#end({kind: 'refusal', refusal});
   }
 
-  #retryAfterMs(reason: RefusalReason): number {
-    if (reason === 'quarantined') {
-      return this.#crashTracker.remainingMs;
-    }
-    if (reason === 'over-limit') {
-      return this.#limitGate.refuse();
-    }
-    const {routeState, clock, random} = this.#options;
-    const {workMs} = routeState.workEstimate(this.#request.route);
-    return freeSlotDelayMs(this.#lastSelected, workMs, clock.now(), random);
-  }
-
   #end(result: DispatchResult): void {
     if (this.#isFinished) {
       return;
     }
     this.#isFinished = true;
     clearTimeout(this.#deadlineTimer);
-    clearTimeout(this.#hedgeTimer);
+    this.#hedging.cancel();
     const hasAnswer = result?.kind === 'answer';
     for (const attempt of this.#activeAttempts) {
-      if (!hasAnswer) {
+      if (!hasAnswer && isUpstreamAttempt(attempt)) {
         this.#recorder.logIfNotable(
           attempt,
           {kind: 'given-up'},
--- a/packages/balancer/src/serving/routed-request.ts
+++ b/packages/balancer/src/serving/routed-request.ts
@@ -2,6 +2,7 @@
 
 import type {IncomingHttpHeaders} from 'node:http';
 import {toFingerprint} from '@wasabidyke/policy';
+import * as z from 'zod/mini';
 import type {Route} from '../routing/routing-configuration.js';
 
 /** A caller's request with its complete body, its route and its service. */
@@ -26,6 +27,14 @@
   readonly arrivedAtMs: number;
   /** Earlier of the caller's deadline and the route's timeout, on the monotonic clock in milliseconds. */
   readonly deadlineMs: number;
+  /** Set if another entry relays the request, which is then not relayed again. */
+  readonly relayed?: RelayOrigin;
+}
+
+/** What the entry that relays a request did before. */
+export interface RelayOrigin {
+  /** Ids of upstreams that its attempts used. */
+  readonly excluded: readonly string[];
 }
 
 /** Fingerprint of what a request does: callers send the same request again under another id, and to other entries. */
@@ -34,25 +43,39 @@
   return toFingerprint({scope: host, method, path: url, body});
 }
 
-/** Why a request got no upstream's answer; written to the log. */
-export type RefusalReason =
+/** Schema of `RefusalReason`. */
+const refusalReasonSchema = z.enum([
   /** This entry has no configuration yet. */
-  | 'no-configuration'
-  /** No upstream is usable, or none could be connected to. */
-  | 'no-upstream'
+  'no-configuration',
+  /** The configuration of the entry that a request was relayed to doesn't allow it. */
+  'other-configuration',
+  /** No upstream is usable. */
+  'no-upstream',
+  /** Neither this entry nor another one that it asked reaches an upstream. */
+  'unreached',
   /** What the limits that upstreams name leave is used up. */
-  | 'over-limit'
+  'over-limit',
   /** The best upstream is estimated to answer after the deadline. */
-  | 'no-room'
+  'no-room',
   /** The route's attempts or the repeat budget are used up. */
-  | 'attempts-spent'
+  'attempts-spent',
   /** The request crashed the upstreams that ran it. */
-  | 'quarantined'
+  'quarantined',
   /** This entry is shutting down. */
-  | 'stopping'
+  'stopping',
   /** An attempt that may have run ended without a usable answer. */
-  | 'broken'
-  | 'timeout';
+  'broken',
+  'timeout',
+]);
+
+/** Why a request got no upstream's answer; written to the log. */
+export type RefusalReason = z.infer<typeof refusalReasonSchema>;
+
+/** Parses a reason; undefined if it is none. */
+export function toRefusalReason(text: unknown): RefusalReason | undefined {
+  const parsed = refusalReasonSchema.safeParse(text);
+  return parsed.success ? parsed.data : undefined;
+}
 
 /** The upstream selected last before a refusal, with its estimates at that time. */
 export interface LastUpstream {
--- a/packages/balancer/src/serving/upstream-selector.ts
+++ b/packages/balancer/src/serving/upstream-selector.ts
@@ -27,8 +27,8 @@
   readonly targetAtMs: number;
   /** On the monotonic clock, in milliseconds. */
   readonly deadlineMs: number;
-  /** Size of the request and of its typical answer. */
-  readonly bytes: number;
+  /** Size of the request's body. */
+  readonly bodyBytes: number;
   /** Upstreams that earlier attempts of the request used. */
   readonly excluded: ReadonlySet<UpstreamHandle>;
   /** Whether the request may use upstreams that name a limit. */
@@ -59,6 +59,9 @@
   readonly queryBudget: TokenBucket;
 }
 
+/** Size of a typical answer with its headers, for the estimate of transfer costs. */
+const TYPICAL_ANSWER_BYTES = 1_200;
+
 /** Load reports older than this are renewed, in milliseconds: a tenth of the time in which the load of noisy neighbours changes. */
 const FRESH_REPORT_AGE_MS = 40;
 
@@ -194,7 +197,7 @@
       remainingMs: criteria.deadlineMs - nowMs,
       failureShare,
       distance: statistics.distance,
-      bytes: criteria.bytes,
+      bytes: TYPICAL_ANSWER_BYTES + criteria.bodyBytes,
       costs: this.#costs,
     });
     const bonus = statistics.hasServed ? 0 : NEWCOMER_BONUS;
@@ -245,14 +248,13 @@
   {excluded, mayUseLimited}: SelectionCriteria,
   nowMs: number,
 ): boolean {
-  const {connections, limit} = handle;
-  const hasConnection = connections.idleCount > 0 || !connections.isFull;
+  const {limit} = handle;
   const isLimited = limit.requestsPerSecond !== undefined;
   const isWithinLimit = !isLimited || (mayUseLimited && limit.has(nowMs));
   return (
     !handle.isDraining &&
     !excluded.has(handle) &&
-    hasConnection &&
+    handle.hasConnection(nowMs) &&
     isWithinLimit
   );
 }
--- a/packages/policy/src/liveness.ts
+++ b/packages/policy/src/liveness.ts
@@ -184,6 +184,11 @@
     return this.#silences.has(name);
   }
 
+  /** Whether an entry is not known to be down, and has answered the last check if this entry checks it. */
+  isResponsive(name: string): boolean {
+    return !this.isDown(name) && !this.isSilent(name);
+  }
+
   /** Time since the start of the first of the checks that failed in a row, in milliseconds. */
   silentMs(name: string, nowMs: number): number {
     return nowMs - (this.#silences.get(name)?.sinceMs ?? nowMs);
--- a/packages/policy/src/upstream-statistics.ts
+++ b/packages/policy/src/upstream-statistics.ts
@@ -4,6 +4,7 @@
  */
 
 import {GroupFailureShare} from './group-failure-share.js';
+import type {ServiceReach} from './service-reach.js';
 import type {Distance} from './upstream-load.js';
 
 /** The load that an upstream reports of itself. */
@@ -85,18 +86,24 @@
   #hasServed = false;
   #unresponsiveAtMs = -Infinity;
   readonly #group: GroupFailureShare;
+  readonly #reach: ServiceReach | undefined;
 
-  /** @param group Failure share of the group of upstreams that it belongs to. */
+  /**
+   * @param group Failure share of the group of upstreams that it belongs to.
+   * @param reach What is known of the links to its service.
+   */
   constructor(
     distance: Distance,
     roundTripMs: number,
     slots: number,
     group = new GroupFailureShare(),
+    reach?: ServiceReach,
   ) {
     this.distance = distance;
     this.roundTripMs = roundTripMs;
     this.slots = slots;
     this.#group = group;
+    this.#reach = reach;
   }
 
   /** Whether the upstream has answered any request of this entry. */
@@ -121,6 +128,7 @@
     this.#unresponsiveAtMs = -Infinity;
     this.#sentSinceReport = 0;
     this.slots = report.slots;
+    this.#reach?.onHeard();
   }
 
   /** Called when a request is sent. */
@@ -140,14 +148,29 @@
     if (isAnswered) {
       this.#unresponsiveAtMs = -Infinity;
     }
+    if (end !== 'failed') {
+      this.#reach?.onHeard();
+    }
     this.#onOutcome(!isAnswered, nowMs);
     this.#group.onOutcome(!isAnswered, nowMs);
   }
 
-  /** Called when the upstream can't be reached or leaves a load query unanswered; a report or an answer ends this state. */
+  /** Called when the upstream leaves a load query unanswered for longer than usual; a report or an answer ends this state. */
   onUnresponsive(nowMs: number): void {
     this.#unresponsiveAtMs = nowMs;
     this.#onOutcome(true, nowMs);
+    this.#reach?.onSilent(this);
+  }
+
+  /** Called when a connection to the upstream can't be opened, or a load query has failed. */
+  onUnreachable(nowMs: number): void {
+    this.#unresponsiveAtMs = nowMs;
+    this.#reach?.onFailed(this, nowMs);
+  }
+
+  /** Whether the upstream was not heard from since it was last found unresponsive, within its lifetime. */
+  isUnresponsive(nowMs: number): boolean {
+    return nowMs - this.#unresponsiveAtMs < UNRESPONSIVE_LIFETIME_MS;
   }
 
   /** Called when an answer took `factor` times as long as its estimate. */
@@ -164,9 +187,9 @@
     const ageMs = nowMs - this.#failureAtMs;
     const weight = 0.5 ** (ageMs / FAILURE_HALF_LIFE_MS);
     const share = groupShare + (this.#failureShare - groupShare) * weight;
-    const isUnresponsive =
-      nowMs - this.#unresponsiveAtMs < UNRESPONSIVE_LIFETIME_MS;
-    return isUnresponsive ? Math.max(share, UNRESPONSIVE_FAILURE_SHARE) : share;
+    return this.isUnresponsive(nowMs)
+      ? Math.max(share, UNRESPONSIVE_FAILURE_SHARE)
+      : share;
   }
 
   /** Returns the estimated number of requests that run or wait there. */
