fix(balancer): an upstream that one entry doesn't reach has not crashed

Requests that were under way when an entry lost its links became suspects of crashing upstreams, sound ones among them, and after three were refused to their callers by every entry for ten minutes.

Cause: an entry took an upstream for crashed if it didn't answer on a new connection, which is all that an entry without links ever sees.

It now asks three other entries, which check the upstream as well. One that reaches it refutes the crash; one that doesn't counts only if it reaches another upstream. Without their word, the entry must reach another upstream itself.

--- a/features/balancer/cut-off.feature
+++ b/features/balancer/cut-off.feature
@@ -57,3 +57,17 @@
     When the links of entry 1 to all workers are "reset" and "open" in turn, 1000 ms each, for 6000 ms
     Then at least 90 of 100 first tries at each entry were served
     And no order ran twice
+
+  # Guards against upstreams that count as crashed because one entry lost its links to them, so that innocent requests are refused.
+  Scenario Outline: Requests that were under way when links were lost are no suspects: <entries>
+    Given every worker "slow"
+    And 400 ms pass at the site
+    When the links of <entries> to all workers are "reset"
+    And 1500 ms pass at the site
+    Then the log has no "request.suspected" line
+
+    Examples:
+      | entries             |
+      | entry 1             |
+      | entries 1, 2 and 3  |
+      | entries 1, 2, 3, 4  |
--- a/packages/balancer/src/balancer.ts
+++ b/packages/balancer/src/balancer.ts
@@ -13,7 +13,6 @@
 import {registerGauges} from './balancer-gauges.js';
 import type {BalancerSettings} from './balancer-settings.js';
 import {ClusterState} from './cluster-state.js';
-import type {WireProtocol} from './exchange/wire-protocol.js';
 import {EntryShare} from './entry-share.js';
 import {EntryClient} from './feed/entry-client.js';
 import {FollowerRecordStore} from './feed/follower-record-store.js';
@@ -21,6 +20,7 @@
 import {RecordHistory} from './feed/record-history.js';
 import {LimitNotifier} from './limits/limit-notifier.js';
 import {EntryMonitor} from './members/entry-monitor.js';
+import type {EntryRecord} from './members/entry-record.js';
 import {EntryRoster} from './members/entry-roster.js';
 import {
   distanceTo,
@@ -30,25 +30,15 @@
 import {RelayReceiver} from './relay/relay-receiver.js';
 import {RelaySender} from './relay/relay-sender.js';
 import type {DecisionLog} from './reporting/decision-log.js';
+import type {SiteAdapters} from './site-adapters.js';
 import {CallerServer} from './serving/caller-server.js';
 import {UpstreamSelector} from './serving/upstream-selector.js';
-import type {DiscoveryProtocol} from './serving/discovery-protocol.js';
 import {DiscoveryServer} from './serving/discovery-server.js';
 import {RouteState} from './serving/route-state.js';
 import {EntryAnnouncer} from './store/entry-announcer.js';
-import type {RecordDecoder} from './store/record-decoder.js';
-import type {RecordStore} from './store/record-store.js';
 import {StoreWatcher} from './store/store-watcher.js';
 import {SuspectParts} from './suspects/suspect-parts.js';
 
-/** Adapters to a site: its store, and the formats of its records and messages. */
-export interface SiteAdapters {
-  readonly store: RecordStore;
-  readonly decoder: RecordDecoder;
-  readonly wireProtocol: WireProtocol;
-  readonly discoveryProtocol: DiscoveryProtocol;
-}
-
 /** Lifecycle states of a balancer. */
 export type BalancerState = 'starting' | 'serving' | 'stopping' | 'stopped';
 
@@ -154,6 +144,10 @@
       history: this.#history,
       client: this.#entryClient,
       peers: () => this.#entries.listPeers(),
+      responsivePeers: () => this.#listResponsivePeers(),
+      registry: () => this.#registry,
+      loadPath: service =>
+        this.#clusterState.table?.findService(service)?.loadPath ?? '/',
       random: this.#random,
       clock,
       log,
@@ -169,6 +163,8 @@
       history: this.#history,
       onSuspect: record => this.#suspects.monitor.onRecord(record),
       liveness: this.#entryMonitor,
+      onUpstreamCheck: message =>
+        this.#suspects.upstreamCheck.onMessage(message),
       onLimits: message => this.#limitNotifier.onMessage(message),
       relay: {
         serve: (request, response) =>
@@ -363,12 +359,15 @@
     });
   }
 
+  #listResponsivePeers(): readonly EntryRecord[] {
+    return this.#entries
+      .listPeers()
+      .filter(({name}) => this.#liveness.isResponsive(name));
+  }
+
   #createRelaySender(): RelaySender {
     return new RelaySender({
-      peers: () =>
-        this.#entries
-          .listPeers()
-          .filter(({name}) => this.#liveness.isResponsive(name)),
+      peers: () => this.#listResponsivePeers(),
       distanceTo: zone => distanceTo(zone, this.#locality),
       roundTripsMs: ROUND_TRIPS_MS,
       memory: this.#registry.answerMemory,
@@ -392,6 +391,7 @@
       random: this.#random,
       log: this.#log,
       crashMonitor: this.#suspects.monitor,
+      upstreamCheck: this.#suspects.upstreamCheck,
       relay: this.#relaySender,
       table: () => this.#clusterState.table,
     };
--- a/packages/balancer/src/feed/feed-server.ts
+++ b/packages/balancer/src/feed/feed-server.ts
@@ -29,6 +29,10 @@
   MAXIMUM_LIVENESS_BYTES,
 } from '../members/liveness-messages.js';
 import {SUSPECTS_PATH} from '../suspects/peer-notifier.js';
+import {
+  MAXIMUM_UPSTREAM_CHECK_BYTES,
+  UPSTREAM_CHECK_PATH,
+} from '../suspects/upstream-check.js';
 import {suspectRecordsSchema} from '../suspects/suspect-record.js';
 import type {RecordHistory} from './record-history.js';
 
@@ -47,6 +51,7 @@
   [LIVENESS_PATH]: MAXIMUM_LIVENESS_BYTES,
   [CHECK_PATH]: MAXIMUM_LIVENESS_BYTES,
   [LIMITS_PATH]: MAXIMUM_LIMITS_BYTES,
+  [UPSTREAM_CHECK_PATH]: MAXIMUM_UPSTREAM_CHECK_BYTES,
 };
 
 /** Answers the messages by which entries check each other; undefined if a message can't be read. */
@@ -66,6 +71,8 @@
   readonly liveness?: LivenessResponder;
   /** Takes limits of upstreams from other entries; returns undefined if the message can't be read. */
   readonly onLimits?: (message: unknown) => string | undefined;
+  /** Checks an upstream for another entry; returns undefined if the message can't be read. */
+  readonly onUpstreamCheck?: (message: unknown) => Promise<string | undefined>;
   /** Takes requests of other entries. */
   readonly relay?: RelayResponder;
 }
@@ -152,7 +159,7 @@
 
   /** Returns the answer to a message; undefined if it can't be read. */
   async #answer(path: string, message: unknown): Promise<string | undefined> {
-    const {liveness, onLimits} = this.#options;
+    const {liveness, onLimits, onUpstreamCheck} = this.#options;
     switch (path) {
       case LIVENESS_PATH:
         return liveness?.onStatements(message);
@@ -160,6 +167,8 @@
         return liveness?.onCheck(message);
       case LIMITS_PATH:
         return onLimits?.(message);
+      case UPSTREAM_CHECK_PATH:
+        return onUpstreamCheck?.(message);
       default:
         return this.#takeSuspects(message);
     }
--- a/packages/balancer/src/index.ts
+++ b/packages/balancer/src/index.ts
@@ -18,6 +18,7 @@
 export * from './serving/discovery-protocol.js';
 export * from './store/record-decoder.js';
 export * from './settings-file.js';
+export * from './site-adapters.js';
 export * from './store/record-store.js';
 export * from './store/store-watcher.js';
 export * from './suspects/peer-notifier.js';
--- a/packages/balancer/src/members/upstream-registry.ts
+++ b/packages/balancer/src/members/upstream-registry.ts
@@ -69,6 +69,15 @@
     return this.#handlesByService.get(service) ?? [];
   }
 
+  /** Some upstreams of all services, nearest first. */
+  listNearest(count: number): readonly UpstreamHandle[] {
+    const rankOf = ({statistics}: UpstreamHandle) =>
+      DISTANCE_RANKS[statistics.distance];
+    return [...this.#handles.values()]
+      .sort((left, right) => rankOf(left) - rankOf(right))
+      .slice(0, count);
+  }
+
   get size(): number {
     return this.#handles.size;
   }
--- a/packages/balancer/src/serving/request-dispatcher.ts
+++ b/packages/balancer/src/serving/request-dispatcher.ts
@@ -61,7 +61,7 @@
     for (const id of request.relayed?.excluded ?? []) {
       this.#exclude(id);
     }
-    this.#crashTracker = new CrashTracker(request, options.crashMonitor);
+    this.#crashTracker = new CrashTracker(request, options);
     this.#refusals = new Refusals(request, {
       ...options,
       limitGate: this.#limitGate,
@@ -76,8 +76,8 @@
   start(): void {
     const remainingMs = this.#request.deadlineMs - this.#options.clock.now();
     this.#deadlineTimer = setTimeout(() => this.#onDeadline(), remainingMs);
+    // The entry that relays a request counts it.
     if (this.#request.relayed === undefined) {
-      // The entry that relays a request counts it.
       this.#repeatBudget.onRequest(this.#options.clock.now());
     }
     void this.#startAttempt();
--- a/packages/balancer/src/suspects/crash-tracker.ts
+++ b/packages/balancer/src/suspects/crash-tracker.ts
@@ -8,18 +8,27 @@
 import type {Attempt} from '../serving/attempt-recorder.js';
 import {fingerprintOf, type RoutedRequest} from '../serving/routed-request.js';
 import type {CrashMonitor} from './crash-monitor.js';
+import type {UpstreamCheck} from './upstream-check.js';
+
+/** Options of `CrashTracker`. */
+export interface CrashTrackerOptions {
+  readonly crashMonitor: CrashMonitor;
+  readonly upstreamCheck: UpstreamCheck;
+}
 
 /** Crashes under one request, from its arrival to its end. */
 export class CrashTracker {
   readonly #request: RoutedRequest;
   readonly #monitor: CrashMonitor;
+  readonly #upstreamCheck: UpstreamCheck;
   /** Checks of whether upstreams whose connections broke have crashed. */
   readonly #checks: Array<Promise<boolean>> = [];
   #identity: RequestIdentity | undefined;
 
-  constructor(request: RoutedRequest, monitor: CrashMonitor) {
+  constructor(request: RoutedRequest, options: CrashTrackerOptions) {
     this.#request = request;
-    this.#monitor = monitor;
+    this.#monitor = options.crashMonitor;
+    this.#upstreamCheck = options.upstreamCheck;
   }
 
   /** Whether the request is clear, a suspect or quarantined. Skips the hash while there are no suspects at all. */
@@ -66,10 +75,10 @@
 
   /** Returns whether the upstream of an attempt crashed. */
   async #checkUpstream({selected, startedAtMs}: Attempt): Promise<boolean> {
-    const {loadPath, requestId, callerAddress} = this.#request;
+    const {requestId, callerAddress} = this.#request;
     const {handle} = selected;
     const span = this.#monitor.spanSince(startedAtMs);
-    if (await handle.isAlive(loadPath)) {
+    if (!(await this.#upstreamCheck.hasCrashed(handle))) {
       return false;
     }
     const crash = {upstream: handle.record, span};
--- a/packages/balancer/src/suspects/suspect-parts.ts
+++ b/packages/balancer/src/suspects/suspect-parts.ts
@@ -5,12 +5,14 @@
 import type {EntryClient} from '../feed/entry-client.js';
 import type {RecordHistory} from '../feed/record-history.js';
 import type {EntryRecord} from '../members/entry-record.js';
+import type {UpstreamRegistry} from '../members/upstream-registry.js';
 import type {DecisionLog} from '../reporting/decision-log.js';
 import type {RecordStore} from '../store/record-store.js';
 import {CrashMonitor, QUARANTINE_CRASHES} from './crash-monitor.js';
 import {PeerNotifier} from './peer-notifier.js';
 import {SuspectAnnouncer} from './suspect-announcer.js';
 import {parseSuspect} from './suspect-record.js';
+import {UpstreamCheck} from './upstream-check.js';
 
 /** Options of `SuspectParts`. */
 export interface SuspectPartsOptions {
@@ -21,6 +23,11 @@
   readonly client: EntryClient;
   /** The other entries that take messages. */
   readonly peers: () => readonly EntryRecord[];
+  /** Those of them that are up. */
+  readonly responsivePeers: () => readonly EntryRecord[];
+  readonly registry: () => UpstreamRegistry;
+  /** Path of load queries to the upstreams of a service. */
+  readonly loadPath: (service: string) => string;
   readonly random: RandomSource;
   readonly clock: Clock;
   readonly log: DecisionLog;
@@ -31,6 +38,7 @@
   readonly guard: CrashGuard;
   readonly announcer: SuspectAnnouncer;
   readonly monitor: CrashMonitor;
+  readonly upstreamCheck: UpstreamCheck;
 
   constructor(options: SuspectPartsOptions) {
     const {entry, store, history, client, peers, random, clock, log} = options;
@@ -55,5 +63,9 @@
     });
     const {announcer} = this;
     this.monitor = new CrashMonitor({entry, guard, announcer, clock, log});
+    this.upstreamCheck = new UpstreamCheck({
+      ...options,
+      peers: options.responsivePeers,
+    });
   }
 }
