--- a/features/steps/request-limits.steps.ts
+++ b/features/steps/request-limits.steps.ts
@@ -41,6 +41,7 @@
     const {balancerSite} = this;
     for (const worker of balancerSite.workers) {
       worker.requests.length = 0;
+      worker.loadQueries = 0;
     }
     const calls: Array<Promise<CallerAnswer>> = [];
     const endMs = performance.now() + forMs;
--- a/features/support/scripted-worker.ts
+++ b/features/support/scripted-worker.ts
@@ -60,6 +60,12 @@
   load = '0,0,4,100';
   /** Limit that it names in its answers, in requests per second. */
   limit: string | undefined;
+  /** Rest that it asks for when it turns requests away, as the value of `Retry-After`; undefined if it turns none away. */
+  rest: string | undefined;
+  /** Whether its answers say that it leaves. */
+  isLeaving = false;
+  /** Load queries that it got. */
+  loadQueries = 0;
   /** Whether requests can crash it. */
   isCrashable = true;
   /** Whether load queries are answered. */
@@ -170,6 +176,7 @@
   }
 
   #answerLoad(socket: Socket): void {
+    this.loadQueries += 1;
     if (this.script === 'endless-load') {
       const head = `HTTP/1.1 200 OK\r\nWasabidyke-Instance-Id: ${this.id}\r\nWasabidyke-Server-Load: ${this.load}`;
       writeEndlessly(socket, `${head}\r\nConnection: close${HEAD_END}`, 'body');
@@ -190,6 +197,12 @@
     const signed = `Wasabidyke-Attempt-Id: ${requestId}\r\nWasabidyke-Server-Seal: seal-of-${this.id}\r\n${limit}`;
     const length = `Content-Length: ${body.length}`;
     const whole = `HTTP/1.1 200 OK\r\n${signed}${length}${HEAD_END}${body}`;
+    if (this.rest !== undefined) {
+      socket.write(
+        `HTTP/1.1 503 Busy\r\nWasabidyke-Not-Executed: 1\r\nRetry-After: ${this.rest}\r\nContent-Length: 0${HEAD_END}`,
+      );
+      return;
+    }
     const onClose = () => (this.brokenOff += 1);
     socket.once('close', onClose);
     const done = () => socket.off('close', onClose);
