fix(balancer): an upstream that asks for rest gets nothing from this entry for so long

An upstream that turned a request away with 503 and Retry-After got three and four more requests from the same entry in the 3 s that it had asked for; callers got 503 after their attempts were spent there, while others of the service were free.

Cause: nothing on the platform's path read Retry-After of an upstream, and one that turns everything away looks the least loaded.

While it lasts the upstream isn't selected, and gets no retry, hedge, load query or check of whether it crashed. Where all rest, requests are refused at once with the time at which the first is back.

--- a/features/balancer/resting.feature
+++ b/features/balancer/resting.feature
@@ -14,6 +14,7 @@
     And worker "w1" got no load queries
     And all of them were answered
     When worker "w1" asks for no rest any more
+    And worker "w2" "error"
     And 800 ms pass at the site
     And look-ups are sent to all entries for 600 ms
     Then worker "w1" got at least 1 of them
--- a/packages/balancer/src/balancer-gauges.ts
+++ b/packages/balancer/src/balancer-gauges.ts
@@ -55,6 +55,11 @@
     'Upstreams that name a limit.',
     () => sources.registry.limitedCount,
   );
+  metrics.gauge(
+    'wasabidyke_upstreams_resting',
+    'Upstreams that asked this entry for rest.',
+    () => sources.registry.restingCount,
+  );
   metrics.gauge(
     'wasabidyke_services_unreached',
     'Services whose upstreams this entry may not reach, so that it relays their requests through other entries.',
--- a/packages/balancer/src/balancer.ts
+++ b/packages/balancer/src/balancer.ts
@@ -20,7 +20,6 @@
 import {RecordHistory} from './feed/record-history.js';
 import {LimitNotifier} from './limits/limit-notifier.js';
 import {EntryMonitor} from './members/entry-monitor.js';
-import type {EntryRecord} from './members/entry-record.js';
 import {EntryRoster} from './members/entry-roster.js';
 import {
   distanceTo,
@@ -144,7 +143,7 @@
       history: this.#history,
       client: this.#entryClient,
       peers: () => this.#entries.listPeers(),
-      responsivePeers: () => this.#listResponsivePeers(),
+      responsivePeers: () => this.#entries.listResponsivePeers(),
       registry: () => this.#registry,
       loadPath: service =>
         this.#clusterState.table?.findService(service)?.loadPath ?? '/',
@@ -339,6 +338,8 @@
           address,
           cause,
         }),
+      onRest: ({id, service}, restMs) =>
+        this.#log.record('upstream.resting', {upstream: id, service, restMs}),
       onReach: (service, isDoubtful) => {
         if (isDoubtful) {
           this.#log.record('service.unreached', {service});
@@ -359,15 +360,9 @@
     });
   }
 
-  #listResponsivePeers(): readonly EntryRecord[] {
-    return this.#entries
-      .listPeers()
-      .filter(({name}) => this.#liveness.isResponsive(name));
-  }
-
   #createRelaySender(): RelaySender {
     return new RelaySender({
-      peers: () => this.#listResponsivePeers(),
+      peers: () => this.#entries.listResponsivePeers(),
       distanceTo: zone => distanceTo(zone, this.#locality),
       roundTripsMs: ROUND_TRIPS_MS,
       memory: this.#registry.answerMemory,
--- a/packages/balancer/src/exchange/exchange.ts
+++ b/packages/balancer/src/exchange/exchange.ts
@@ -29,7 +29,11 @@
 export type ExchangeResult =
   | {readonly kind: 'answered'; readonly answer: CompleteAnswer}
   /** The upstream refused the request before running it. */
-  | {readonly kind: 'not-run'; readonly headers: IncomingHttpHeaders}
+  | {
+      readonly kind: 'not-run';
+      readonly status: number;
+      readonly headers: IncomingHttpHeaders;
+    }
   /** Another upstream now has the address; it did not run the request. */
   | {readonly kind: 'other-upstream'}
   /** No byte of the request was sent. */
@@ -273,7 +277,11 @@
   #endIfRefused(): boolean {
     switch (this.#answerKind) {
       case 'not-run':
-        this.#end({kind: 'not-run', headers: this.#headers});
+        this.#end({
+          kind: 'not-run',
+          status: this.#status,
+          headers: this.#headers,
+        });
         return true;
       case 'other-upstream':
         this.#end({kind: 'other-upstream'});
--- a/packages/balancer/src/exchange/wire-protocol.ts
+++ b/packages/balancer/src/exchange/wire-protocol.ts
@@ -60,6 +60,9 @@
   /** Reads the limit that the upstream names in an answer. */
   abstract readLimit(headers: IncomingHttpHeaders): NamedLimit;
 
+  /** Reads the rest that the upstream asks for in an answer, in milliseconds; 0 if it asks for none. */
+  abstract readRestMs(status: number, headers: IncomingHttpHeaders): number;
+
   /** Reads the upstream's id from the answer to a load query. */
   abstract readUpstreamId(headers: IncomingHttpHeaders): string | undefined;
 
--- a/packages/balancer/src/members/entry-roster.ts
+++ b/packages/balancer/src/members/entry-roster.ts
@@ -90,6 +90,13 @@
       .filter(({feedAddress}) => feedAddress !== undefined);
   }
 
+  /** Those of them that are up, as far as this entry knows. */
+  listResponsivePeers(): readonly EntryRecord[] {
+    return this.listPeers().filter(({name}) =>
+      this.#liveness.isResponsive(name),
+    );
+  }
+
   /** Whether another entry that takes messages has an IP address. */
   isPeerAddress(address: string): boolean {
     return this.listPeers().some(({feedAddress}) =>
--- a/packages/balancer/src/members/upstream-handle.ts
+++ b/packages/balancer/src/members/upstream-handle.ts
@@ -5,6 +5,7 @@
   type Distance,
   type GroupFailureShare,
   type RequestLimit,
+  type RestPeriod,
   type ServiceReach,
 } from '@wasabidyke/policy';
 import {Backoff, type Clock} from '@wasabidyke/shared';
@@ -21,6 +22,12 @@
 /** Where a limit was named: in the answer to a request or to a load query, or by another entry. */
 export type LimitSource = 'answer' | 'load-query' | 'entry';
 
+/** Status and headers of an answer. */
+export interface AnswerHead {
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+}
+
 /** Options of `UpstreamHandle`. */
 export interface UpstreamHandleOptions {
   readonly record: UpstreamRecord;
@@ -34,9 +41,12 @@
   readonly protocol: WireProtocol;
   readonly clock: Clock;
   readonly limit: RequestLimit;
+  readonly rest: RestPeriod;
   readonly answerMemory: AnswerMemory;
   /** Called when what is known of the limit has changed. */
   readonly onLimit: (source: LimitSource) => void;
+  /** Called when the upstream asks for rest. */
+  readonly onRest: (record: UpstreamRecord, restMs: number) => void;
   /** Called when a load query is not answered in time, or can't be sent. */
   readonly onUnresponsive: (record: UpstreamRecord, cause: string) => void;
 }
@@ -108,8 +118,31 @@
     return this.#options.limit;
   }
 
+  /** Whether the upstream asked for rest, so that nothing is sent to it. */
+  isResting(nowMs: number): boolean {
+    return this.#options.rest.isResting(nowMs);
+  }
+
+  /** Time until its rest is over, in milliseconds. */
+  restRemainingMs(nowMs: number): number {
+    return this.#options.rest.remainingMs(nowMs);
+  }
+
+  /** Takes what an answer says of the upstream. */
+  readAnswer(
+    {status, headers}: AnswerHead,
+    source: 'answer' | 'load-query',
+  ): void {
+    const {protocol, clock, rest, onRest} = this.#options;
+    this.#readLimit(headers, source);
+    const restMs = protocol.readRestMs(status, headers);
+    if (rest.begin(restMs, clock.now())) {
+      onRest(this.#record, restMs);
+    }
+  }
+
   /** Takes the limit from the headers of an answer. Only the answer to a request ends one. */
-  readLimit(headers: IncomingHttpHeaders, source: LimitSource): void {
+  #readLimit(headers: IncomingHttpHeaders, source: LimitSource): void {
     const {protocol, clock} = this.#options;
     const named = protocol.readLimit(headers);
     const isUnsaid = named === 'none' && source === 'load-query';
@@ -164,7 +197,9 @@
 
   /** Whether a load query is likely to be answered soon: none is overdue, and none has failed recently. */
   isResponsive(nowMs: number): boolean {
-    return !this.#isOverdue && nowMs >= this.#nextQueryAtMs;
+    return (
+      !this.#isOverdue && nowMs >= this.#nextQueryAtMs && !this.isResting(nowMs)
+    );
   }
 
   /** Queries the load. Resolves on the answer or the timeout; never rejects. Concurrent calls share one query. */
@@ -178,7 +213,8 @@
   /**
    * Whether the process that this handle stands for runs: it answers a load
    * query on a new connection. Concurrent calls share one query. An upstream
-   * that gets no new requests counts as running, since its end is expected.
+   * that gets no new requests counts as running, since its end is expected,
+   * and so does one that rests.
    */
   isAlive(path: string): Promise<boolean> {
     this.#lifeCheck ??= this.#checkLife(path).finally(() => {
@@ -188,7 +224,9 @@
   }
 
   async #checkLife(path: string): Promise<boolean> {
-    const connection = this.connections.openExtra();
+    const connection = this.isResting(this.#options.clock.now())
+      ? undefined
+      : this.connections.openExtra();
     if (connection === undefined) {
       return true;
     }
@@ -259,7 +297,7 @@
     const nowMs = clock.now();
     const isAnswered = result.kind === 'answered';
     if (isAnswered) {
-      this.readLimit(result.answer.headers, 'load-query');
+      this.readAnswer(result.answer, 'load-query');
       const occupancy = protocol.readOccupancy(result.answer.headers);
       if (occupancy !== undefined) {
         this.statistics.onReport(occupancy, nowMs);
--- a/packages/balancer/src/members/upstream-registry.ts
+++ b/packages/balancer/src/members/upstream-registry.ts
@@ -4,6 +4,7 @@
   GroupFailureShare,
   rendezvousHash,
   RequestLimit,
+  RestPeriod,
   ServiceReach,
   type Distance,
   type RandomSource,
@@ -36,6 +37,8 @@
   readonly connectionLimit: (service: string) => number;
   /** Called with what an upstream says of its limit, when it changes what is known. */
   readonly onLimit: (handle: UpstreamHandle, source: LimitSource) => void;
+  /** Called when an upstream asks for rest. */
+  readonly onRest: (record: UpstreamRecord, restMs: number) => void;
   /** Called with the cause when a load query is not answered in time, or can't be sent. */
   readonly onUnresponsive: (record: UpstreamRecord, cause: string) => void;
   /** Called when this entry begins or ceases to doubt that it reaches the upstreams of a service. */
@@ -112,6 +115,22 @@
       .length;
   }
 
+  /** Time until the first of the resting upstreams of a service is back, in milliseconds; undefined if none rests. */
+  restRemainingMs(service: string): number | undefined {
+    const nowMs = this.#options.clock.now();
+    const remaining = this.list(service)
+      .filter(handle => handle.isResting(nowMs))
+      .map(handle => handle.restRemainingMs(nowMs));
+    return remaining.length === 0 ? undefined : Math.min(...remaining);
+  }
+
+  /** Number of upstreams that rest. */
+  get restingCount(): number {
+    const nowMs = this.#options.clock.now();
+    return [...this.#handles.values()].filter(handle => handle.isResting(nowMs))
+      .length;
+  }
+
   /** Number of upstreams that name a limit. */
   get limitedCount(): number {
     return [...this.#handles.values()].filter(
@@ -147,7 +166,7 @@
     const {locality, protocol, clock, connectionLimit, onUnresponsive} =
       this.#options;
     const distance = distanceTo(record.zone, locality);
-    const {entry, random, onLimit} = this.#options;
+    const {entry, random, onLimit, onRest} = this.#options;
     const limit = new RequestLimit({upstream: record.id, entry, random});
     limit.applyEntries(this.#entries, clock.now());
     const handle: UpstreamHandle = new UpstreamHandle({
@@ -160,8 +179,10 @@
       protocol,
       clock,
       limit,
+      rest: new RestPeriod(random),
       answerMemory: this.answerMemory,
       onLimit: source => onLimit(handle, source),
+      onRest,
       onUnresponsive,
     });
     this.#handles.set(record.id, handle);
--- a/packages/balancer/src/serving/attempt-recorder.ts
+++ b/packages/balancer/src/serving/attempt-recorder.ts
@@ -57,9 +57,9 @@
     const {statistics} = selected.handle;
     statistics.onEnd(toEnd(result), nowMs);
     if (result.kind === 'answered') {
-      selected.handle.readLimit(result.answer.headers, 'answer');
+      selected.handle.readAnswer(result.answer, 'answer');
     } else if (result.kind === 'not-run') {
-      selected.handle.readLimit(result.headers, 'answer');
+      selected.handle.readAnswer(result, 'answer');
     }
     if (result.kind === 'answered' && !isErrorAnswer(result.answer)) {
       const durationMs = nowMs - startedAtMs;
--- a/packages/balancer/src/serving/refusals.ts
+++ b/packages/balancer/src/serving/refusals.ts
@@ -2,6 +2,7 @@
 
 import {retryAfterMs, type RandomSource} from '@wasabidyke/policy';
 import type {Clock} from '@wasabidyke/shared';
+import type {UpstreamRegistry} from '../members/upstream-registry.js';
 import type {CrashTracker} from '../suspects/crash-tracker.js';
 import type {LimitGate} from './limit-gate.js';
 import type {RouteState} from './route-state.js';
@@ -16,6 +17,7 @@
 /** Options of `Refusals`. */
 export interface RefusalsOptions {
   readonly routeState: RouteState;
+  readonly registry: UpstreamRegistry;
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly limitGate: LimitGate;
@@ -35,6 +37,15 @@
     this.#options = options;
   }
 
+  /** Why no upstream can be selected. */
+  get reasonWithoutUpstream(): RefusalReason {
+    const {registry, limitGate} = this.#options;
+    if (registry.restRemainingMs(this.#request.service) !== undefined) {
+      return 'resting';
+    }
+    return limitGate.isServiceLimited ? 'over-limit' : 'no-upstream';
+  }
+
   /**
    * Creates a refusal.
    * @param selected The upstream selected last; undefined if there was none.
@@ -60,12 +71,16 @@
     reason: RefusalReason,
     selected: SelectedUpstream | undefined,
   ): number {
-    const {crashTracker, limitGate, random} = this.#options;
+    const {crashTracker, limitGate, registry, random} = this.#options;
     switch (reason) {
       case 'quarantined':
         return crashTracker.remainingMs;
       case 'over-limit':
         return limitGate.refuse();
+      case 'resting': {
+        const remainingMs = registry.restRemainingMs(this.#request.service);
+        return retryAfterMs(1, remainingMs ?? 0, random);
+      }
       case 'unreached':
         return retryAfterMs(1, UNREACHED_RETRY_AFTER_MS, random);
       default:
--- a/packages/balancer/src/serving/request-dispatcher.ts
+++ b/packages/balancer/src/serving/request-dispatcher.ts
@@ -112,8 +112,7 @@
       }
     }
     if (selected === undefined) {
-      const {isServiceLimited} = this.#limitGate;
-      this.#endWithoutSuccess(isServiceLimited ? 'over-limit' : 'no-upstream');
+      this.#endWithoutSuccess(this.#refusals.reasonWithoutUpstream);
       return;
     }
     const remainingMs = this.#request.deadlineMs - this.#options.clock.now();
--- a/packages/balancer/src/serving/routed-request.ts
+++ b/packages/balancer/src/serving/routed-request.ts
@@ -53,6 +53,8 @@
   'no-upstream',
   /** Neither this entry nor another one that it asked reaches an upstream. */
   'unreached',
+  /** All upstreams that could be used want nothing from this entry for a while. */
+  'resting',
   /** What the limits that upstreams name leave is used up. */
   'over-limit',
   /** The best upstream is estimated to answer after the deadline. */
--- a/packages/balancer/src/serving/upstream-selector.ts
+++ b/packages/balancer/src/serving/upstream-selector.ts
@@ -253,6 +253,7 @@
   const isWithinLimit = !isLimited || (mayUseLimited && limit.has(nowMs));
   return (
     !handle.isDraining &&
+    !handle.isResting(nowMs) &&
     !excluded.has(handle) &&
     handle.hasConnection(nowMs) &&
     isWithinLimit
--- a/packages/balancer/src/serving/upstream-sender.ts
+++ b/packages/balancer/src/serving/upstream-sender.ts
@@ -49,11 +49,14 @@
   ): UpstreamAttempt | undefined {
     const {handle, estimateMs} = selected;
     const {clock, protocol} = this.#options;
-    const connection = handle.connections.take();
+    const startedAtMs = clock.now();
+    // It may have asked for rest since the selection.
+    const connection = handle.isResting(startedAtMs)
+      ? undefined
+      : handle.connections.take();
     if (connection === undefined) {
       return undefined;
     }
-    const startedAtMs = clock.now();
     if (!handle.limit.take(startedAtMs)) {
       // Another request has taken the last one since the selection.
       handle.connections.release(connection);
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -21,6 +21,7 @@
 export * from './repeat-budget.js';
 export * from './request-fingerprint.js';
 export * from './request-limit.js';
+export * from './rest-period.js';
 export * from './retry-after.js';
 export * from './retry-budget.js';
 export * from './round-robin.js';
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -13,6 +13,7 @@
 export * from './parse-json.js';
 export * from './reporter.js';
 export * from './result.js';
+export * from './retry-after.js';
 export * from './task.js';
 export * from './time-line.js';
 export * from './units.js';
