fix(balancer): an upstream that says it is leaving in an answer gets nothing more

Nothing read the header by which an upstream that leaves says so in all its answers; only its record in the store ended its requests.

An entry now stops on the word of any answer, to a request, a load query or a request that was relayed, and no older record, read again or from another entry, brings the upstream back before a new start. Limits and rests in relayed answers are read as well.

--- a/features/support/scripted-worker.ts
+++ b/features/support/scripted-worker.ts
@@ -183,8 +183,9 @@
       return;
     }
     if (this.isTalking) {
+      const leaving = this.isLeaving ? '\r\nServer-Leaving: 1' : '';
       const head = `HTTP/1.1 200 OK\r\nWasabidyke-Instance-Id: ${this.id}\r\nWasabidyke-Server-Load: ${this.load}`;
-      const answer = `${head}\r\nContent-Length: 0${HEAD_END}`;
+      const answer = `${head}${leaving}\r\nContent-Length: 0${HEAD_END}`;
       setTimeout(() => socket.write(answer), this.talkDelayMs);
     }
   }
@@ -194,7 +195,8 @@
     const body = `${this.id} ran ${request.path}`;
     const limit =
       this.limit === undefined ? '' : `Server-Limit: ${this.limit}\r\n`;
-    const signed = `Wasabidyke-Attempt-Id: ${requestId}\r\nWasabidyke-Server-Seal: seal-of-${this.id}\r\n${limit}`;
+    const leaving = this.isLeaving ? 'Server-Leaving: 1\r\n' : '';
+    const signed = `Wasabidyke-Attempt-Id: ${requestId}\r\nWasabidyke-Server-Seal: seal-of-${this.id}\r\n${limit}${leaving}`;
     const length = `Content-Length: ${body.length}`;
     const whole = `HTTP/1.1 200 OK\r\n${signed}${length}${HEAD_END}${body}`;
     if (this.rest !== undefined) {
--- a/packages/balancer/src/balancer.ts
+++ b/packages/balancer/src/balancer.ts
@@ -338,6 +338,7 @@
           address,
           cause,
         }),
+      onLeaving: record => this.#clusterState.onUpstreamLeaving(record),
       onRest: ({id, service}, restMs) =>
         this.#log.record('upstream.resting', {upstream: id, service, restMs}),
       onReach: (service, isDoubtful) => {
--- a/packages/balancer/src/cluster-state.ts
+++ b/packages/balancer/src/cluster-state.ts
@@ -4,6 +4,7 @@
 import {entryRecordSchema} from './members/entry-record.js';
 import type {RecordHistory} from './feed/record-history.js';
 import type {EntryRoster} from './members/entry-roster.js';
+import type {UpstreamRecord} from './members/upstream-record.js';
 import {UpstreamRoster} from './members/upstream-roster.js';
 import type {UpstreamRegistry} from './members/upstream-registry.js';
 import type {DecisionLog} from './reporting/decision-log.js';
@@ -129,6 +130,11 @@
     this.#options.log.record('store.regained', {version: this.#table?.version});
   }
 
+  /** Called when an upstream has said in an answer that it is leaving. */
+  onUpstreamLeaving(record: UpstreamRecord): void {
+    this.#upstreams.onLeavingAnswer(record);
+  }
+
   /** Removes upstreams and entries that vanished and did not reappear in time. */
   onTick(nowMs: number): void {
     this.#upstreams.onTick(nowMs);
--- a/packages/balancer/src/exchange/wire-protocol.ts
+++ b/packages/balancer/src/exchange/wire-protocol.ts
@@ -60,6 +60,9 @@
   /** Reads the limit that the upstream names in an answer. */
   abstract readLimit(headers: IncomingHttpHeaders): NamedLimit;
 
+  /** Whether an answer says that the upstream is leaving. */
+  abstract isLeaving(headers: IncomingHttpHeaders): boolean;
+
   /** Reads the rest that the upstream asks for in an answer, in milliseconds; 0 if it asks for none. */
   abstract readRestMs(status: number, headers: IncomingHttpHeaders): number;
 
--- a/packages/balancer/src/members/upstream-handle.ts
+++ b/packages/balancer/src/members/upstream-handle.ts
@@ -45,6 +45,8 @@
   readonly answerMemory: AnswerMemory;
   /** Called when what is known of the limit has changed. */
   readonly onLimit: (source: LimitSource) => void;
+  /** Called when the upstream says that it is leaving. */
+  readonly onLeaving: (record: UpstreamRecord) => void;
   /** Called when the upstream asks for rest. */
   readonly onRest: (record: UpstreamRecord, restMs: number) => void;
   /** Called when a load query is not answered in time, or can't be sent. */
@@ -133,8 +135,11 @@
     {status, headers}: AnswerHead,
     source: 'answer' | 'load-query',
   ): void {
-    const {protocol, clock, rest, onRest} = this.#options;
+    const {protocol, clock, rest, onRest, onLeaving} = this.#options;
     this.#readLimit(headers, source);
+    if (!this.#isDraining && protocol.isLeaving(headers)) {
+      onLeaving(this.#record);
+    }
     const restMs = protocol.readRestMs(status, headers);
     if (rest.begin(restMs, clock.now())) {
       onRest(this.#record, restMs);
--- a/packages/balancer/src/members/upstream-registry.ts
+++ b/packages/balancer/src/members/upstream-registry.ts
@@ -37,6 +37,8 @@
   readonly connectionLimit: (service: string) => number;
   /** Called with what an upstream says of its limit, when it changes what is known. */
   readonly onLimit: (handle: UpstreamHandle, source: LimitSource) => void;
+  /** Called when an upstream says in an answer that it is leaving. */
+  readonly onLeaving: (record: UpstreamRecord) => void;
   /** Called when an upstream asks for rest. */
   readonly onRest: (record: UpstreamRecord, restMs: number) => void;
   /** Called with the cause when a load query is not answered in time, or can't be sent. */
@@ -166,7 +168,7 @@
     const {locality, protocol, clock, connectionLimit, onUnresponsive} =
       this.#options;
     const distance = distanceTo(record.zone, locality);
-    const {entry, random, onLimit, onRest} = this.#options;
+    const {entry, random, onLimit, onRest, onLeaving} = this.#options;
     const limit = new RequestLimit({upstream: record.id, entry, random});
     limit.applyEntries(this.#entries, clock.now());
     const handle: UpstreamHandle = new UpstreamHandle({
@@ -183,6 +185,7 @@
       answerMemory: this.answerMemory,
       onLimit: source => onLimit(handle, source),
       onRest,
+      onLeaving,
       onUnresponsive,
     });
     this.#handles.set(record.id, handle);
--- a/packages/balancer/src/members/upstream-roster.ts
+++ b/packages/balancer/src/members/upstream-roster.ts
@@ -7,7 +7,8 @@
 import type {UpstreamRecord} from './upstream-record.js';
 
 /** Why an upstream is no longer used. */
-export type LeavingReason = 'draining' | 'vanished' | 'replaced' | 'unreadable';
+export type LeavingReason =
+  'draining' | 'answered' | 'vanished' | 'replaced' | 'unreadable';
 
 /** Called when upstreams join, change or leave. */
 export interface UpstreamRosterListener {
@@ -19,6 +20,9 @@
 /** Time within which upstreams must announce themselves again after a store outage, in milliseconds. Source: the platform's guarantee of about two seconds. */
 const GRACE_PERIOD_MS = 2_000;
 
+/** Upstreams that said in an answer that they are leaving, as many as are kept: more than leave within the time for which records are read again. */
+const MAXIMUM_LEFT = 1_000;
+
 interface Member {
   record: UpstreamRecord;
   /** Set while the announcement is missing: time at which the upstream is removed. */
@@ -29,6 +33,8 @@
 export class UpstreamRoster {
   readonly #members = new Map<string, Member>();
   readonly #listener: UpstreamRosterListener;
+  /** Upstreams that said in an answer that they are leaving, by id. */
+  readonly #left = new Map<string, UpstreamRecord>();
 
   constructor(listener: UpstreamRosterListener) {
     this.#listener = listener;
@@ -76,6 +82,35 @@
     this.#leave(member, 'vanished');
   }
 
+  /**
+   * Takes an upstream's word in an answer that it is leaving. It holds until a
+   * new start, whatever older announcement is read later, or again.
+   */
+  onLeavingAnswer(record: UpstreamRecord): void {
+    this.#rememberLeft(record);
+    const member = this.#members.get(record.id);
+    if (member === undefined || member.record.isDraining) {
+      return;
+    }
+    if (isSameStart(member.record, record)) {
+      member.record = {...member.record, isDraining: true};
+      this.#listener.onLeaving(member.record, 'answered');
+    }
+  }
+
+  #rememberLeft(record: UpstreamRecord): void {
+    this.#left.set(record.id, record);
+    const [oldest] = this.#left.keys();
+    if (this.#left.size > MAXIMUM_LEFT && oldest !== undefined) {
+      this.#left.delete(oldest);
+    }
+  }
+
+  #hasLeft(record: UpstreamRecord): boolean {
+    const left = this.#left.get(record.id);
+    return left !== undefined && isSameStart(left, record);
+  }
+
   /** Removes an upstream whose announcement can't be parsed. */
   onUnreadable(id: string): void {
     const member = this.#members.get(id);
@@ -106,7 +141,9 @@
     }
   }
 
-  #join(record: UpstreamRecord): void {
+  #join(announced: UpstreamRecord): void {
+    const isDraining = announced.isDraining || this.#hasLeft(announced);
+    const record = {...announced, isDraining};
     this.#members.set(record.id, {record, removeAtMs: undefined});
     if (!record.isDraining) {
       this.#listener.onJoined(record);
--- a/packages/balancer/src/serving/request-dispatcher.ts
+++ b/packages/balancer/src/serving/request-dispatcher.ts
@@ -193,7 +193,7 @@
     }
     switch (outcome.kind) {
       case 'answered':
-        this.#exclude(outcome.upstream);
+        this.#exclude(outcome.upstream)?.readAnswer(outcome.answer, 'answer');
         this.#onAnswer(outcome.answer, outcome.upstream);
         return;
       case 'unreached':
@@ -211,11 +211,12 @@
     }
   }
 
-  #exclude(upstreamId: string): void {
+  #exclude(upstreamId: string): UpstreamHandle | undefined {
     const handle = this.#options.registry.find(upstreamId);
     if (handle !== undefined) {
       this.#tried.add(handle);
     }
+    return handle;
   }
 
   #onAttemptEnd(attempt: UpstreamAttempt, result: ExchangeResult): void {
