fix(balancer): callers wait for a rest only where all upstreams of a service rest

Where one upstream of a service rested and the others had just turned a request away, its caller was told to come back when the rest is over, up to 5 s later, though the others are free much sooner.

Cause: one resting upstream was enough for the reason resting. All must rest now.

--- a/features/balancer/resting.feature
+++ b/features/balancer/resting.feature
@@ -43,6 +43,15 @@
     And the others were refused as not run within 100 ms, with when to come back
     And the times to come back are spread over more than 100 ms
 
+  # Guards against callers that are told to wait for a rest although another upstream is soon free.
+  Scenario: Where one of two rests and the other is full, callers come back soon
+    Given worker "w1" asks for a rest of "3600"
+    And worker "w2" "sheds"
+    When look-ups are sent to all entries for 500 ms
+    And look-ups are sent to all entries for 500 ms
+    Then the others were refused as not run within 100 ms, with when to come back
+    And the times to come back are under 1000 ms
+
   # Guards against values that are misread, or that end a process.
   Scenario Outline: A rest of "<value>" <effect>
     Given worker "w1" asks for a rest of "<value>"
--- a/features/steps/request-limits.steps.ts
+++ b/features/steps/request-limits.steps.ts
@@ -99,6 +99,16 @@
   },
 );
 
+Then(
+  'the times to come back are under {int} ms',
+  function (this: LimitWorld, limitMs: number) {
+    const timesMs = findRefused(this.answers).map(
+      ({headers}) => Number(headers['retry-after']) * 1_000,
+    );
+    assert.ok(Math.max(...timesMs) < limitMs, `${Math.max(...timesMs)} ms`);
+  },
+);
+
 function findRefused(answers: readonly CallerAnswer[]): CallerAnswer[] {
   return answers.filter(({status}) => status !== 200);
 }
--- a/packages/balancer/src/members/upstream-registry.ts
+++ b/packages/balancer/src/members/upstream-registry.ts
@@ -117,13 +117,13 @@
       .length;
   }
 
-  /** Time until the first of the resting upstreams of a service is back, in milliseconds; undefined if none rests. */
-  restRemainingMs(service: string): number | undefined {
+  /** Time until the first upstream of a service is back of which all rest, in milliseconds; 0 if one doesn't, or there is none. */
+  restRemainingMs(service: string): number {
     const nowMs = this.#options.clock.now();
-    const remaining = this.list(service)
-      .filter(handle => handle.isResting(nowMs))
-      .map(handle => handle.restRemainingMs(nowMs));
-    return remaining.length === 0 ? undefined : Math.min(...remaining);
+    const remaining = this.list(service).map(handle =>
+      handle.restRemainingMs(nowMs),
+    );
+    return remaining.length === 0 ? 0 : Math.min(...remaining);
   }
 
   /** Number of upstreams that rest. */
--- a/packages/balancer/src/serving/refusals.ts
+++ b/packages/balancer/src/serving/refusals.ts
@@ -40,7 +40,7 @@
   /** Why no upstream can be selected. */
   get reasonWithoutUpstream(): RefusalReason {
     const {registry, limitGate} = this.#options;
-    if (registry.restRemainingMs(this.#request.service) !== undefined) {
+    if (registry.restRemainingMs(this.#request.service) > 0) {
       return 'resting';
     }
     return limitGate.isServiceLimited ? 'over-limit' : 'no-upstream';
@@ -79,7 +79,7 @@
         return limitGate.refuse();
       case 'resting': {
         const remainingMs = registry.restRemainingMs(this.#request.service);
-        return retryAfterMs(1, remainingMs ?? 0, random);
+        return retryAfterMs(1, remainingMs, random);
       }
       case 'unreached':
         return retryAfterMs(1, UNREACHED_RETRY_AFTER_MS, random);
