fix(balancer): the search for an entry to relay through is bounded

Each request of a cut entry asked up to four others, and each of these again after a second: at 127 entries with a zone cut off, 1.9 relays a request in simulated time, growing with the entries; where no entry reaches a service, as when all its upstreams have ended, every request was passed around.

A relay that is given up late counts as a failure. An entry takes 256 relayed requests at a time and gives 16 to each other one: 126 entries with 64 each could have taken more descriptors than it has.

--- a/features/balancer/cut-off.feature
+++ b/features/balancer/cut-off.feature
@@ -71,3 +71,69 @@
       | entry 1             |
       | entries 1, 2 and 3  |
       | entries 1, 2, 3, 4  |
+
+  # Guards against callers that get nothing until the cut is known for sure.
+  Scenario Outline: Most first tries are served in the first second of a cut: <how>
+    When the links of entry 1 to all workers are "<how>"
+    And 1000 ms of first tries are counted
+    Then at least 67 of 100 first tries at each entry were served
+    And no order ran twice
+
+    Examples:
+      | how       |
+      | silent    |
+      | half-open |
+      | reset     |
+      | refusing  |
+
+  # Guards against requests that are passed around among entries where no upstream runs at all.
+  Scenario: Where all workers have ended, requests are refused at once and hardly relayed
+    When all workers end
+    And 2500 ms pass at the site
+    And 1000 ms of first tries are counted
+    Then 90 of 100 first tries were refused as not run within 500 ms, with when to come back
+    And the entries relayed at most 60 of them
+
+  # Guards against relayed requests that are broken off by a planned stop of the entry that sends them.
+  Scenario: First tries are served while an entry that relays stops as planned
+    Given the links of entry 1 to all workers are "silent"
+    And 400 ms pass at the site
+    When the last entry stops
+    And 2500 ms of first tries are counted
+    Then at least 95 of 100 first tries at entry 1 were served
+    And no order ran twice
+
+  # Guards against work that goes on at an upstream after the caller of a relayed request has left.
+  Scenario: The upstream of a relayed request sees its caller leave
+    Given entry 1 has lost its links, and its callers have ended
+    And every worker "hangs"
+    When a caller sends "GET /read/left" and leaves after 300 ms
+    Then a worker that got "/read/left" sees its caller leave
+
+  # Guards against relayed requests that are given more time than their callers wait.
+  Scenario: A relayed request ends at its deadline, and the upstream knows it
+    Given entry 1 has lost its links, and its callers have ended
+    And every worker "hangs"
+    When a caller sends "POST /write/late" with id "late" and 600 ms
+    Then the answer is 504 within 900 ms
+    And a worker got "late" with at most 600 ms
+
+  # Guards against bodies that are cut or changed on the way through another entry.
+  Scenario: A large upload passes through another entry unchanged
+    Given entry 1 has lost its links, and its callers have ended
+    When a caller sends "POST /write/large" with a body of 90000 bytes
+    Then the answer is 200
+    And a worker got the path "/write/large" with 90000 bytes
+
+  # Guards against requests that pass by the rules of routes on the port for other entries.
+  Scenario Outline: A message to relay <what> reaches no worker
+    Given entry 1 has lost its links, and its callers have ended
+    When a message to relay "<path>" to the service "<service>" is sent to entry 2 from "<from>"
+    Then it is answered <answer>
+    And no worker got the path "<path>"
+
+    Examples:
+      | what                                   | path           | service | from      | answer                                   |
+      | a path without a route                 | /admin/1       | shop    | 127.0.0.1 | 200 as not run for "other-configuration" |
+      | to a service that the route doesn't name | /read/other  | other   | 127.0.0.1 | 200 as not run for "other-configuration" |
+      | from an address that is no entry's     | /read/foreign  | shop    | 127.0.0.2 | 403                                      |
--- a/features/steps/cut-off.steps.ts
+++ b/features/steps/cut-off.steps.ts
@@ -3,6 +3,7 @@
 import assert from 'node:assert/strict';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {After, Given, Then, When} from '@cucumber/cucumber';
+import {request as sendRequest} from 'node:http';
 import type {LinkState} from '@wasabidyke/stand-ins';
 import {BalancerSite, type CallerAnswer} from '../support/balancer-site.js';
 import {eventually} from '../support/eventually.js';
@@ -15,7 +16,15 @@
   readonly answer: CallerAnswer | undefined;
 }
 
+/** What another entry answered to a message. */
+interface MessageAnswer {
+  readonly status: number;
+  readonly result: unknown;
+  readonly reason: unknown;
+}
+
 interface CutOffWorld {
+  messageAnswer: MessageAnswer;
   balancerSite: BalancerSite;
   tries: FirstTry[];
   /** Tries whose callers still wait. */
@@ -23,6 +32,7 @@
   timer: NodeJS.Timeout | undefined;
   countedFromMs: number;
   relayedBefore: number;
+  allRelayedBefore: number;
 }
 
 Given(
@@ -113,26 +123,129 @@
   async function (this: CutOffWorld, milliseconds: number) {
     this.countedFromMs = performance.now();
     this.relayedBefore = relayedBy(this, 1);
+    this.allRelayedBefore = relayedByAll(this);
     await sleep(milliseconds);
     await settleTries(this);
   },
 );
 
+When('all workers end', function (this: CutOffWorld) {
+  for (const worker of this.balancerSite.workers) {
+    worker.close();
+  }
+});
+
+Given(
+  'entry 1 has lost its links, and its callers have ended',
+  async function (this: CutOffWorld) {
+    this.balancerSite.linksOf(0).change('silent');
+    await sleep(400);
+    await settleTries(this);
+  },
+);
+
+When(
+  'a message to relay {string} to the service {string} is sent to entry {int} from {string}',
+  async function (
+    this: CutOffWorld,
+    url: string,
+    service: string,
+    entry: number,
+    from: string,
+  ) {
+    const message = {
+      method: 'GET',
+      url,
+      headers: {host: 'shop.example'},
+      hasBody: false,
+      callerAddress: from,
+      service,
+      kind: 'idempotent',
+      elapsedMs: 0,
+      remainingMs: 1_000,
+      excluded: [],
+    };
+    const port = this.balancerSite.feedPortOf(entry - 1);
+    this.messageAnswer = await sendMessage(port, from, message);
+  },
+);
+
+Then(
+  'it is answered {int} as not run for {string}',
+  function (this: CutOffWorld, status: number, reason: string) {
+    assert.deepEqual(this.messageAnswer, {status, result: 'not-run', reason});
+  },
+);
+
+Then('it is answered {int}', function (this: CutOffWorld, status: number) {
+  assert.equal(this.messageAnswer.status, status);
+});
+
+Then(
+  'no worker got the path {string}',
+  function (this: CutOffWorld, path: string) {
+    assert.equal(requestsFor(this, path).length, 0);
+  },
+);
+
+Then(
+  'a worker got the path {string} with {int} bytes',
+  function (this: CutOffWorld, path: string, bytes: number) {
+    const [got, ...others] = requestsFor(this, path);
+    assert.equal(got?.body, 'x'.repeat(bytes));
+    assert.equal(others.length, 0);
+  },
+);
+
+Then(
+  'a worker got {string} with at most {int} ms',
+  function (this: CutOffWorld, id: string, limitMs: number) {
+    const got = this.balancerSite.workers
+      .flatMap(({requests}) => requests)
+      .find(({headers}) => headers.get('wasabidyke-attempt-id') === id);
+    const grantedMs = Number(
+      got?.headers.get('wasabidyke-request-deadline-ms'),
+    );
+    assert.ok(grantedMs <= limitMs, `${grantedMs} ms`);
+  },
+);
+
+Then(
+  'a worker that got {string} sees its caller leave',
+  async function (this: CutOffWorld, path: string) {
+    await eventually('a worker sees it', () =>
+      this.balancerSite.workers.some(
+        ({requests, brokenOff}) =>
+          brokenOff > 0 && requests.some(got => got.path === path),
+      ),
+    );
+  },
+);
+
 Then(
   'at least {int} of 100 first tries at each entry were served',
   function (this: CutOffWorld, percent: number) {
     for (let entry = 0; entry < this.balancerSite.entries; entry++) {
-      const tries = countedTries(this).filter(made => made.entry === entry);
-      const served = tries.filter(({answer}) => answer?.status === 200);
-      assert.ok(tries.length >= 20, `${tries.length} tries are too few`);
-      assert.ok(
-        served.length * 100 >= percent * tries.length,
-        `entry ${entry + 1} served ${served.length} of ${tries.length}: ${statusesOf(tries)}`,
-      );
+      checkServed(this, entry, percent);
     }
   },
 );
 
+Then(
+  'at least {int} of 100 first tries at entry {int} were served',
+  function (this: CutOffWorld, percent: number, entry: number) {
+    checkServed(this, entry - 1, percent);
+  },
+);
+
+Then(
+  'the entries relayed at most {int} of them',
+  function (this: CutOffWorld, limit: number) {
+    const relayed = relayedByAll(this) - this.allRelayedBefore;
+    assert.ok(relayed <= limit, `${relayed} were relayed`);
+  },
+);
+
 Then(
   '{int} of 100 first tries were refused as not run within {int} ms, with when to come back',
   function (this: CutOffWorld, percent: number, limitMs: number) {
@@ -208,3 +321,55 @@
       event === 'request.relayed' && name === `entry-${entry}`,
   ).length;
 }
+
+function relayedByAll({balancerSite}: CutOffWorld): number {
+  return balancerSite.log.events.filter(
+    ({event}) => event === 'request.relayed',
+  ).length;
+}
+
+function checkServed(world: CutOffWorld, entry: number, percent: number): void {
+  const tries = countedTries(world).filter(made => made.entry === entry);
+  const served = tries.filter(({answer}) => answer?.status === 200);
+  assert.ok(tries.length >= 20, `${tries.length} tries are too few`);
+  assert.ok(
+    served.length * 100 >= percent * tries.length,
+    `entry ${entry + 1} served ${served.length} of ${tries.length}: ${statusesOf(tries)}`,
+  );
+}
+
+function requestsFor({balancerSite}: CutOffWorld, path: string) {
+  return balancerSite.workers
+    .flatMap(({requests}) => requests)
+    .filter(got => got.path === path);
+}
+
+function sendMessage(
+  port: number,
+  localAddress: string,
+  message: object,
+): Promise<MessageAnswer> {
+  return new Promise((resolve, reject) => {
+    const request = sendRequest(
+      {
+        host: '127.0.0.1',
+        port,
+        localAddress,
+        path: '/v1/relay',
+        method: 'POST',
+        agent: false,
+      },
+      response => {
+        const {headers, statusCode = 0} = response;
+        response.resume();
+        resolve({
+          status: statusCode,
+          result: headers['relay-result'],
+          reason: headers['relay-reason'],
+        });
+      },
+    );
+    request.on('error', reject);
+    request.end(`${JSON.stringify(message)}\n`);
+  });
+}
--- a/packages/balancer/src/relay/relay-receiver.ts
+++ b/packages/balancer/src/relay/relay-receiver.ts
@@ -34,6 +34,9 @@
 /** Attempts of one relayed request: the entry that relays it decides on repeats. */
 const RELAYED_ATTEMPTS = 1;
 
+/** Maximum number of relayed requests in flight: twice what an entry's share of a hundred upstreams' slots is, and few beside its descriptors. */
+const MAXIMUM_IN_FLIGHT = 256;
+
 /** Takes requests of other entries. */
 export class RelayReceiver {
   readonly #options: RelayReceiverOptions;
@@ -78,8 +81,12 @@
       return;
     }
     const routing = table();
-    if (this.#isStopping || routing === undefined) {
-      const reason = this.#isStopping ? 'stopping' : 'no-configuration';
+    if (routing === undefined) {
+      this.#refuse(response, 'not-run', 'no-configuration', 0);
+      return;
+    }
+    if (this.#isStopping || this.#inFlight > MAXIMUM_IN_FLIGHT) {
+      const reason = this.#isStopping ? 'stopping' : 'relays-full';
       this.#refuse(response, 'not-run', reason, 0);
       return;
     }
--- a/packages/balancer/src/relay/relay-sender.ts
+++ b/packages/balancer/src/relay/relay-sender.ts
@@ -79,8 +79,11 @@
   /** It may have run. */
   | {readonly kind: 'unknown'};
 
-/** Maximum connections to one other entry: those of requests that are relayed at the same time. */
-const MAXIMUM_CONNECTIONS = 64;
+/** Maximum connections to one other entry: those of requests that are relayed at the same time. From 126 entries, they take half of the descriptors of one. */
+const MAXIMUM_CONNECTIONS = 16;
+
+/** An attempt that was given up after this many times its estimate counts against the entry: it may stand still. */
+const SLOW_FACTOR = 3;
 
 /** Maximum size of an answer's body, in bytes: that of an upstream's answer, and its headers. */
 const MAXIMUM_ANSWER_BYTES = 17_039_360;
@@ -91,6 +94,7 @@
   'unreached',
   'no-configuration',
   'other-configuration',
+  'relays-full',
   'stopping',
 ]);
 
@@ -119,10 +123,9 @@
     const {peers, distanceTo, roundTripsMs, clock, memory} = this.#options;
     const records = peers();
     this.#retain(records);
-    const candidates = records.map(({name, zone}) => ({
-      name,
-      distance: distanceTo(zone),
-    }));
+    const candidates = records
+      .filter(({feedAddress = ''}) => this.#hasConnection(feedAddress))
+      .map(({name, zone}) => ({name, distance: distanceTo(zone)}));
     const nowMs = clock.now();
     const {service} = request;
     const chosen = this.#choice.choose(service, candidates, tried, nowMs);
@@ -172,8 +175,15 @@
     const outcome = toOutcome(result);
     const nowMs = this.#options.clock.now();
     this.#choice.onEnd(peer, readInFlight(result));
-    if (outcome.kind === 'unreached' || result.kind === 'broken') {
-      this.#choice.onFailed(request.service, peer, nowMs);
+    const isSlow =
+      result.kind === 'given-up' &&
+      nowMs - attempt.startedAtMs > SLOW_FACTOR * attempt.estimateMs;
+    if (outcome.kind === 'unreached' || result.kind === 'broken' || isSlow) {
+      this.#choice.onFailed(
+        request.service,
+        {name: peer, distance: attempt.distance},
+        nowMs,
+      );
     } else if (outcome.kind === 'answered') {
       this.#choice.onServed(request.service, peer);
     }
@@ -224,6 +234,11 @@
     };
   }
 
+  #hasConnection(address: string): boolean {
+    const pool = this.#pools.get(address);
+    return pool === undefined || pool.idleCount > 0 || !pool.isFull;
+  }
+
   #poolOf(address: string): ConnectionPool {
     const known = this.#pools.get(address);
     if (known !== undefined) {
--- a/packages/balancer/src/serving/routed-request.ts
+++ b/packages/balancer/src/serving/routed-request.ts
@@ -49,6 +49,8 @@
   'no-configuration',
   /** The configuration of the entry that a request was relayed to doesn't allow it. */
   'other-configuration',
+  /** The entry that a request was relayed to has as many as it takes. */
+  'relays-full',
   /** No upstream is usable. */
   'no-upstream',
   /** Neither this entry nor another one that it asked reaches an upstream. */
