test(balancer): a worker that a request crashed twice counts as one

Cause: the step counted sends instead of workers. A worker is back 300 ms after its crash with the same start time; on a busy machine a later send crashed it again, which entries count as one crash, as they must. The bound of three sends is unchanged, and the step now needs what its text says.

--- a/features/steps/balancer-crashes.steps.ts
+++ b/features/steps/balancer-crashes.steps.ts
@@ -289,8 +289,8 @@
   crashes: number,
   beside = 0,
 ): Promise<void> {
-  for (let sent = 0; reachedWorkers(world) < crashes; sent++) {
-    assert.ok(sent < MOST_SENDS, `${reachedWorkers(world)} crashes`);
+  for (let sent = 0; crashedWorkers(world) < crashes; sent++) {
+    assert.ok(sent < MOST_SENDS, `${crashedWorkers(world)} crashed`);
     const lookUps = Array.from({length: beside}, (_, index) => ({
       path: `/read/${sent}-${index}`,
     }));
@@ -320,6 +320,13 @@
   world.lastAnswer = await balancerSite.call({...request, entry});
 }
 
+/** How many workers the request has crashed: one that is back may have been crashed twice. */
+function crashedWorkers({balancerSite, request}: CrashWorld): number {
+  return balancerSite.workers.filter(({requests}) =>
+    requests.some(({path}) => path === request.path),
+  ).length;
+}
+
 /** How often the request has reached a worker, by its path, body and caller: the sends of others differ in one of these. */
 function reachedWorkers({balancerSite, request}: CrashWorld): number {
   return balancerSite.workers
