test(soak): entries lose their links to workers

The soak disturbed workers for all entries alike, so that it could not show what the callers of a cut entry get.

Links now cut single connections, by the process that owns their other end: one entry, some or all lose their links to all workers or to half of them, silent, one way, reset, or with new connections refused while open ones live on.

--- a/features/soak/soak.feature
+++ b/features/soak/soak.feature
@@ -31,6 +31,7 @@
       | lost          | a planned stop cut off a request                     |
       | listed        | a list named an entry that had stood still for long  |
       | limit         | a worker got far more than the limit that it named   |
+      | reach         | an entry that was cut off served nobody              |
       | recover       | nothing was served after the last fault              |
       | exits         | an entry ended by itself                             |
 
--- a/features/steps/soak.steps.ts
+++ b/features/steps/soak.steps.ts
@@ -165,6 +165,15 @@
       addServed(history, {id: `limited-${count}`, sentAtMs}, {worker});
     }
   },
+  'an entry that was cut off served nobody': history => {
+    const entry = '127.0.0.1:2';
+    const toMs = 2 * LONG_MS;
+    history.cuts.push({entry, isPartial: false, fromMs: LONG_MS, toMs});
+    for (let atMs = LONG_MS; atMs < toMs - GAP_MS; atMs += GAP_MS) {
+      const {call} = addServed(history, {id: `cut-${atMs}`, sentAtMs: atMs});
+      Object.assign(call, {entry, status: 502});
+    }
+  },
   'nothing was served after the last fault': history => {
     for (const call of history.calls) {
       call.status = call.sentAtMs > CALM_FROM_MS ? 502 : call.status;
--- a/packages-private/soak/src/acts.ts
+++ b/packages-private/soak/src/acts.ts
@@ -3,6 +3,7 @@
 import type {LinkState} from '@wasabidyke/stand-ins';
 import {STOP_WITHIN_MS, type EntryProcess} from './entry-process.js';
 import {nowMs, type History} from './history.js';
+import {cutEntries} from './entry-cut.js';
 import {sendCrashing} from './crashing-request.js';
 import type {Operator} from './operator.js';
 import type {Act, Step} from './schedule.js';
@@ -73,6 +74,8 @@
     killAll(site);
   } else if (step.act === 'workers-limit') {
     await limitWorkers(site, step);
+  } else if (step.act === 'entries-cut') {
+    await cutEntries(site, step);
   } else if (step.act === 'entries-join') {
     await site.join();
   } else if (step.act === 'move-route') {
--- a/packages-private/soak/src/checks.ts
+++ b/packages-private/soak/src/checks.ts
@@ -8,6 +8,7 @@
 } from './history.js';
 import {checkLimit} from './checks-limit.js';
 import {checkListed} from './checks-listed.js';
+import {checkReach} from './checks-reach.js';
 import {toAnswer} from './worker-stand-in.js';
 
 /** A promise that was broken. */
@@ -70,6 +71,7 @@
     lost: checkLost,
     listed: checkListed,
     limit: checkLimit,
+    reach: checkReach,
     recover: checkRecover,
     exits: ({exits}) =>
       exits.map(({entry, status}) => `${entry} ended with status ${status}`),
--- a/packages-private/soak/src/entry-process.ts
+++ b/packages-private/soak/src/entry-process.ts
@@ -73,6 +73,11 @@
     return `127.0.0.1:${this.#options.ports[0]}`;
   }
 
+  /** Identity of its process; undefined before the first one. */
+  get pid(): number | undefined {
+    return this.#child?.pid;
+  }
+
   /** Where it names entries. */
   get listPort(): number {
     return this.#options.ports[1];
@@ -147,7 +152,11 @@
     closeSync(log);
     living.add(child);
     this.#child = child;
-    history.starts.push({entry: this.name, atMs: nowMs()});
+    history.starts.push({
+      entry: this.name,
+      address: this.address,
+      atMs: nowMs(),
+    });
     await once(child, 'exit');
     living.delete(child);
     if (!this.#isSignalled && !this.#isEnded) {
--- a/packages-private/soak/src/history.ts
+++ b/packages-private/soak/src/history.ts
@@ -86,6 +86,14 @@
   toMs: number;
 }
 
+/** A span in which an entry had no links to workers, or to some of them. */
+export interface Cut {
+  readonly entry: string;
+  readonly isPartial: boolean;
+  readonly fromMs: number;
+  readonly toMs: number;
+}
+
 /** Everything that was seen in one run. */
 export class History {
   readonly calls: CallRecord[] = [];
@@ -96,8 +104,14 @@
   readonly lists: ListRecord[] = [];
   readonly absences: Absence[] = [];
   readonly limits: NamedLimit[] = [];
+  readonly cuts: Cut[] = [];
   /** Starts of entries, by name. */
-  readonly starts: Array<{readonly entry: string; readonly atMs: number}> = [];
+  readonly starts: Array<{
+    readonly entry: string;
+    /** Where it takes callers. */
+    readonly address?: string;
+    readonly atMs: number;
+  }> = [];
   /** Processes that ended by themselves. */
   readonly exits: Array<{readonly entry: string; readonly status: number}> = [];
   /** When the last fault was over. */
--- a/packages-private/soak/src/schedule.ts
+++ b/packages-private/soak/src/schedule.ts
@@ -30,14 +30,15 @@
   'move-route',
 ] as const;
 
-/** One kind of act. The last five are no part of a series: a request that crashes workers, the loss of all entries at once, an entry that joins, one that stands still for long, and workers that name a limit. */
+/** One kind of act. The others are no part of a series: a request that crashes workers, the loss of all entries at once, an entry that joins, one that stands still for long, workers that name a limit, and entries that lose their links to workers. */
 export type Act =
   | (typeof ACTS)[number]
   | 'crashing-request'
   | 'entries-kill'
   | 'entries-join'
   | 'entry-freeze'
-  | 'workers-limit';
+  | 'workers-limit'
+  | 'entries-cut';
 
 /** One act of a run. */
 export interface Step {
@@ -73,6 +74,7 @@
 const LONG_ACTS_MS: Partial<Record<Act, number>> = {
   'entry-freeze': 12_000,
   'workers-limit': 12_000,
+  'entries-cut': 7_000,
 };
 
 /** Draws the steps of one run. @param acts Those to draw from. */
@@ -120,6 +122,9 @@
     'entries-join',
     'entry-freeze',
     'workers-limit',
+    // Later kinds come last, so that those before stay what a seed stands for.
+    'entries-cut',
+    'entries-cut',
   ];
   return [...acts, ...others].map(draw);
 }
--- a/packages-private/stand-ins/src/link/link.ts
+++ b/packages-private/stand-ins/src/link/link.ts
@@ -18,6 +18,15 @@
   connections: number;
 }
 
+/** What is done to some connections of a link, beside its own state. */
+export interface LinkCut {
+  readonly mode: LinkState['mode'];
+  /** Called before it is asked about a new connection. */
+  onConnection(callerPort: number): void;
+  /** Whether it affects the connection that was opened from a port. */
+  affects(callerPort: number): boolean;
+}
+
 type Direction = 'forward' | 'back';
 
 /** Bytes, an end or a close on their way. */
@@ -32,6 +41,9 @@
   readonly counts: LinkCounts = {bytesForward: 0, bytesBack: 0, connections: 0};
   readonly #server: Server;
   readonly #pipes = new Set<LinkPipe>();
+  readonly #cuts = new Set<LinkCut>();
+  /** Ports from which connections were opened, by the ports from which the link opened theirs. */
+  readonly #callerPorts = new Map<number, number>();
   #state: LinkState;
   #address: string;
   #isVerifying = false;
@@ -62,8 +74,34 @@
   /** Changes the link, and all its connections with it. */
   change(change: Partial<LinkState>): void {
     this.#state = {...this.#state, ...change};
+    this.#apply();
+  }
+
+  /** Does something to some connections until `removeCut`. */
+  addCut(cut: LinkCut): void {
+    this.#cuts.add(cut);
+    this.#apply();
+  }
+
+  removeCut(cut: LinkCut): void {
+    this.#cuts.delete(cut);
+    this.#apply();
+  }
+
+  /** The port from which a connection was opened that the link carries on from another port. */
+  callerPortOf(port: number): number | undefined {
+    return this.#callerPorts.get(port);
+  }
+
+  /** The mode of the connection that was opened from a port. */
+  modeOf(callerPort: number): LinkState['mode'] {
+    const cut = [...this.#cuts].find(other => other.affects(callerPort));
+    return cut?.mode ?? this.#state.mode;
+  }
+
+  #apply(): void {
     for (const pipe of this.#pipes) {
-      pipe.apply(this.#state.mode);
+      pipe.apply();
     }
   }
 
@@ -75,7 +113,9 @@
 
   #onConnection(socket: Socket): void {
     this.counts.connections += 1;
-    const {mode} = this.#state;
+    const callerPort = socket.remotePort ?? 0;
+    this.#cuts.forEach(cut => cut.onConnection(callerPort));
+    const mode = this.modeOf(callerPort);
     if (
       mode === 'reset' ||
       mode === 'refusing' ||
@@ -86,8 +126,13 @@
     }
     const target = this.#connect();
     target.once('close', () => void this.#verifyTarget());
-    this.#pipe('forward', socket, target);
-    this.#pipe('back', target, socket);
+    target.once('connect', () => {
+      const {localPort = 0} = target;
+      this.#callerPorts.set(localPort, callerPort);
+      target.once('close', () => this.#callerPorts.delete(localPort));
+    });
+    this.#pipe('forward', socket, target, callerPort);
+    this.#pipe('back', target, socket, callerPort);
   }
 
   #connect(): Socket {
@@ -111,10 +156,15 @@
     this.#isVerifying = false;
   }
 
-  #pipe(direction: Direction, from: Socket, to: Socket): void {
-    const pipe = new LinkPipe(this, direction, from, to);
+  #pipe(
+    direction: Direction,
+    from: Socket,
+    to: Socket,
+    callerPort: number,
+  ): void {
+    const pipe = new LinkPipe(this, direction, from, to, callerPort);
     this.#pipes.add(pipe);
-    pipe.apply(this.#state.mode);
+    pipe.apply();
     from.once('close', () => this.#pipes.delete(pipe));
   }
 }
@@ -125,12 +175,21 @@
   readonly #direction: Direction;
   readonly #from: Socket;
   readonly #to: Socket;
+  /** Port from which the connection was opened. */
+  readonly #callerPort: number;
   /** What is still to be carried, in the order in which it came. */
   readonly #queue: Delivery[] = [];
   #timer: NodeJS.Timeout | undefined;
 
-  constructor(link: Link, direction: Direction, from: Socket, to: Socket) {
+  constructor(
+    link: Link,
+    direction: Direction,
+    from: Socket,
+    to: Socket,
+    callerPort: number,
+  ) {
     this.#link = link;
+    this.#callerPort = callerPort;
     this.#direction = direction;
     this.#from = from;
     this.#to = to;
@@ -139,11 +198,12 @@
     from.on('end', () => this.#later(() => to.end()));
     from.on('error', () => to.resetAndDestroy());
     from.on('close', () => this.#later(() => to.destroySoon()));
-    to.on('drain', () => this.apply(link.state.mode));
+    to.on('drain', () => this.apply());
   }
 
-  /** Follows the mode of the link. */
-  apply(mode: LinkState['mode']): void {
+  /** Follows the mode of its connection. */
+  apply(): void {
+    const mode = this.#link.modeOf(this.#callerPort);
     if (mode === 'reset') {
       this.#from.resetAndDestroy();
       return;
