test(soak): workers ask for rest, and say in their answers alone that they leave

No worker of the soak asked for rest, and each that left was announced or withdrawn.

Three workers now turn everything away for a while with the rest that they want, and one leaves by its answers while its announcement stays.

--- a/features/soak/soak.feature
+++ b/features/soak/soak.feature
@@ -32,6 +32,8 @@
       | listed        | a list named an entry that had stood still for long  |
       | limit         | a worker got far more than the limit that it named   |
       | reach         | an entry that was cut off served nobody              |
+      | rest          | a worker that asked for rest got requests            |
+      | left          | a worker that said it leaves got requests            |
       | recover       | nothing was served after the last fault              |
       | exits         | an entry ended by itself                             |
 
--- a/features/steps/soak.steps.ts
+++ b/features/steps/soak.steps.ts
@@ -174,6 +174,20 @@
       Object.assign(call, {entry, status: 502});
     }
   },
+  'a worker that asked for rest got requests': history => {
+    const rest = {worker: 'w8', entry: ENTRY, fromMs: LONG_MS, restMs: 2_000};
+    history.rests.push(rest);
+    for (let count = 0; count < 3; count++) {
+      const sentAtMs = LONG_MS + 1_000 + count;
+      addServed(history, {sentAtMs}, {worker: rest.worker, sender: ENTRY});
+    }
+  },
+  'a worker that said it leaves got requests': history => {
+    const left = {worker: 'w7', entry: ENTRY, atMs: LONG_MS};
+    history.leavingAnswers.push(left);
+    const sentAtMs = LONG_MS + 3_000;
+    addServed(history, {sentAtMs}, {worker: left.worker, sender: ENTRY});
+  },
   'nothing was served after the last fault': history => {
     for (const call of history.calls) {
       call.status = call.sentAtMs > CALM_FROM_MS ? 502 : call.status;
--- a/packages-private/soak/src/acts.ts
+++ b/packages-private/soak/src/acts.ts
@@ -26,7 +26,10 @@
   readonly history: History;
 }
 
-/** Workers that name a limit at the same time, and the lowest of their limits, in requests per second. */
+/** Rest that workers ask for, in seconds. */
+const REST_SECONDS = 2.5;
+
+/** Workers that rest or name a limit at the same time, and the lowest of their limits, in requests per second. */
 const LIMITED_WORKERS = 3;
 const LOWEST_LIMIT = 0.7;
 
@@ -76,6 +79,8 @@
     await limitWorkers(site, step);
   } else if (step.act === 'entries-cut') {
     await cutEntries(site, step);
+  } else if (step.act === 'workers-rest') {
+    await restWorkers(site, step);
   } else if (step.act === 'entries-join') {
     await site.join();
   } else if (step.act === 'move-route') {
@@ -177,6 +182,17 @@
   limited.forEach(worker => worker.nameLimit(undefined));
 }
 
+/** Has some workers turn all requests away and ask for rest, until the time is over. */
+async function restWorkers({workers}: Site, step: Step): Promise<void> {
+  const resting = Array.from(
+    {length: LIMITED_WORKERS},
+    (_, index) => workers[(step.subject + index) % workers.length].worker,
+  );
+  resting.forEach(worker => (worker.restSeconds = REST_SECONDS));
+  await sleep(step.forMs);
+  resting.forEach(worker => (worker.restSeconds = undefined));
+}
+
 async function actOnWorker(site: Site, step: Step): Promise<void> {
   const {workers, history} = site;
   const slot = workers[step.subject % workers.length];
@@ -208,6 +224,9 @@
   } else if (step.act === 'worker-crash') {
     note();
     await slot.crash(step.forMs);
+  } else if (step.act === 'worker-says-leaving') {
+    note();
+    await slot.leaveByAnswers(step.forMs);
   } else if (step.act === 'worker-replace') {
     note();
     await slot.replace();
--- a/packages-private/soak/src/checks.ts
+++ b/packages-private/soak/src/checks.ts
@@ -9,6 +9,7 @@
 import {checkLimit} from './checks-limit.js';
 import {checkListed} from './checks-listed.js';
 import {checkReach} from './checks-reach.js';
+import {checkLeft, checkRest} from './checks-rest.js';
 import {toAnswer} from './worker-stand-in.js';
 
 /** A promise that was broken. */
@@ -72,6 +73,8 @@
     listed: checkListed,
     limit: checkLimit,
     reach: checkReach,
+    rest: checkRest,
+    left: checkLeft,
     recover: checkRecover,
     exits: ({exits}) =>
       exits.map(({entry, status}) => `${entry} ended with status ${status}`),
--- a/packages-private/soak/src/history.ts
+++ b/packages-private/soak/src/history.ts
@@ -30,6 +30,8 @@
   readonly path: string;
   readonly body: string;
   readonly atMs: number;
+  /** Entry whose process sent it; known only at workers that rest or leave. */
+  readonly sender?: string;
   /** False when the worker refused it before running. */
   hasRun: boolean;
   /** When its connection ended while it ran. */
@@ -94,6 +96,21 @@
   readonly toMs: number;
 }
 
+/** An answer by which a worker asked an entry for rest. */
+export interface Rest {
+  readonly worker: string;
+  readonly entry: string;
+  readonly fromMs: number;
+  readonly restMs: number;
+}
+
+/** The first answer by which a worker told an entry that it leaves. */
+export interface LeavingAnswer {
+  readonly worker: string;
+  readonly entry: string;
+  readonly atMs: number;
+}
+
 /** Everything that was seen in one run. */
 export class History {
   readonly calls: CallRecord[] = [];
@@ -105,6 +122,8 @@
   readonly absences: Absence[] = [];
   readonly limits: NamedLimit[] = [];
   readonly cuts: Cut[] = [];
+  readonly rests: Rest[] = [];
+  readonly leavingAnswers: LeavingAnswer[] = [];
   /** Starts of entries, by name. */
   readonly starts: Array<{
     readonly entry: string;
--- a/packages-private/soak/src/schedule.ts
+++ b/packages-private/soak/src/schedule.ts
@@ -30,7 +30,7 @@
   'move-route',
 ] as const;
 
-/** One kind of act. The others are no part of a series: a request that crashes workers, the loss of all entries at once, an entry that joins, one that stands still for long, workers that name a limit, and entries that lose their links to workers. */
+/** One kind of act. The others are no part of a series: a request that crashes workers, the loss of all entries at once, an entry that joins, one that stands still for long, workers that name a limit, entries that lose their links to workers, workers that ask for rest, and one that says only in its answers that it leaves. */
 export type Act =
   | (typeof ACTS)[number]
   | 'crashing-request'
@@ -38,7 +38,9 @@
   | 'entries-join'
   | 'entry-freeze'
   | 'workers-limit'
-  | 'entries-cut';
+  | 'entries-cut'
+  | 'workers-rest'
+  | 'worker-says-leaving';
 
 /** One act of a run. */
 export interface Step {
@@ -75,6 +77,8 @@
   'entry-freeze': 12_000,
   'workers-limit': 12_000,
   'entries-cut': 7_000,
+  'workers-rest': 8_000,
+  'worker-says-leaving': 8_000,
 };
 
 /** Draws the steps of one run. @param acts Those to draw from. */
@@ -125,6 +129,8 @@
     // Later kinds come last, so that those before stay what a seed stands for.
     'entries-cut',
     'entries-cut',
+    'workers-rest',
+    'worker-says-leaving',
   ];
   return [...acts, ...others].map(draw);
 }
--- a/packages-private/soak/src/soak.ts
+++ b/packages-private/soak/src/soak.ts
@@ -9,6 +9,7 @@
 import {Caller} from './caller.js';
 import {findViolations, type Violation} from './checks.js';
 import {EntryProcess} from './entry-process.js';
+import {EntrySockets} from './entry-sockets.js';
 import {History, nowMs} from './history.js';
 import {Operator} from './operator.js';
 import {CALM_MS, type Schedule} from './schedule.js';
@@ -79,6 +80,13 @@
   const operator = new Operator(store, history);
   const storeAddress = await store.listen();
   operator.moveRoute();
+  const entries: EntryProcess[] = [];
+  const joined: EntryProcess[] = [];
+  const sockets = new EntrySockets(() => [...entries, ...joined]);
+  const findOwner = (port: number) => {
+    sockets.refresh();
+    return sockets.ownerOf(port)?.address;
+  };
   const workers = Array.from(
     {length: options.workers},
     (_, index) =>
@@ -88,6 +96,7 @@
         index % 2 === 0 ? 'reads' : 'writes',
         operator,
         history,
+        port => findOwner(port),
       ),
   );
   for (const worker of workers) {
@@ -105,10 +114,9 @@
       directory: options.directory,
       history,
     });
-  const entries = Array.from({length: options.entries}, (_, index) =>
-    createEntry(index, ports.slice(index * PORTS_PER_ENTRY)),
-  );
-  const joined: EntryProcess[] = [];
+  for (let index = 0; index < options.entries; index++) {
+    entries.push(createEntry(index, ports.slice(index * PORTS_PER_ENTRY)));
+  }
   const links = new Map<string, string>();
   const join = async () => {
     // Ports that are chosen earlier may be taken by others meanwhile.
--- a/packages-private/soak/src/worker-slot.ts
+++ b/packages-private/soak/src/worker-slot.ts
@@ -23,6 +23,8 @@
   readonly #zone: string;
   readonly #operator: Operator;
   readonly #history: History;
+  /** Finds the entry whose process opened a connection. */
+  readonly #findEntry: (port: number) => string | undefined;
   #link: Link | undefined;
   #address = '';
   #starts = 0;
@@ -35,11 +37,13 @@
     service: string,
     operator: Operator,
     history: History,
+    findEntry: (port: number) => string | undefined,
   ) {
     this.#name = name;
     this.#zone = zone;
     this.#operator = operator;
     this.#history = history;
+    this.#findEntry = findEntry;
     this.worker = new WorkerStandIn(`${name}-0`, service, history);
     this.worker.onCrash = () => this.#onCrash();
   }
@@ -66,6 +70,10 @@
       delayMs: 0,
     });
     this.#address = await this.#link.listen();
+    this.worker.findSender = port => {
+      const callerPort = this.#link?.callerPortOf(port);
+      return callerPort === undefined ? undefined : this.#findEntry(callerPort);
+    };
     this.#announce();
   }
 
@@ -91,10 +99,23 @@
     });
   }
 
+  /** Has it say in its answers alone that it leaves, while its announcement stays, until it ends. */
+  leaveByAnswers(forMs: number): Promise<void> {
+    return this.#away(async () => {
+      const {id, service} = this.worker;
+      this.worker.isLeaving = true;
+      await sleep(forMs);
+      this.#operator.withdraw(id);
+      this.worker.crash();
+      await this.#restart(service);
+    });
+  }
+
   /** Leaves as planned, announced or not, and another one comes in its place. */
   leave(isAnnounced: boolean): Promise<void> {
     return this.#away(async () => {
       const {id, service} = this.worker;
+      this.worker.isLeaving = true;
       if (isAnnounced) {
         this.#operator.announce(
           id,
--- a/packages-private/soak/src/worker-stand-in.ts
+++ b/packages-private/soak/src/worker-stand-in.ts
@@ -8,7 +8,7 @@
   type Server,
   type ServerResponse,
 } from 'node:http';
-import type {AddressInfo} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
 import {
   nowMs,
   type ArrivalRecord,
@@ -34,7 +34,14 @@
   fault: WorkerFault = 'none';
   /** Requests per second that it takes from all entries together; undefined if it names no limit. */
   requestsPerSecond: number | undefined;
+  /** Rest that it asks for when it turns each request away, in seconds; undefined if it takes requests. */
+  restSeconds: number | undefined;
+  /** Whether all its answers say that it leaves. */
+  isLeaving = false;
+  /** Finds the entry that opened the connection from a port. */
+  findSender: (port: number) => string | undefined = () => undefined;
   #namedLimit: NamedLimit | undefined;
+  readonly #senders = new WeakMap<Socket, string | undefined>();
   /** Called when a request crashes it. */
   onCrash: () => void = () => {};
   id: string;
@@ -74,6 +81,8 @@
     this.service = service;
     this.fault = 'none';
     this.nameLimit(undefined);
+    this.restSeconds = undefined;
+    this.isLeaving = false;
     this.#server = this.#create();
     await this.listen();
   }
@@ -104,6 +113,45 @@
     }
   }
 
+  /** Looked up only where checks need it. */
+  #senderOf(socket: Socket): string | undefined {
+    if (this.restSeconds === undefined && !this.isLeaving) {
+      return undefined;
+    }
+    if (!this.#senders.has(socket)) {
+      this.#senders.set(socket, this.findSender(socket.remotePort ?? 0));
+    }
+    return this.#senders.get(socket);
+  }
+
+  #askForRest(
+    {sender}: ArrivalRecord,
+    response: ServerResponse,
+    restSeconds: number,
+  ): void {
+    if (sender !== undefined) {
+      this.#history.rests.push({
+        worker: this.id,
+        entry: sender,
+        fromMs: nowMs(),
+        restMs: restSeconds * 1_000,
+      });
+    }
+    response.setHeader('Wasabidyke-Not-Executed', 'resting');
+    response.setHeader('Retry-After', restSeconds);
+    response.writeHead(503).end();
+  }
+
+  #noteLeaving({sender, worker}: ArrivalRecord): void {
+    const {leavingAnswers} = this.#history;
+    const isNoted = leavingAnswers.some(
+      answer => answer.worker === worker && answer.entry === sender,
+    );
+    if (this.isLeaving && sender !== undefined && !isNoted) {
+      leavingAnswers.push({worker, entry: sender, atMs: nowMs()});
+    }
+  }
+
   #create(): Server {
     return createServer(
       (request, response) => void this.#serve(request, response),
@@ -120,6 +168,9 @@
   ): Promise<void> {
     const {headers, url = '/'} = request;
     response.setHeader('Wasabidyke-Server-Load', this.#load);
+    if (this.isLeaving) {
+      response.setHeader('Server-Leaving', '1');
+    }
     if (url === '/health') {
       response.setHeader('Wasabidyke-Instance-Id', this.id);
       response.end();
@@ -129,6 +180,7 @@
     const id = String(headers['wasabidyke-attempt-id']);
     const arrival: ArrivalRecord = {
       id,
+      sender: this.#senderOf(request.socket),
       worker: this.id,
       service: this.service,
       path: url,
@@ -142,6 +194,10 @@
       response.writeHead(421).end();
       return;
     }
+    if (this.restSeconds !== undefined) {
+      this.#askForRest(arrival, response, this.restSeconds);
+      return;
+    }
     if (this.#running >= SLOTS && this.#queue.length >= QUEUE) {
       response.setHeader('Wasabidyke-Not-Executed', 'full');
       response.writeHead(503).end();
@@ -185,6 +241,7 @@
     const text = toAnswer(arrival.worker, arrival.id, arrival.body);
     response.setHeader('Wasabidyke-Server-Seal', `seal-${arrival.worker}`);
     this.#addLimit(response);
+    this.#noteLeaving(arrival);
     if (this.fault === 'errors') {
       response.writeHead(500).end();
     } else if (this.fault === 'truncates') {
