fix(policy): an estimate that refuses a whole route is corrected

Cause: an answer counted as the present estimate times how much longer than expected it took. Of requests that were sent together, each answer thus multiplied what those before it had raised: 32 look-ups of 300 ms took an estimate of 60 ms beyond every deadline. A route that is refused as a whole gets no answers that would correct it.

An answer now counts by the estimate under which it was sent, so that no answer counts for more than it took.

The slowdown learned of an upstream compounds the same way, but is bounded and halves every 4 s.

--- a/packages/balancer/src/serving/attempt-recorder.ts
+++ b/packages/balancer/src/serving/attempt-recorder.ts
@@ -68,7 +68,8 @@
       const workEstimate = this.#options.routeState.workEstimate(
         this.#request.route,
       );
-      workEstimate.onAnswer(workEstimate.workMs * factor);
+      // The present estimate may have risen by answers to requests that were sent with this one.
+      workEstimate.onAnswer(selected.workMs * factor, nowMs);
       const occupancy = this.#options.protocol.readOccupancy(
         result.answer.headers,
       );
--- a/packages/balancer/src/serving/hedge-timing.ts
+++ b/packages/balancer/src/serving/attempt-timing.ts
@@ -1,6 +1,8 @@
-/** When a hedge is sent, and whether it can be answered in time. */
+/** Whether attempts can be answered in time, and when a hedge is sent. */
 
+import type {WorkEstimate} from '@wasabidyke/policy';
 import type {RoutedRequest} from './routed-request.js';
+import type {SelectedUpstream} from './upstream-selector.js';
 
 /** A hedge is sent once the first attempt takes this many times its estimate. */
 const HEDGE_DELAY_FACTOR = 1.6;
@@ -11,6 +13,21 @@
 /** Longest estimate of a hedge, as a share of the remaining time. */
 const MAXIMUM_HEDGE_SHARE = 0.9;
 
+/** Whether an attempt is expected to be answered before the deadline, or is a trial of that estimate at an upstream where nothing waits. */
+export function isAttemptInTime(
+  {estimateMs, freeSlots}: SelectedUpstream,
+  {deadlineMs, route}: RoutedRequest,
+  workEstimate: WorkEstimate,
+  nowMs: number,
+): boolean {
+  const remainingMs = deadlineMs - nowMs;
+  if (estimateMs <= remainingMs) {
+    return true;
+  }
+  const isTrialUseful = freeSlots > 0 && remainingMs >= route.targetLatencyMs;
+  return isTrialUseful && workEstimate.takeTrial(nowMs);
+}
+
 /** Time after the first attempt until its hedge, in milliseconds. */
 export function hedgeDelayMs(firstEstimateMs: number): number {
   return Math.max(MINIMUM_HEDGE_DELAY_MS, firstEstimateMs * HEDGE_DELAY_FACTOR);
--- a/packages/balancer/src/serving/hedging.ts
+++ b/packages/balancer/src/serving/hedging.ts
@@ -4,7 +4,7 @@
 import type {Clock} from '@wasabidyke/shared';
 import type {UpstreamRegistry} from '../members/upstream-registry.js';
 import type {DecisionLog} from '../reporting/decision-log.js';
-import {hedgeDelayMs} from './hedge-timing.js';
+import {hedgeDelayMs} from './attempt-timing.js';
 import type {RoutedRequest} from './routed-request.js';
 import {isUpstreamAttempt, type PendingAttempt} from './upstream-sender.js';
 import type {SelectedUpstream} from './upstream-selector.js';
--- a/packages/balancer/src/serving/request-dispatcher.ts
+++ b/packages/balancer/src/serving/request-dispatcher.ts
@@ -6,7 +6,7 @@
 import type {RelayAttempt} from '../relay/relay-sender.js';
 import {RequestRelay} from '../relay/request-relay.js';
 import {AttemptRecorder, isErrorAnswer} from './attempt-recorder.js';
-import {isHedgeInTime} from './hedge-timing.js';
+import {isAttemptInTime, isHedgeInTime} from './attempt-timing.js';
 import {Hedging} from './hedging.js';
 import {LimitGate} from './limit-gate.js';
 import type {SelectedUpstream} from './upstream-selector.js';
@@ -115,16 +115,16 @@
       this.#endWithoutSuccess(this.#refusals.reasonWithoutUpstream);
       return;
     }
-    const remainingMs = this.#request.deadlineMs - this.#options.clock.now();
-    if (selected.estimateMs > remainingMs) {
+    const workEstimate = this.#options.routeState.workEstimate(
+      this.#request.route,
+    );
+    const nowMs = this.#options.clock.now();
+    if (!isAttemptInTime(selected, this.#request, workEstimate, nowMs)) {
       this.#lastSelected = selected;
       this.#endWithoutSuccess('no-room');
       return;
     }
-    if (
-      this.#sentCount > 0 &&
-      !this.#repeatBudget.take(this.#options.clock.now())
-    ) {
+    if (this.#sentCount > 0 && !this.#repeatBudget.take(nowMs)) {
       this.#endWithoutSuccess('attempts-spent');
       return;
     }
--- a/packages/balancer/src/serving/upstream-selector.ts
+++ b/packages/balancer/src/serving/upstream-selector.ts
@@ -39,6 +39,8 @@
 export interface SelectedUpstream {
   readonly handle: UpstreamHandle;
   readonly estimateMs: number;
+  /** Estimated duration of the work on an undisturbed upstream. */
+  readonly workMs: number;
   /** Expected loss, less the bonus of an upstream that is new to this entry. */
   readonly loss: number;
   readonly reportAgeMs: number;
@@ -186,10 +188,8 @@
   ): SelectedUpstream {
     const nowMs = this.#options.clock.now();
     const {statistics} = handle;
-    const estimateMs = statistics.estimateMs({
-      nowMs,
-      workMs: criteria.workEstimate.workMs,
-    });
+    const {workMs} = criteria.workEstimate;
+    const estimateMs = statistics.estimateMs({nowMs, workMs});
     const failureShare = statistics.failureShare(nowMs);
     const loss = expectedLoss({
       estimateMs,
@@ -204,6 +204,7 @@
     return {
       handle,
       estimateMs,
+      workMs,
       loss: loss - bonus,
       reportAgeMs: statistics.reportAgeMs(nowMs),
       slowdown: statistics.slowdown(nowMs),
--- a/packages/policy/src/work-estimate.ts
+++ b/packages/policy/src/work-estimate.ts
@@ -12,10 +12,16 @@
 /** Limit of the work that one answer counts for, as a multiple of the estimate: outliers say little about the usual work. */
 const OUTLIER_LIMIT = 3;
 
+/** Time without an answer or a trial after which the next trial may be sent, in milliseconds: the shortest delay that refused callers can be told in whole seconds. */
+const TRIAL_INTERVAL_MS = 1_000;
+
 /** Moving average of the work of one kind of request. */
 export class WorkEstimate {
   #workMs: number;
   #answers = 0;
+  #answeredAtMs = -Infinity;
+  /** When the trial was sent whose answer is expected; undefined if there is none. */
+  #triedAtMs: number | undefined;
 
   constructor(targetLatencyMs: number) {
     this.#workMs = targetLatencyMs * INITIAL_SHARE_OF_TARGET;
@@ -26,9 +32,25 @@
     return this.#workMs;
   }
 
+  /** Whether a request may be sent that is expected to miss its deadline: an estimate that has every request refused gets no answer to correct it. */
+  takeTrial(nowMs: number): boolean {
+    const latestMs = Math.max(this.#answeredAtMs, this.#triedAtMs ?? -Infinity);
+    if (nowMs - latestMs < TRIAL_INTERVAL_MS) {
+      return false;
+    }
+    this.#triedAtMs = nowMs;
+    return true;
+  }
+
   /** Called when a request took `workMs` after known slowdowns were factored out. */
-  onAnswer(workMs: number): void {
+  onAnswer(workMs: number, nowMs: number): void {
+    this.#answeredAtMs = nowMs;
     this.#answers += 1;
+    if (this.#triedAtMs !== undefined) {
+      this.#triedAtMs = undefined;
+      this.#workMs = Math.min(this.#workMs, workMs);
+      return;
+    }
     const weight = Math.max(NEWEST_ANSWER_WEIGHT, 1 / (this.#answers + 1));
     const isInitial = this.#answers < INITIAL_ANSWERS;
     const limitMs = this.#workMs * OUTLIER_LIMIT;
