fix(balancer): a request that was given up reaches no upstream after a cut

While links were silent, all that an entry had sent and given up waited on its way, and reached the upstreams when the links were back, seconds after its callers had got their answers: all at once, with work for nobody, and to upstreams that had left or crash at it.

Cause: a request was given up by an orderly close of its connection, which the system delivers with all that was written before.

--- a/features/balancer/cut-off.feature
+++ b/features/balancer/cut-off.feature
@@ -110,6 +110,14 @@
     When a caller sends "GET /read/left" and leaves after 300 ms
     Then a worker that got "/read/left" sees its caller leave
 
+  # Guards against requests that were given up while links were silent, and reach upstreams once the links are back.
+  Scenario: A request whose caller has its answer reaches no worker after the cut
+    Given the links of all entries to all workers are "silent"
+    And 1000 ms of first tries are counted
+    When the links of all entries to all workers are "open"
+    And 1000 ms pass at the site
+    Then no worker got any of them
+
   # Guards against relayed requests that are given more time than their callers wait.
   Scenario: A relayed request ends at its deadline, and the upstream knows it
     Given entry 1 has lost its links, and its callers have ended
--- a/features/steps/cut-off.steps.ts
+++ b/features/steps/cut-off.steps.ts
@@ -10,6 +10,7 @@
 
 /** A first try of a caller. */
 interface FirstTry {
+  readonly id: string;
   readonly entry: number;
   readonly sentAtMs: number;
   /** Undefined if the connection broke. */
@@ -188,6 +189,18 @@
   },
 );
 
+Then('no worker got any of them', function (this: CutOffWorld) {
+  const tries = countedTries(this);
+  const got = new Set(
+    this.balancerSite.workers
+      .flatMap(({requests}) => requests)
+      .map(({headers}) => headers.get('wasabidyke-attempt-id')),
+  );
+  const late = tries.filter(({id}) => got.has(id));
+  assert.ok(tries.length >= 20, `${tries.length} tries are too few`);
+  assert.equal(late.length, 0, `${late.length} of ${tries.length} did`);
+});
+
 Then(
   'a worker got the path {string} with {int} bytes',
   function (this: CutOffWorld, path: string, bytes: number) {
@@ -285,11 +298,12 @@
   const request = isOrder
     ? {method: 'POST', path: `/write/${number}`, body: `order ${number}`}
     : {path: `/read/${number}`};
+  const id = `try-${number}`;
   const made = world.balancerSite
-    .call({...request, id: `try-${number}`, entry})
+    .call({...request, id, entry})
     .catch(() => undefined)
     .then(answer => {
-      world.tries.push({entry, sentAtMs, answer});
+      world.tries.push({id, entry, sentAtMs, answer});
       world.pending.delete(made);
     });
   world.pending.add(made);
--- a/packages/balancer/src/exchange/connection-pool.ts
+++ b/packages/balancer/src/exchange/connection-pool.ts
@@ -134,6 +134,15 @@
     }
   }
 
+  /**
+   * Resets the connection. Bytes that have not reached the upstream are
+   * dropped; after an orderly close they would still be delivered once a link
+   * that is down is back.
+   */
+  reset(): void {
+    this.#socket?.resetAndDestroy();
+  }
+
   /** Closes the connection at once. */
   destroy(): void {
     this.#isBroken = true;
--- a/packages/balancer/src/exchange/exchange.ts
+++ b/packages/balancer/src/exchange/exchange.ts
@@ -150,6 +150,7 @@
     this.#isAborted = true;
     if (this.#isSent) {
       this.#end({kind: 'given-up'});
+      this.#connection.reset();
       this.#controller?.abort(new Error('exchange aborted by this entry'));
     } else {
       this.#end({
