test(soak): a worker's word that it leaves counts once its answer may have arrived

The trace: the entry was cut one way then, so that its requests arrived and no answer came back; the rule counts from an answer that the entry passed on.

Answers during a cut of their entry don't count now; every other answer does, not the first alone, so that the check is as strict for entries that heard it.

--- a/packages-private/soak/src/checks-rest.ts
+++ b/packages-private/soak/src/checks-rest.ts
@@ -31,11 +31,14 @@
   });
 }
 
-/** Requests that reached workers from entries long after their answers had said that they leave. */
+/** Requests that reached workers from entries long after these had got an answer that says that they leave. */
 export function checkLeft(history: History): string[] {
   return history.arrivals.flatMap(({id, worker, sender, atMs}) => {
     const told = history.leavingAnswers.find(
-      answer => answer.worker === worker && answer.entry === sender,
+      answer =>
+        answer.worker === worker &&
+        answer.entry === sender &&
+        !isCutMeanwhile(history, answer.entry, answer.atMs, answer.atMs),
     );
     const isLate =
       told !== undefined &&
--- a/packages-private/soak/src/history.ts
+++ b/packages-private/soak/src/history.ts
@@ -104,7 +104,7 @@
   readonly restMs: number;
 }
 
-/** The first answer by which a worker told an entry that it leaves. */
+/** An answer by which a worker told an entry that it leaves. */
 export interface LeavingAnswer {
   readonly worker: string;
   readonly entry: string;
--- a/packages-private/soak/src/worker-stand-in.ts
+++ b/packages-private/soak/src/worker-stand-in.ts
@@ -143,11 +143,8 @@
   }
 
   #noteLeaving({sender, worker}: ArrivalRecord): void {
-    const {leavingAnswers} = this.#history;
-    const isNoted = leavingAnswers.some(
-      answer => answer.worker === worker && answer.entry === sender,
-    );
-    if (this.isLeaving && sender !== undefined && !isNoted) {
+    if (this.isLeaving && sender !== undefined) {
+      const {leavingAnswers} = this.#history;
       leavingAnswers.push({worker, entry: sender, atMs: nowMs()});
     }
   }
