--- a/packages/policy/src/work-estimate.ts
+++ b/packages/policy/src/work-estimate.ts
@@ -12,7 +12,7 @@
 /** Limit of the work that one answer counts for, as a multiple of the estimate: outliers say little about the usual work. */
 const OUTLIER_LIMIT = 3;
 
-/** Time without an answer or a trial after which the next trial may be sent, in milliseconds: the shortest delay that refused callers can be told in whole seconds. */
+/** Time without an answer or a trial after which the next trial may be sent, in milliseconds: a service that is really so slow gets one request a second of each entry, and recovers for callers within two. */
 const TRIAL_INTERVAL_MS = 1_000;
 
 /** Moving average of the work of one kind of request. */
