fix(balancer): giving up an answer that has begun no longer ends the process

Cause: since a request that is given up resets its connection, and the client takes a reset within an answer for the end of that answer. The connection is now reset only before an answer has begun; the upstream has the request by then.

--- a/packages/balancer/src/exchange/exchange.ts
+++ b/packages/balancer/src/exchange/exchange.ts
@@ -150,7 +150,10 @@
     this.#isAborted = true;
     if (this.#isSent) {
       this.#end({kind: 'given-up'});
-      this.#connection.reset();
+      if (!this.hasAnswerHead && this.#informationalAnswers === 0) {
+        // The client fails on a reset within an answer; the upstream has the request by then.
+        this.#connection.reset();
+      }
       this.#controller?.abort(new Error('exchange aborted by this entry'));
     } else {
       this.#end({
