test(balancer): entries go back to what an older source knows

The store in memory gets watches that are never answered, and reads that are as old as real ones may be.

--- a/features/balancer/beliefs.feature
+++ b/features/balancer/beliefs.feature
@@ -130,3 +130,21 @@
     Then it is told of this entry and "10.0.0.2:1"
     When a caller in "away" and "away-a" asks for entries
     Then it is told of all entries
+
+  # Guards against an entry that begins with an old read and serves what only an older version allows.
+  Scenario: An entry that starts beside old reads begins with the newest configuration
+    Given a configuration
+    And workers "w1"
+    And the store's old reads are 1500 ms behind
+    When 1700 ms pass at the site
+    And the configuration changes 1 times, one each 1 ms
+    And another entry starts
+    Then the first configuration of the last entry is the newest one
+
+  # Guards against entries that are busy with each version of a burst before they know the last one.
+  Scenario: Of a burst of configurations an entry applies a few, and the last one soon
+    Given a configuration
+    And workers "w1"
+    When the configuration changes 60 times, one each 10 ms
+    Then the newest configuration is in force within 2500 ms
+    And at most 5 of them were applied
--- a/features/steps/balancer-state.steps.ts
+++ b/features/steps/balancer-state.steps.ts
@@ -13,6 +13,15 @@
 interface StateWorld {
   balancerSite: BalancerSite;
   named: readonly string[];
+  appliedBefore: number;
+}
+
+/** The versions of the configuration that an entry applied, in order. */
+function appliedVersions(site: BalancerSite, name: string): readonly number[] {
+  return site.log.events
+    .filter(({event}) => event === 'configuration.applied')
+    .filter(({entry}) => entry === name)
+    .map(({version}) => Number(version));
 }
 
 Then('the store no longer names it', function (this: StateWorld) {
@@ -24,6 +33,53 @@
   assert.equal(status, 503);
 });
 
+Given(
+  "the store's old reads are {int} ms behind",
+  function (this: StateWorld, staleMs: number) {
+    this.balancerSite.store.staleMs = staleMs;
+  },
+);
+
+When(
+  'the configuration changes {int} times, one each {int} ms',
+  async function (this: StateWorld, times: number, gapMs: number) {
+    this.appliedBefore = appliedVersions(this.balancerSite, 'entry-1').length;
+    for (let change = 0; change < times; change++) {
+      this.balancerSite.configure();
+      await sleep(gapMs);
+    }
+  },
+);
+
+When('another entry starts', async function (this: StateWorld) {
+  await this.balancerSite.addEntry();
+  await this.balancerSite.ready();
+});
+
+Then(
+  'the first configuration of the last entry is the newest one',
+  function (this: StateWorld) {
+    const {balancerSite} = this;
+    const name = `entry-${balancerSite.entries}`;
+    assert.equal(appliedVersions(balancerSite, name)[0], balancerSite.version);
+  },
+);
+
+Then(
+  'the newest configuration is in force within {int} ms',
+  async function (this: StateWorld, limitMs: number) {
+    const isInForce = () =>
+      appliedVersions(this.balancerSite, 'entry-1').at(-1) ===
+      this.balancerSite.version;
+    await eventually('it is in force', isInForce, limitMs);
+  },
+);
+
+Then('at most {int} of them were applied', function (this: StateWorld, most) {
+  const applied = appliedVersions(this.balancerSite, 'entry-1').length;
+  assert.ok(applied - this.appliedBefore <= most, `applied ${applied}`);
+});
+
 When(
   'the store shows an older configuration without routes',
   function (this: StateWorld) {
--- a/features/steps/feed.steps.ts
+++ b/features/steps/feed.steps.ts
@@ -3,8 +3,11 @@
 import assert from 'node:assert/strict';
 import {once} from 'node:events';
 import {createServer, type Server} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {After, Given, Then, When} from '@cucumber/cucumber';
 import {
+  FEED_PATH,
+  feedSchema,
   FollowerRecordStore,
   FeedServer,
   RecordHistory,
@@ -63,11 +66,18 @@
   silent: Server | undefined;
   follower: Follower;
   third: Follower;
+  /** An entry that reads the store beside the feeder. */
+  reader: Follower;
+  readerAddress: string;
   /** Feeds of the followers. */
   further: FeedServer[];
   changed: string;
+  revisionBefore: number;
 }
 
+/** Longer than the long poll of a follower at its feeder. */
+const FEED_ROUND_MS = 800;
+
 Given('a store with a record', function (this: FeedWorld) {
   this.stores = {
     feeder: new MemoryRecordStore(),
@@ -121,7 +131,30 @@
   },
 );
 
+Given(
+  'an entry that reads the store whose watches are never answered',
+  async function (this: FeedWorld) {
+    this.reader = createFollower(this.stores.third, 'none', []);
+    this.reader.view.start();
+    const {history} = this.reader.believer;
+    await eventually('it reads', () => history.revision > 0);
+    this.stores.third.fault = 'silent-watches';
+    // The watch that is open ends with this change.
+    write(this, 'last seen');
+    this.readerAddress = await feedFrom(this, this.reader);
+  },
+);
+
+Given(
+  'reads of the store that may be old are {int} ms old',
+  function (this: FeedWorld, staleMs: number) {
+    this.stores.third.staleMs = staleMs;
+  },
+);
+
 After(async function (this: Partial<FeedWorld>) {
+  this.reader?.view.stop();
+  await this.reader?.fed.close();
   for (const feed of this.further ?? []) {
     feed.close();
   }
@@ -166,6 +199,90 @@
   },
 );
 
+When('the feeder stops reading but feeds on', function (this: FeedWorld) {
+  this.feederView.stop();
+});
+
+When(
+  'the follower reads the store while the record changes',
+  async function (this: FeedWorld) {
+    this.follower.feedAddresses = [];
+    await sleep(FEED_ROUND_MS);
+    write(this, 'changed');
+    const {believer} = this.follower;
+    const isKnown = () => believer.value === 'changed';
+    await eventually('the change is known', isKnown);
+    // The next watch begins after a pause.
+    await sleep(FEED_ROUND_MS);
+  },
+);
+
+When(
+  'the store loses its history while the follower turns to the feeder',
+  async function (this: FeedWorld) {
+    const {follower} = this.stores;
+    follower.fault = 'history-lost';
+    this.follower.feedAddresses = [this.feedAddress];
+    follower.set('servers/other', 'ends the watch that waits');
+    await sleep(FEED_ROUND_MS);
+  },
+);
+
+When(
+  'the record changes {int} times in a burst',
+  async function (this: FeedWorld, times: number) {
+    this.revisionBefore = this.feeder.history.revision;
+    for (let change = 0; change < times; change++) {
+      write(this, `version ${change}`);
+    }
+    await eventually('the feeder knows', () => {
+      return this.feeder.value === this.changed;
+    });
+  },
+);
+
+Then(
+  'a follower from before it is sent one change',
+  async function (this: FeedWorld) {
+    const path = `${FEED_PATH}?after=${this.revisionBefore}&waitMs=0`;
+    const answer = await fetch(`http://${this.feedAddress}${path}`);
+    const {changes} = feedSchema.parse(await answer.json());
+    assert.equal(changes.length, 1);
+    assert.equal(
+      Buffer.from(changes[0].value ?? '', 'base64').toString('utf8'),
+      this.changed,
+    );
+  },
+);
+
+Then(
+  'its follower still knows of it after {int} ms',
+  async function (this: FeedWorld, milliseconds: number) {
+    await sleep(milliseconds);
+    assert.equal(this.follower.believer.value, this.changed);
+  },
+);
+
+Then(
+  'its follower tells its own followers the revision of the store',
+  async function (this: FeedWorld) {
+    const {revision} = (await this.stores.follower.readAll()).unwrap();
+    const {history} = this.follower.believer;
+    assert.equal(history.revision, revision);
+    assert.equal(history.read(KEY)?.toString('utf8'), this.changed);
+  },
+);
+
+Then(
+  'that entry feeds nothing after {int} ms',
+  async function (this: FeedWorld, milliseconds: number) {
+    await sleep(milliseconds);
+    const url = `http://${this.readerAddress}${FEED_PATH}`;
+    const {status} = await fetch(url);
+    assert.equal(status, 503);
+  },
+);
+
 Then(
   /^(its follower|the third entry) knows of it within (\d+) ms$/,
   async function (this: FeedWorld, which: string, limitMs: string) {
--- a/features/support/balancer-site.ts
+++ b/features/support/balancer-site.ts
@@ -117,6 +117,11 @@
     return this.#entries.length;
   }
 
+  /** Version of the configuration that was written last. */
+  get version(): number {
+    return this.#version;
+  }
+
   /** Where callers reach the entries that run. */
   get addresses(): readonly string[] {
     return this.#entries.map(({ports}) => `127.0.0.1:${ports[0]}`);
--- a/features/support/memory-record-store.ts
+++ b/features/support/memory-record-store.ts
@@ -17,6 +17,8 @@
   /** Calls are taken and never answered. */
   | 'swallowing'
   | 'silent-watch'
+  /** No watch is answered, on new connections either; all other calls work. */
+  | 'silent-watches'
   /** One watch is cut; all other calls work. */
   | 'cut-watch'
   /** Writes are done and answered late. */
@@ -28,13 +30,20 @@
 
 const UNAVAILABLE = {kind: 'unavailable', message: 'down'} as const;
 
+/** A change, and when it was made. */
+interface StoredChange extends RecordChange {
+  readonly atMs: number;
+}
+
 /** The store. */
 export class MemoryRecordStore extends RecordStore {
   fault: StoreFault = 'none';
+  /** Age of reads that may be old, in milliseconds. */
+  staleMs = 0;
   /** Calls that were made, by name. */
   readonly calls = new Map<string, number>();
   readonly #records = new Map<string, Buffer>();
-  readonly #events: RecordChange[] = [];
+  readonly #events: StoredChange[] = [];
   readonly #leases = new Map<number, string[]>();
   readonly #waiting = new Set<() => void>();
   #revision = 1;
@@ -50,18 +59,25 @@
     } else {
       this.#records.set(key, bytes);
     }
-    this.#events.push({key, value: bytes, revision: this.#revision});
+    const atMs = performance.now();
+    this.#events.push({key, value: bytes, revision: this.#revision, atMs});
     for (const wake of [...this.#waiting]) {
       wake();
     }
   }
 
+  get #isHistoryLost(): boolean {
+    return this.fault === 'history-lost';
+  }
+
   /** Keys that stand now. */
   get keys(): readonly string[] {
     return [...this.#records.keys()];
   }
 
-  override async readAll(): Promise<Result<RecordChanges, RecordStoreError>> {
+  override async readAll(
+    mayBeOld = false,
+  ): Promise<Result<RecordChanges, RecordStoreError>> {
     this.#count('read-all');
     if (this.fault === 'down') {
       return Err(UNAVAILABLE);
@@ -69,6 +85,9 @@
     if (this.fault === 'history-lost') {
       this.fault = 'none';
     }
+    if (mayBeOld && this.staleMs > 0) {
+      return Ok(this.#readOld());
+    }
     const changes = [...this.#records].map(([key, value]) => ({
       key,
       value,
@@ -86,7 +105,7 @@
     if (this.fault === 'down') {
       return Err(UNAVAILABLE);
     }
-    if (this.fault === 'history-lost') {
+    if (this.#isHistoryLost) {
       return Err({kind: 'history-lost', message: 'compacted'});
     }
     if (this.fault === 'cut-watch') {
@@ -94,7 +113,9 @@
       return Err({kind: 'unavailable', message: 'cut'});
     }
     const isSilent =
-      this.fault === 'silent-watch' || this.fault === 'swallowing';
+      this.fault === 'silent-watch' ||
+      this.fault === 'silent-watches' ||
+      this.fault === 'swallowing';
     if (this.fault === 'silent-watch') {
       // Only connections that are open go silent; new ones work.
       this.fault = 'none';
@@ -105,16 +126,23 @@
     if (signal.aborted) {
       return Err({kind: 'unavailable', message: 'aborted'});
     }
+    if (this.#isHistoryLost) {
+      return Err({kind: 'history-lost', message: 'compacted'});
+    }
     const changes = this.#events.filter(
       ({revision}) => revision > afterRevision,
     );
     return Ok({changes, revision: this.#revision});
   }
 
-  override async readRevision(): Promise<Result<number, RecordStoreError>> {
+  override async readRevision(
+    mayBeOld = true,
+  ): Promise<Result<number, RecordStoreError>> {
     this.#count('read-revision');
-    const isAway = this.fault === 'down' || this.fault === 'swallowing';
-    return isAway ? Err(UNAVAILABLE) : Ok(this.#revision);
+    if (this.fault === 'down' || this.fault === 'swallowing') {
+      return Err(UNAVAILABLE);
+    }
+    return Ok(mayBeOld ? this.#readOld().revision : this.#revision);
   }
 
   override async put(
@@ -173,6 +201,15 @@
 
   override async close(): Promise<void> {}
 
+  /** The records as they stood `staleMs` ago. */
+  #readOld(): RecordChanges {
+    const latestMs = performance.now() - this.staleMs;
+    const known = this.#events.filter(({atMs}) => atMs <= latestMs);
+    const records = new Map(known.map(change => [change.key, change]));
+    const changes = [...records.values()].filter(({value}) => value);
+    return {changes, revision: known.at(-1)?.revision ?? 1};
+  }
+
   #hasNews(afterRevision: number): boolean {
     return this.#events.some(({revision}) => revision > afterRevision);
   }
--- a/packages/balancer/src/index.ts
+++ b/packages/balancer/src/index.ts
@@ -6,6 +6,7 @@
 export * from './exchange/wire-protocol.js';
 export * from './feed/entry-client.js';
 export * from './feed/follower-record-store.js';
+export * from './feed/feed-messages.js';
 export * from './feed/feed-server.js';
 export * from './feed/record-history.js';
 export * from './members/entry-record.js';
