fix(balancer): an entry takes nothing back from a feeder that is behind it

What callers saw: requests that reached an upstream that had said it leaves, and a configuration that came back older.

Cause: after a lost history an entry reads all records from its feeder and took them as they were, also where the feeder had not yet read what the entry knew. RecordHistory kept the higher revision beside the older records, so that its own followers missed the changes between. A feeder that stands still behind its follower was followed for as long as it answered.

FollowerRecordStore now knows the revision up to which it has read. It takes no complete read below it from another entry, and reads the store in its place. Below it a watch brings no changes and confirms nothing; the feeder is left once the records are older than an entry may feed. RecordHistory tells the revision that its records have, and an older announcement of an entry replaces no newer one. A complete read from the store itself replaces all, as before: only the store may go back.

New: the log line feeder.behind, the revision in configuration.applied, and the gauge wasabidyke_records_revision.

--- a/packages/balancer/src/balancer-gauges.ts
+++ b/packages/balancer/src/balancer-gauges.ts
@@ -35,6 +35,11 @@
     'Time since the store itself told that no record is missing, over all entries in between.',
     () => store.ageMs / 1_000,
   );
+  metrics.gauge(
+    'wasabidyke_records_revision',
+    'Store revision up to which all records were read.',
+    () => store.revision,
+  );
   metrics.gauge(
     'wasabidyke_reads_store',
     'Whether this entry reads the store itself (1) or follows another one (0).',
--- a/packages/balancer/src/cluster-state.ts
+++ b/packages/balancer/src/cluster-state.ts
@@ -8,10 +8,9 @@
 import {UpstreamRoster} from './members/upstream-roster.js';
 import type {UpstreamRegistry} from './members/upstream-registry.js';
 import type {DecisionLog} from './reporting/decision-log.js';
-import type {RoutingConfiguration} from './routing/routing-configuration.js';
 import {RoutingTable} from './routing/routing-table.js';
 import {ENTRY_KEY_PREFIX} from './store/entry-announcer.js';
-import type {RecordDecoder} from './store/record-decoder.js';
+import type {DecodedRecord, RecordDecoder} from './store/record-decoder.js';
 import type {
   RecordChange,
   RecordChanges,
@@ -91,7 +90,7 @@
     const decoded = this.#options.decoder.decode(key, value);
     switch (decoded.kind) {
       case 'configuration':
-        this.#onConfiguration(decoded.configuration, decoded.problem);
+        this.#onConfiguration(decoded, change.revision);
         return;
       case 'upstream':
         this.#onUpstream(decoded, mayReappear);
@@ -142,13 +141,14 @@
   }
 
   #onConfiguration(
-    configuration: RoutingConfiguration | undefined,
-    problem: string | undefined,
+    {configuration, problem}: Extract<DecodedRecord, {kind: 'configuration'}>,
+    revision: number,
   ): void {
     const currentVersion = this.#table?.version ?? -1;
     if (configuration === undefined) {
       this.#options.log.record('configuration.unreadable', {
         version: currentVersion,
+        revision,
         cause: problem,
       });
       return;
@@ -160,13 +160,14 @@
     this.#options.log.record('configuration.applied', {
       version: configuration.version,
       formerVersion: currentVersion,
+      revision,
       routes: configuration.routes.length,
     });
     this.#options.onTable(this.#table);
   }
 
   #onUpstream(
-    decoded: Extract<ReturnType<RecordDecoder['decode']>, {kind: 'upstream'}>,
+    decoded: Extract<DecodedRecord, {kind: 'upstream'}>,
     mayReappear: boolean,
   ): void {
     if (decoded.record !== undefined) {
--- a/packages/balancer/src/feed/follower-record-store.ts
+++ b/packages/balancer/src/feed/follower-record-store.ts
@@ -18,7 +18,13 @@
   type RecordLease,
   type RecordStoreError,
 } from '../store/record-store.js';
-import {FEED_PATH, feedSchema, toRecordChanges} from './feed-messages.js';
+import {
+  FEED_PATH,
+  feedSchema,
+  MAXIMUM_FEED_AGE_MS,
+  toRecordChanges,
+} from './feed-messages.js';
+import {RecordFreshness} from './record-freshness.js';
 
 /** Constructor options. */
 export interface FollowerRecordStoreOptions {
@@ -66,6 +72,12 @@
 /** Status of a feeder that no longer keeps the changes after the requested revision. */
 const HISTORY_LOST_STATUS = 410;
 
+/** Records from a feeder. */
+interface FedChanges extends RecordChanges {
+  /** When the store confirmed them. */
+  readonly confirmedAtMs: number;
+}
+
 interface Feeder {
   readonly name: string;
   readonly pool: Pool;
@@ -79,7 +91,9 @@
   #directEndsAtMs = -Infinity;
   #isDirect = true;
   #source: string | undefined;
-  #confirmedAtMs = -Infinity;
+  readonly #freshness = new RecordFreshness();
+  /** Name of the feeder that was found to be behind this entry. */
+  #feederBehind: string | undefined;
   readonly #createdAtMs: number;
 
   constructor(options: FollowerRecordStoreOptions) {
@@ -95,23 +109,38 @@
 
   /** Time since the store itself last confirmed that no record is missing, including delays at the entries in between, in milliseconds. */
   get ageMs(): number {
-    return this.#options.clock.now() - this.#confirmedAtMs;
+    return this.#freshness.ageMs(this.#options.clock.now());
+  }
+
+  /** Store revision up to which all records were read; 0 before the first read. */
+  get revision(): number {
+    return this.#freshness.revision;
   }
 
+  /** Never returns less than was read before, unless the store itself holds less. */
   override async readAll(
     mayBeOld: boolean,
   ): Promise<Result<RecordChanges, RecordStoreError>> {
     const feeder = this.#selectFeeder();
     if (feeder !== undefined) {
       const fed = await this.#fetch(feeder, FEED_PATH, RESPONSE_MARGIN_MS);
-      if (fed.isOk()) {
+      if (fed.isErr()) {
+        this.#onFeederFailure(feeder, fed.error);
+      } else if (this.#freshness.isBehind(fed.value.revision)) {
+        this.#onFeederBehind(feeder, fed.value.revision);
+      } else {
+        const {revision, confirmedAtMs} = fed.value;
+        this.#freshness.onCompleteRead(revision, confirmedAtMs);
         return fed;
       }
-      this.#onFeederFailure(feeder, fed.error);
     }
     this.#isDirect = true;
     const read = await this.#options.store.readAll(mayBeOld);
-    return mayBeOld ? read : this.#confirmOnSuccess(read);
+    if (read.isOk()) {
+      const confirmedAtMs = mayBeOld ? -Infinity : this.#options.clock.now();
+      this.#freshness.onCompleteRead(read.value.revision, confirmedAtMs);
+    }
+    return read;
   }
 
   override async watch(
@@ -144,9 +173,16 @@
       return this.#poll(afterRevision);
     }
     const limitMs = Math.min(waitMs, this.#remainingDirectMs());
-    return this.#confirmOnSuccess(
-      await this.#options.store.watch(afterRevision, limitMs, signal),
+    const watched = await this.#options.store.watch(
+      afterRevision,
+      limitMs,
+      signal,
     );
+    if (watched.isOk()) {
+      const {revision} = watched.value;
+      this.#freshness.onChanges(revision, this.#options.clock.now());
+    }
+    return watched;
   }
 
   /** @param feeder Name of the entry that changes are read from; undefined for the store. */
@@ -168,15 +204,6 @@
     return feeders().length > 0 && ageMs < STARTUP_POLLING_MS;
   }
 
-  #confirmOnSuccess<Value>(
-    result: Result<Value, RecordStoreError>,
-  ): Result<Value, RecordStoreError> {
-    if (result.isOk()) {
-      this.#confirmedAtMs = this.#options.clock.now();
-    }
-    return result;
-  }
-
   /** Reads records that may be stale. The revision stays unchanged, so that a later watch also returns deletions. */
   async #poll(
     afterRevision: number,
@@ -195,7 +222,13 @@
   }
 
   override async readRevision(): Promise<Result<number, RecordStoreError>> {
-    return this.#confirmOnSuccess(await this.#options.store.readRevision());
+    const {clock, store} = this.#options;
+    const askedAtMs = clock.now();
+    const read = await store.readRevision();
+    if (read.isOk()) {
+      this.#freshness.onAnswer(askedAtMs);
+    }
+    return read;
   }
 
   override put(
@@ -263,19 +296,46 @@
     return this.#feeder;
   }
 
-  #watchFeeder(
+  /** Returns no changes while the feeder is behind this entry, and fails once the records are too old to wait for it. */
+  async #watchFeeder(
     feeder: Feeder,
     afterRevision: number,
   ): Promise<Result<RecordChanges, RecordStoreError>> {
     const path = `${FEED_PATH}?after=${afterRevision}&waitMs=${FEED_WAIT_MS}`;
-    return this.#fetch(feeder, path, FEED_WAIT_MS + RESPONSE_MARGIN_MS);
+    const timeoutMs = FEED_WAIT_MS + RESPONSE_MARGIN_MS;
+    const fed = await this.#fetch(feeder, path, timeoutMs);
+    if (fed.isErr()) {
+      return fed;
+    }
+    const {revision, confirmedAtMs} = fed.value;
+    if (revision >= afterRevision) {
+      this.#feederBehind = undefined;
+      this.#freshness.onChanges(revision, confirmedAtMs);
+      return fed;
+    }
+    this.#onFeederBehind(feeder, revision);
+    return this.ageMs > MAXIMUM_FEED_AGE_MS
+      ? unavailable(`feeder is at ${revision}, behind ${afterRevision}`)
+      : Ok({changes: [], revision: afterRevision});
+  }
+
+  #onFeederBehind({name}: Feeder, revision: number): void {
+    if (this.#feederBehind !== name) {
+      this.#feederBehind = name;
+      this.#options.log.record('feeder.behind', {
+        feeder: name,
+        feederRevision: revision,
+        revision: this.#freshness.revision,
+        ageMs: Math.round(this.ageMs),
+      });
+    }
   }
 
   async #fetch(
     {pool}: Feeder,
     path: string,
     timeoutMs: number,
-  ): Promise<Result<RecordChanges, RecordStoreError>> {
+  ): Promise<Result<FedChanges, RecordStoreError>> {
     try {
       const signal = AbortSignal.timeout(timeoutMs);
       const response = await pool.request({method: 'GET', path, signal});
@@ -295,8 +355,8 @@
       if (!parsed.success) {
         return unavailable(parsed.error.message);
       }
-      this.#confirmedAtMs = this.#options.clock.now() - parsed.data.ageMs;
-      return Ok(toRecordChanges(parsed.data));
+      const confirmedAtMs = this.#options.clock.now() - parsed.data.ageMs;
+      return Ok({...toRecordChanges(parsed.data), confirmedAtMs});
     } catch (error) {
       return unavailable(String(error));
     }
--- a/packages/balancer/src/feed/record-history.ts
+++ b/packages/balancer/src/feed/record-history.ts
@@ -25,6 +25,7 @@
       this.#records.clear();
       this.#changes = [];
       this.#completeAfterRevision = read.revision;
+      this.#revision = read.revision;
     }
     for (const change of read.changes) {
       this.#applyChange(change);
@@ -86,7 +87,12 @@
     });
   }
 
+  /** A read that may be old can follow a newer one while an entry starts. */
   #applyChange(change: RecordChange): void {
+    const known = this.#records.get(change.key);
+    if (known !== undefined && known.revision > change.revision) {
+      return;
+    }
     if (change.value === undefined) {
       this.#records.delete(change.key);
     } else {
--- a/packages/balancer/src/members/entry-roster.ts
+++ b/packages/balancer/src/members/entry-roster.ts
@@ -106,6 +106,10 @@
 
   /** Adds or updates an entry. @param revision Store revision of its announcement. */
   onRecord(record: EntryRecord, revision: number): void {
+    const known = this.#members.get(record.name);
+    if (known !== undefined && known.revision > revision) {
+      return;
+    }
     this.#liveness.onAnnounced(record.name, record.sequence ?? 0);
     this.#members.set(record.name, {record, revision, removeAtMs: undefined});
   }
