fix(balancer): records count as fresh by what the store has seen, not by when it answered

What callers saw: entries served old records long after the store had acknowledged a change, though each of them said that its records were fresh.

Cause: a read of the store's revision confirmed the records whatever it said: also when it named a later revision than the entry had read, and when the read itself was older than the records. An entry whose watch was stuck fed others on.

RecordFreshness compares the revisions. A read that names a later one confirms nothing; one that is older than the records is repeated with a read that isn't old, so that entries whose watch works feed on while cheap reads are behind. The age counts from when the read was sent.

A read of the revision that is old by chance and names the same revision still confirms: that can't be told.

--- a/features/balancer/feed.feature
+++ b/features/balancer/feed.feature
@@ -63,6 +63,13 @@
     When the record changes
     Then that entry feeds nothing after 2500 ms
 
+  # Guards against entries that all leave their feeder for the store because cheap reads are old for a while.
+  Scenario: An entry whose watch works feeds on beside old reads of the revision
+    Given an entry that reads the store
+    And reads of the store that may be old are 60000 ms old
+    When the record changes
+    Then that entry feeds the record after 2500 ms
+
   # Guards against a burst that takes so long to send that followers leave their feeder for the store.
   Scenario: A follower is sent the last version of each record of a burst
     When the record changes 200 times in a burst
--- a/features/steps/feed.steps.ts
+++ b/features/steps/feed.steps.ts
@@ -132,15 +132,17 @@
 );
 
 Given(
-  'an entry that reads the store whose watches are never answered',
-  async function (this: FeedWorld) {
+  /^an entry that reads the store( whose watches are never answered)?$/,
+  async function (this: FeedWorld, isSilent: string | null) {
     this.reader = createFollower(this.stores.third, 'none', []);
     this.reader.view.start();
     const {history} = this.reader.believer;
     await eventually('it reads', () => history.revision > 0);
-    this.stores.third.fault = 'silent-watches';
-    // The watch that is open ends with this change.
-    write(this, 'last seen');
+    if (isSilent !== null) {
+      this.stores.third.fault = 'silent-watches';
+      // The watch that is open ends with this change.
+      write(this, 'last seen');
+    }
     this.readerAddress = await feedFrom(this, this.reader);
   },
 );
@@ -277,12 +279,22 @@
   'that entry feeds nothing after {int} ms',
   async function (this: FeedWorld, milliseconds: number) {
     await sleep(milliseconds);
-    const url = `http://${this.readerAddress}${FEED_PATH}`;
-    const {status} = await fetch(url);
+    const {status} = await fetch(`http://${this.readerAddress}${FEED_PATH}`);
     assert.equal(status, 503);
   },
 );
 
+Then(
+  'that entry feeds the record after {int} ms',
+  async function (this: FeedWorld, milliseconds: number) {
+    await sleep(milliseconds);
+    const answer = await fetch(`http://${this.readerAddress}${FEED_PATH}`);
+    const {changes} = feedSchema.parse(await answer.json());
+    const value = changes.find(({key}) => key === KEY)?.value ?? '';
+    assert.equal(Buffer.from(value, 'base64').toString(), this.changed);
+  },
+);
+
 Then(
   /^(its follower|the third entry) knows of it within (\d+) ms$/,
   async function (this: FeedWorld, which: string, limitMs: string) {
--- a/packages/balancer/src/feed/follower-record-store.ts
+++ b/packages/balancer/src/feed/follower-record-store.ts
@@ -221,14 +221,18 @@
     return this.#isDirect && !this.#isStarting;
   }
 
-  override async readRevision(): Promise<Result<number, RecordStoreError>> {
+  /** Confirms the records if none is missing. A read that is older than they are is repeated with one that isn't. */
+  override async readRevision(
+    mayBeOld: boolean,
+  ): Promise<Result<number, RecordStoreError>> {
     const {clock, store} = this.#options;
     const askedAtMs = clock.now();
-    const read = await store.readRevision();
-    if (read.isOk()) {
-      this.#freshness.onAnswer(askedAtMs);
+    const read = await store.readRevision(mayBeOld);
+    if (read.isErr()) {
+      return read;
     }
-    return read;
+    const comparison = this.#freshness.onRevision(read.value, askedAtMs);
+    return comparison === 'old' && mayBeOld ? this.readRevision(false) : read;
   }
 
   override put(
--- a/packages/balancer/src/feed/record-freshness.ts
+++ b/packages/balancer/src/feed/record-freshness.ts
@@ -4,6 +4,15 @@
  * that it has seen, not by the time at which it answered.
  */
 
+/** What a read of the store's revision says of the records. */
+export type RevisionComparison =
+  /** No record is missing. */
+  | 'current'
+  /** The store holds later records. */
+  | 'missing'
+  /** The read is older than the records. */
+  | 'old';
+
 /** Tracks the revision of the records and their age. */
 export class RecordFreshness {
   #revision = 0;
@@ -36,9 +45,16 @@
     this.#confirm(confirmedAtMs);
   }
 
-  /** Records an answer of the store to a read of its revision. */
-  onAnswer(atMs: number): void {
-    this.#confirm(atMs);
+  /** Compares the records with a read of the store's revision. @param askedAtMs When the read was sent. */
+  onRevision(revision: number, askedAtMs: number): RevisionComparison {
+    if (revision < this.#revision) {
+      return 'old';
+    }
+    if (revision > this.#revision) {
+      return 'missing';
+    }
+    this.#confirm(askedAtMs);
+    return 'current';
   }
 
   #confirm(atMs: number): void {
--- a/packages/balancer/src/store/record-store.ts
+++ b/packages/balancer/src/store/record-store.ts
@@ -53,8 +53,13 @@
     signal: AbortSignal,
   ): Promise<Result<RecordChanges, RecordStoreError>>;
 
-  /** Reads the store revision, which may be seconds old, with the cheapest call. */
-  abstract readRevision(): Promise<Result<number, RecordStoreError>>;
+  /**
+   * Reads the store revision.
+   * @param mayBeOld Whether it may be seconds old, which costs a fraction.
+   */
+  abstract readRevision(
+    mayBeOld: boolean,
+  ): Promise<Result<number, RecordStoreError>>;
 
   /** Writes a record; overwrites an existing one. */
   abstract put(
--- a/packages/balancer/src/store/store-watcher.ts
+++ b/packages/balancer/src/store/store-watcher.ts
@@ -190,7 +190,7 @@
       if (knownRevision === undefined || this.#isStopped || !isWatchBilled) {
         continue;
       }
-      const read = await this.#options.store.readRevision();
+      const read = await this.#options.store.readRevision(true);
       if (read.isErr()) {
         this.#onStoreFailure(read.error);
         this.#watchAbort.abort();
