perf(balancer): followers are sent the last version of each record of a burst

What callers saw: a configuration that was late while many came in quick succession.

Cause: the history kept up to 512 changes, all versions of the same record, and sent each of them.

A change that a later one replaces is no longer kept. The last value before a deletion is: it may say that an upstream leaves.

--- a/packages/balancer/src/feed/record-history.ts
+++ b/packages/balancer/src/feed/record-history.ts
@@ -1,6 +1,10 @@
 /** Records that this entry has read and their latest changes, for its followers. */
 
-import type {RecordChange, RecordChanges} from '../store/record-store.js';
+import {
+  withoutReplaced,
+  type RecordChange,
+  type RecordChanges,
+} from '../store/record-store.js';
 
 /** Maximum number of changes kept. A follower that missed more reads all records. */
 const MAXIMUM_CHANGES = 512;
@@ -27,22 +31,23 @@
       this.#completeAfterRevision = read.revision;
       this.#revision = read.revision;
     }
-    for (const change of read.changes) {
-      this.#applyChange(change);
-      if (!isComplete) {
-        this.#changes.push(change);
-      }
+    read.changes.forEach(change => this.#applyChange(change));
+    if (!isComplete) {
+      this.#remember(read.changes);
     }
-    const surplus = this.#changes.splice(
-      0,
-      this.#changes.length - MAXIMUM_CHANGES,
-    );
+    this.#revision = Math.max(this.#revision, read.revision);
+    this.wakeWaiting();
+  }
+
+  /** Keeps the latest changes, of each record only those that none replaces. */
+  #remember(changes: readonly RecordChange[]): void {
+    const kept = [...withoutReplaced([...this.#changes, ...changes])];
+    const surplus = kept.splice(0, kept.length - MAXIMUM_CHANGES);
+    this.#changes = kept;
     this.#completeAfterRevision = Math.max(
       this.#completeAfterRevision,
       ...surplus.map(({revision}) => revision),
     );
-    this.#revision = Math.max(this.#revision, read.revision);
-    this.wakeWaiting();
   }
 
   /** The value of the record under a key; undefined if there is none. */
--- a/packages/balancer/src/store/record-store.ts
+++ b/packages/balancer/src/store/record-store.ts
@@ -19,6 +19,26 @@
   readonly revision: number;
 }
 
+/**
+ * Leaves out the changes that a later one in the list replaces. The last value
+ * before a deletion stays: it may say that an upstream was leaving.
+ */
+export function withoutReplaced(
+  changes: readonly RecordChange[],
+): readonly RecordChange[] {
+  const replaced = new Set<string>();
+  const kept: RecordChange[] = [];
+  for (const change of [...changes].reverse()) {
+    if (!replaced.has(change.key)) {
+      kept.push(change);
+    }
+    if (change.value !== undefined) {
+      replaced.add(change.key);
+    }
+  }
+  return kept.reverse();
+}
+
 /** Changes up to a store revision. */
 export interface RecordChanges {
   readonly changes: readonly RecordChange[];
