perf(balancer): of a burst of configurations an entry applies the last one it has read

What callers saw: the same as with followers that are sent whole bursts: a late configuration, and entries that are busy with versions nobody needs.

Cause: each version that was read was decoded, checked and made into tables, in order, before the newest.

StoreWatcher leaves out what a later change of the same read replaces.

The last version is in force as soon as it was before: after the pause that follows each read.

--- a/packages/balancer/src/store/store-watcher.ts
+++ b/packages/balancer/src/store/store-watcher.ts
@@ -7,11 +7,12 @@
 
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Backoff, type Clock, type Result} from '@wasabidyke/shared';
-import type {
-  RecordChange,
-  RecordChanges,
-  RecordStore,
-  RecordStoreError,
+import {
+  withoutReplaced,
+  type RecordChange,
+  type RecordChanges,
+  type RecordStore,
+  type RecordStoreError,
 } from './record-store.js';
 
 /** Called with the records and the state of the store. */
@@ -160,8 +161,8 @@
   }
 
   #applyChanges(read: RecordChanges): void {
-    const {changes} = read;
-    this.#options.listener.onRead(read, false);
+    const changes = withoutReplaced(read.changes);
+    this.#options.listener.onRead({...read, changes}, false);
     const mayReappear = this.#mayReappear();
     for (const change of changes) {
       this.#options.listener.onChange(change, mayReappear);
