fix(balancer): an entry that starts serves nothing older than the store had

What callers saw: an entry that had just started handled requests as only an older configuration allows, or used an upstream that had left.

Cause: the first read of all records is a cheap one, which may be seconds old, and the entry served with it. While no entry is announced it polled with such reads for up to 15 s.

A read of the revision that isn't old now goes beside the first one, so that it takes no more time. If a record is missing, all are read again. A poll that is older than what is known ends the polling. If the revision can't be read, the entry serves with what it has: callers are better off than with nothing. Price: one more read an entry and start.

The connection to a feeder moves to a file of its own.

--- /dev/null
+++ b/packages/balancer/src/feed/feeder-connection.ts
@@ -0,0 +1,92 @@
+/** Reads records from the entry that feeds this one, over HTTP. */
+
+import {Err, Ok, type Clock, type Result} from '@wasabidyke/shared';
+import {Pool} from 'undici';
+import type {RecordChanges, RecordStoreError} from '../store/record-store.js';
+import {FEED_PATH, feedSchema, toRecordChanges} from './feed-messages.js';
+
+/** Records from a feeder. */
+export interface FedChanges extends RecordChanges {
+  /** When the store confirmed that none is missing, on the monotonic clock in milliseconds. */
+  readonly confirmedAtMs: number;
+}
+
+/** Long-poll time of a request to a feeder, in milliseconds. Source: two in a chain plus the interval between revision reads stay within `MAXIMUM_FEED_AGE_MS`. */
+const FEED_WAIT_MS = 500;
+
+/** Time for a feeder's response beyond the long-poll time, in milliseconds. */
+const RESPONSE_MARGIN_MS = 250;
+
+/** Time to open a connection to a feeder, in milliseconds: several round trips between regions. */
+const CONNECT_TIMEOUT_MS = 200;
+
+/** Status of a feeder that no longer keeps the changes after the requested revision. */
+const HISTORY_LOST_STATUS = 410;
+
+/** A connection to one feeder. */
+export class FeederConnection {
+  readonly name: string;
+  readonly #pool: Pool;
+  readonly #clock: Clock;
+
+  /** @param address IP address and port at which the feeder serves records. */
+  constructor(name: string, address: string, clock: Clock) {
+    this.name = name;
+    this.#clock = clock;
+    this.#pool = new Pool(`http://${address}`, {
+      connections: 1,
+      pipelining: 1,
+      connect: {timeout: CONNECT_TIMEOUT_MS},
+    });
+  }
+
+  /** Reads all records that the feeder has. */
+  readAll(): Promise<Result<FedChanges, RecordStoreError>> {
+    return this.#fetch(FEED_PATH, RESPONSE_MARGIN_MS);
+  }
+
+  /** Waits for changes after a revision. */
+  watch(afterRevision: number): Promise<Result<FedChanges, RecordStoreError>> {
+    const path = `${FEED_PATH}?after=${afterRevision}&waitMs=${FEED_WAIT_MS}`;
+    return this.#fetch(path, FEED_WAIT_MS + RESPONSE_MARGIN_MS);
+  }
+
+  /** Closes the connection; requests in flight fail. */
+  close(): void {
+    this.#pool.destroy().catch(() => {});
+  }
+
+  async #fetch(
+    path: string,
+    timeoutMs: number,
+  ): Promise<Result<FedChanges, RecordStoreError>> {
+    try {
+      const signal = AbortSignal.timeout(timeoutMs);
+      const response = await this.#pool.request({method: 'GET', path, signal});
+      const text = await response.body.text();
+      if (response.statusCode === HISTORY_LOST_STATUS) {
+        return Err({
+          kind: 'history-lost',
+          message: 'the feeder no longer keeps the requested changes',
+        });
+      }
+      if (response.statusCode !== 200) {
+        return unavailable(
+          `feeder responded with status ${response.statusCode}`,
+        );
+      }
+      const parsed = feedSchema.safeParse(JSON.parse(text));
+      if (!parsed.success) {
+        return unavailable(parsed.error.message);
+      }
+      const confirmedAtMs = this.#clock.now() - parsed.data.ageMs;
+      return Ok({...toRecordChanges(parsed.data), confirmedAtMs});
+    } catch (error) {
+      return unavailable(String(error));
+    }
+  }
+}
+
+function unavailable(message: string): Result<never, RecordStoreError> {
+  return Err({kind: 'unavailable', message});
+}
--- a/packages/balancer/src/feed/follower-record-store.ts
+++ b/packages/balancer/src/feed/follower-record-store.ts
@@ -9,7 +9,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {RandomSource} from '@wasabidyke/policy';
 import {Err, Ok, type Clock, type Result} from '@wasabidyke/shared';
-import {Pool} from 'undici';
 import type {EntryRecord} from '../members/entry-record.js';
 import type {DecisionLog} from '../reporting/decision-log.js';
 import {
@@ -18,12 +17,8 @@
   type RecordLease,
   type RecordStoreError,
 } from '../store/record-store.js';
-import {
-  FEED_PATH,
-  feedSchema,
-  MAXIMUM_FEED_AGE_MS,
-  toRecordChanges,
-} from './feed-messages.js';
+import {MAXIMUM_FEED_AGE_MS} from './feed-messages.js';
+import {FeederConnection} from './feeder-connection.js';
 import {RecordFreshness} from './record-freshness.js';
 
 /** Constructor options. */
@@ -38,15 +33,6 @@
   readonly log: DecisionLog;
 }
 
-/** Long-poll time of a request to a feeder, in milliseconds. Source: two in a chain plus the interval between revision reads stay within `MAXIMUM_FEED_AGE_MS`. */
-const FEED_WAIT_MS = 500;
-
-/** Time for a feeder's response beyond the long-poll time, in milliseconds. */
-const RESPONSE_MARGIN_MS = 250;
-
-/** Time to open a connection to a feeder, in milliseconds: several round trips between regions. */
-const CONNECT_TIMEOUT_MS = 200;
-
 /** Minimum time for which the store is read directly after a feeder failed, and the jitter added to it, in milliseconds. */
 const MINIMUM_DIRECT_MS = 1_000;
 const DIRECT_JITTER_MS = 1_000;
@@ -69,25 +55,11 @@
 /** A failure within this time leaves time to try another feeder, in milliseconds. */
 const QUICK_FAILURE_MS = 200;
 
-/** Status of a feeder that no longer keeps the changes after the requested revision. */
-const HISTORY_LOST_STATUS = 410;
-
-/** Records from a feeder. */
-interface FedChanges extends RecordChanges {
-  /** When the store confirmed them. */
-  readonly confirmedAtMs: number;
-}
-
-interface Feeder {
-  readonly name: string;
-  readonly pool: Pool;
-}
-
 /** A record store that reads changes from another entry where possible. */
 export class FollowerRecordStore extends RecordStore {
   readonly #options: FollowerRecordStoreOptions;
   readonly #cooldownEndsAtMs = new Map<string, number>();
-  #feeder: Feeder | undefined;
+  #feeder: FeederConnection | undefined;
   #directEndsAtMs = -Infinity;
   #isDirect = true;
   #source: string | undefined;
@@ -123,7 +95,7 @@
   ): Promise<Result<RecordChanges, RecordStoreError>> {
     const feeder = this.#selectFeeder();
     if (feeder !== undefined) {
-      const fed = await this.#fetch(feeder, FEED_PATH, RESPONSE_MARGIN_MS);
+      const fed = await feeder.readAll();
       if (fed.isErr()) {
         this.#onFeederFailure(feeder, fed.error);
       } else if (this.#freshness.isBehind(fed.value.revision)) {
@@ -135,10 +107,39 @@
       }
     }
     this.#isDirect = true;
-    const read = await this.#options.store.readAll(mayBeOld);
+    return mayBeOld ? this.#readAllCheaply() : this.#readAllFromStore();
+  }
+
+  /** Reads records that may be old, and the revision beside it. Reads all again if a record is missing. */
+  async #readAllCheaply(): Promise<Result<RecordChanges, RecordStoreError>> {
+    const {store, clock, log} = this.#options;
+    const askedAtMs = clock.now();
+    const [read, current] = await Promise.all([
+      store.readAll(true),
+      store.readRevision(false),
+    ]);
+    if (read.isErr()) {
+      return read;
+    }
+    const {revision} = read.value;
+    if (current.isErr()) {
+      // Callers are better served by records that may be old than by none.
+      this.#freshness.onCompleteRead(revision, -Infinity);
+      return read;
+    }
+    if (revision < current.value) {
+      log.record('records.old', {revision, storeRevision: current.value});
+      return this.#readAllFromStore();
+    }
+    this.#freshness.onCompleteRead(revision, askedAtMs);
+    return read;
+  }
+
+  async #readAllFromStore(): Promise<Result<RecordChanges, RecordStoreError>> {
+    const read = await this.#options.store.readAll(false);
     if (read.isOk()) {
-      const confirmedAtMs = mayBeOld ? -Infinity : this.#options.clock.now();
-      this.#freshness.onCompleteRead(read.value.revision, confirmedAtMs);
+      const {revision} = read.value;
+      this.#freshness.onCompleteRead(revision, this.#options.clock.now());
     }
     return read;
   }
@@ -169,8 +170,11 @@
       this.#bypassFeeders();
     }
     this.#setSource(undefined);
-    if (this.#isStarting) {
-      return this.#poll(afterRevision);
+    const polled = this.#isStarting
+      ? await this.#poll(afterRevision)
+      : undefined;
+    if (polled !== undefined) {
+      return polled;
     }
     const limitMs = Math.min(waitMs, this.#remainingDirectMs());
     const watched = await this.#options.store.watch(
@@ -204,12 +208,19 @@
     return feeders().length > 0 && ageMs < STARTUP_POLLING_MS;
   }
 
-  /** Reads records that may be stale. The revision stays unchanged, so that a later watch also returns deletions. */
+  /**
+   * Reads records that may be old; undefined if they are older than what is
+   * known. The revision stays unchanged, so that a later watch also returns
+   * deletions.
+   */
   async #poll(
     afterRevision: number,
-  ): Promise<Result<RecordChanges, RecordStoreError>> {
+  ): Promise<Result<RecordChanges, RecordStoreError> | undefined> {
     await sleep(POLL_INTERVAL_MS);
     const read = await this.#options.store.readAll(true);
+    if (read.isOk() && read.value.revision < afterRevision) {
+      return undefined;
+    }
     return read.map(({changes}) => ({
       changes: changes.filter(({revision}) => revision > afterRevision),
       revision: afterRevision,
@@ -262,12 +273,12 @@
   }
 
   override async close(): Promise<void> {
-    await this.#feeder?.pool.destroy();
+    this.#feeder?.close();
     await this.#options.store.close();
   }
 
   /** Returns the feeder to follow, or undefined when this entry reads the store itself. */
-  #selectFeeder(): Feeder | undefined {
+  #selectFeeder(): FeederConnection | undefined {
     const nowMs = this.#options.clock.now();
     if (nowMs < this.#directEndsAtMs) {
       return undefined;
@@ -286,28 +297,21 @@
     return remainingMs > 0 ? Math.ceil(remainingMs) : Infinity;
   }
 
-  #connect(name: string, address: string): Feeder {
+  #connect(name: string, address: string): FeederConnection {
     if (this.#feeder?.name === name) {
       return this.#feeder;
     }
-    this.#feeder?.pool.destroy().catch(() => {});
-    const pool = new Pool(`http://${address}`, {
-      connections: 1,
-      pipelining: 1,
-      connect: {timeout: CONNECT_TIMEOUT_MS},
-    });
-    this.#feeder = {name, pool};
+    this.#feeder?.close();
+    this.#feeder = new FeederConnection(name, address, this.#options.clock);
     return this.#feeder;
   }
 
   /** Returns no changes while the feeder is behind this entry, and fails once the records are too old to wait for it. */
   async #watchFeeder(
-    feeder: Feeder,
+    feeder: FeederConnection,
     afterRevision: number,
   ): Promise<Result<RecordChanges, RecordStoreError>> {
-    const path = `${FEED_PATH}?after=${afterRevision}&waitMs=${FEED_WAIT_MS}`;
-    const timeoutMs = FEED_WAIT_MS + RESPONSE_MARGIN_MS;
-    const fed = await this.#fetch(feeder, path, timeoutMs);
+    const fed = await feeder.watch(afterRevision);
     if (fed.isErr()) {
       return fed;
     }
@@ -319,11 +323,14 @@
     }
     this.#onFeederBehind(feeder, revision);
     return this.ageMs > MAXIMUM_FEED_AGE_MS
-      ? unavailable(`feeder is at ${revision}, behind ${afterRevision}`)
+      ? Err({
+          kind: 'unavailable',
+          message: `feeder is at revision ${revision}, behind ${afterRevision}`,
+        })
       : Ok({changes: [], revision: afterRevision});
   }
 
-  #onFeederBehind({name}: Feeder, revision: number): void {
+  #onFeederBehind({name}: FeederConnection, revision: number): void {
     if (this.#feederBehind !== name) {
       this.#feederBehind = name;
       this.#options.log.record('feeder.behind', {
@@ -335,42 +342,11 @@
     }
   }
 
-  async #fetch(
-    {pool}: Feeder,
-    path: string,
-    timeoutMs: number,
-  ): Promise<Result<FedChanges, RecordStoreError>> {
-    try {
-      const signal = AbortSignal.timeout(timeoutMs);
-      const response = await pool.request({method: 'GET', path, signal});
-      const text = await response.body.text();
-      if (response.statusCode === HISTORY_LOST_STATUS) {
-        return Err({
-          kind: 'history-lost',
-          message: 'the feeder no longer keeps the requested changes',
-        });
-      }
-      if (response.statusCode !== 200) {
-        return unavailable(
-          `feeder responded with status ${response.statusCode}`,
-        );
-      }
-      const parsed = feedSchema.safeParse(JSON.parse(text));
-      if (!parsed.success) {
-        return unavailable(parsed.error.message);
-      }
-      const confirmedAtMs = this.#options.clock.now() - parsed.data.ageMs;
-      return Ok({...toRecordChanges(parsed.data), confirmedAtMs});
-    } catch (error) {
-      return unavailable(String(error));
-    }
-  }
-
-  #onFeederFailure(feeder: Feeder, error: RecordStoreError): void {
+  #onFeederFailure(feeder: FeederConnection, error: RecordStoreError): void {
     const nowMs = this.#options.clock.now();
     this.#cooldownEndsAtMs.set(feeder.name, nowMs + FEEDER_COOLDOWN_MS);
     // Requests in flight end with the failure that is logged here.
-    feeder.pool.destroy().catch(() => {});
+    feeder.close();
     this.#feeder = undefined;
     this.#options.log.record('feeder.lost', {
       feeder: feeder.name,
@@ -385,7 +361,3 @@
     this.#directEndsAtMs = nowMs + MINIMUM_DIRECT_MS + jitterMs;
   }
 }
-
-function unavailable(message: string): Result<never, RecordStoreError> {
-  return Err({kind: 'unavailable', message});
-}
