fix(balancer): an entry follows one of the first landed build

What callers saw: nothing yet; read while looking for what builds side by side can't read of each other.

The age is optional. Records without one are taken, and aren't fed on.

Messages between entries and records in the store are kept as the landed builds wrote them, with what each of them needs; the scenarios run without the repository's history.

--- /dev/null
+++ b/features/support/recorded-messages.ts
@@ -0,0 +1,200 @@
+/**
+ * Messages between entries and records in the store, as builds that landed
+ * wrote them, and what these builds need to read them. A build reads what is
+ * written by each landed one, and the other way round.
+ */
+
+import {
+  entryRecordSchema,
+  feedSchema,
+  limitsSchema,
+  parseRequest,
+  parseSuspect,
+  serializeFeed,
+  serializeLimits,
+  serializeRequest,
+  serializeStatements,
+  serializeSuspect,
+  statementsSchema,
+  toSuspectKey,
+} from '@wasabidyke/balancer';
+import * as z from 'zod/mini';
+
+/** A message or record. */
+export type MessageName =
+  | 'feed'
+  | 'entry record'
+  | 'suspect record'
+  | 'statements'
+  | 'limits'
+  | 'relay request';
+
+const change = {key: 'servers/i-1', value: 'e30=', revision: 7};
+const feed = JSON.stringify({revision: 7, changes: [change]});
+const agedFeed = JSON.stringify({revision: 7, ageMs: 12, changes: [change]});
+const entry = {
+  name: 'entry-1',
+  address: '10.0.0.1:1',
+  feedAddress: '10.0.0.1:2',
+  region: 'home',
+  zone: 'home-a',
+};
+const suspect = {
+  fingerprint: 'f1',
+  reporter: 'entry-1',
+  sequence: 3,
+  crashes: [{upstream: 'i-1@5', caller: 'c', span: {fromMs: 1, toMs: 2}}],
+  isAnswered: false,
+};
+const statement = {
+  name: 'entry-1',
+  sequence: 5,
+  isUp: false,
+  reporter: 'entry-2',
+};
+const limit = {upstream: 'i-1', requestsPerSecond: 20, ageMs: 5};
+const relayed = {
+  requestId: 'r-1',
+  method: 'POST',
+  url: '/write/a?b=1',
+  headers: {host: 'shop.example'},
+  hasBody: true,
+  callerAddress: '10.0.1.1',
+  service: 'shop',
+  kind: 'at-most-once' as const,
+  elapsedMs: 3,
+  remainingMs: 900,
+  excluded: ['i-1'],
+};
+
+/** What landed builds wrote, by build and message. */
+export const WRITTEN: Readonly<
+  Record<string, Partial<Record<MessageName, string>>>
+> = {
+  f514c4b: {feed, 'entry record': JSON.stringify(entry)},
+  c71b7fa: {feed: agedFeed, 'suspect record': JSON.stringify(suspect)},
+  '9812e0f': {
+    feed: agedFeed,
+    'entry record': JSON.stringify({...entry, sequence: 5}),
+    statements: JSON.stringify({statements: [statement]}),
+    limits: JSON.stringify({limits: [limit]}),
+  },
+  '5191b2f': {
+    feed: agedFeed,
+    'relay request': `${JSON.stringify(relayed)}\nbody`,
+  },
+};
+
+const suspectKey = toSuspectKey(suspect);
+
+/** Whether this build reads a message. */
+export const READERS: Readonly<Record<MessageName, (text: string) => boolean>> =
+  {
+    feed: text => feedSchema.safeParse(JSON.parse(text)).success,
+    'entry record': text =>
+      entryRecordSchema.safeParse(JSON.parse(text)).success,
+    'suspect record': text =>
+      parseSuspect(suspectKey, Buffer.from(text)) !== undefined,
+    statements: text => statementsSchema.safeParse(JSON.parse(text)).success,
+    limits: text => limitsSchema.safeParse(JSON.parse(text)).success,
+    'relay request': text =>
+      parseRequest(Buffer.from(text))?.body?.toString() === 'body',
+  };
+
+/** What this build writes. */
+export const WRITERS: Readonly<Record<MessageName, () => string>> = {
+  feed: () => {
+    const value = Buffer.from('{}');
+    const changes = [{...change, value}];
+    return serializeFeed({changes, revision: 7}, 12);
+  },
+  'entry record': () => JSON.stringify({...entry, sequence: 5}),
+  'suspect record': () => serializeSuspect(suspect).toString(),
+  statements: () => serializeStatements([statement]),
+  limits: () => serializeLimits({limits: [limit]}),
+  'relay request': () => {
+    const bytes = serializeRequest(relayed, Buffer.from('body'));
+    return bytes.toString().split('\n')[0];
+  },
+};
+
+const fedChanges = z.array(
+  z.object({
+    key: z.string(),
+    value: z.optional(z.string()),
+    revision: z.int(),
+  }),
+);
+const nonNegative = z.number().check(z.minimum(0));
+
+/** What landed builds need, by build and message. */
+export const NEEDED: Readonly<
+  Record<string, Partial<Record<MessageName, z.ZodMiniType>>>
+> = {
+  f514c4b: {
+    feed: z.object({revision: z.int(), changes: fedChanges}),
+    'entry record': z.object({
+      name: z.string(),
+      address: z.string(),
+      feedAddress: z.optional(z.string()),
+      region: z.string(),
+      zone: z.string(),
+    }),
+  },
+  c71b7fa: {
+    feed: z.object({
+      revision: z.int(),
+      ageMs: nonNegative,
+      changes: fedChanges,
+    }),
+    'suspect record': z.object({
+      fingerprint: z.string(),
+      reporter: z.string(),
+      sequence: z.int(),
+      crashes: z.array(
+        z.object({
+          upstream: z.string(),
+          caller: z.optional(z.string()),
+          span: z.optional(z.object({fromMs: z.number(), toMs: z.number()})),
+        }),
+      ),
+      isAnswered: z.boolean(),
+    }),
+  },
+  '9812e0f': {
+    statements: z.object({
+      statements: z.array(
+        z.object({
+          name: z.string(),
+          sequence: z.int(),
+          isUp: z.boolean(),
+          reporter: z.string(),
+        }),
+      ),
+    }),
+    limits: z.object({
+      limits: z.array(
+        z.object({
+          upstream: z.string(),
+          requestsPerSecond: z.nullable(nonNegative),
+          ageMs: nonNegative,
+        }),
+      ),
+    }),
+  },
+  '5191b2f': {
+    'relay request': z.object({
+      requestId: z.optional(z.string()),
+      method: z.string(),
+      url: z.string(),
+      headers: z.record(z.string(), z.union([z.string(), z.array(z.string())])),
+      hasBody: z.boolean(),
+      callerAddress: z.string(),
+      service: z.string(),
+      kind: z.enum(['idempotent', 'at-most-once']),
+      elapsedMs: nonNegative,
+      remainingMs: nonNegative,
+      excluded: z.array(z.string()),
+    }),
+  },
+};
--- a/packages/balancer/src/feed/feed-messages.ts
+++ b/packages/balancer/src/feed/feed-messages.ts
@@ -12,8 +12,8 @@
 /** Schema of a response with all records or with changes. */
 export const feedSchema = z.object({
   revision: z.int(),
-  /** Time since the store itself last confirmed that no record is missing, including delays at the entries in between, in milliseconds. */
-  ageMs: z.number().check(z.minimum(0)),
+  /** Time since the store itself last confirmed that no record is missing, including delays at the entries in between, in milliseconds. Builds up to f514c4b name none; what they feed is not fed on. */
+  ageMs: z.optional(z.number().check(z.minimum(0))),
   changes: z.array(
     z.object({
       key: z.string(),
--- a/packages/balancer/src/feed/feeder-connection.ts
+++ b/packages/balancer/src/feed/feeder-connection.ts
@@ -79,7 +79,8 @@
       if (!parsed.success) {
         return unavailable(parsed.error.message);
       }
-      const confirmedAtMs = this.#clock.now() - parsed.data.ageMs;
+      const {ageMs = Infinity} = parsed.data;
+      const confirmedAtMs = this.#clock.now() - ageMs;
       return Ok({...toRecordChanges(parsed.data), confirmedAtMs});
     } catch (error) {
       return unavailable(String(error));
