fix(balancer): an entry of a build that doesn't know a message is not down

What callers saw: during an upgrade they were sent to the few new entries only, which took the old ones for down, though these served all the while.

Cause: only an answer that could be read counted as life. Builds before answer a check with 404.

An answer that rejects the message shows that a process runs there. Whether it serves is what its announcement says. An announcement of those builds has no sequence, so that it can't take back what was said of a former process under that name: only statements on this very announcement, known by its revision, are believed of it. An entry that doesn't know how to relay a request has not sent it: 404 without the entry's own word counts as not run.

--- a/packages/balancer/src/feed/entry-client.ts
+++ b/packages/balancer/src/feed/entry-client.ts
@@ -16,12 +16,19 @@
   readonly timeoutMs: number;
 }
 
+/** What became of a message. */
+export type EntryAnswer =
+  | {readonly kind: 'answered'; readonly body: unknown}
+  /** The entry runs, but didn't take the message; one of another build may not know it. */
+  | {readonly kind: 'rejected'; readonly status: number}
+  | {readonly kind: 'silent'};
+
 /** Sends messages; keeps the connections to those that get many. */
 export class EntryClient {
   readonly #kept = new Map<string, Pool>();
 
-  /** Sends a message on a connection of its own. Returns the parsed answer, or undefined if there is none. */
-  async post(message: EntryMessage): Promise<unknown> {
+  /** Sends a message on a connection of its own. */
+  async post(message: EntryMessage): Promise<EntryAnswer> {
     const pool = connect(message.address);
     try {
       return await send(pool, message);
@@ -31,12 +38,12 @@
   }
 
   /** Sends a message on a connection that is kept until it fails. */
-  async postKept(message: EntryMessage): Promise<unknown> {
+  async postKept(message: EntryMessage): Promise<EntryAnswer> {
     const {address} = message;
     const pool = this.#kept.get(address) ?? connect(address);
     this.#kept.set(address, pool);
     const answer = await send(pool, message);
-    if (answer === undefined && this.#kept.get(address) === pool) {
+    if (answer.kind === 'silent' && this.#kept.get(address) === pool) {
       // An open connection may have fallen silent while new ones work.
       this.#kept.delete(address);
       close(pool);
@@ -74,7 +81,7 @@
 async function send(
   pool: Pool,
   {path, body, timeoutMs}: EntryMessage,
-): Promise<unknown> {
+): Promise<EntryAnswer> {
   try {
     const answer = await pool.request({
       method: 'POST',
@@ -84,9 +91,17 @@
       signal: AbortSignal.timeout(timeoutMs),
     });
     const text = await answer.body.text();
-    return answer.statusCode === 200 ? parseJson(text) : undefined;
+    const {statusCode: status} = answer;
+    return status === 200
+      ? {kind: 'answered', body: parseJson(text)}
+      : {kind: 'rejected', status};
   } catch {
     // The caller logs what it concludes from a missing answer.
-    return undefined;
+    return {kind: 'silent'};
   }
 }
+
+/** The parsed body of an answer; undefined if the message was not taken. */
+export function bodyOf(answer: EntryAnswer | undefined): unknown {
+  return answer?.kind === 'answered' ? answer.body : undefined;
+}
--- a/packages/balancer/src/members/entry-monitor.ts
+++ b/packages/balancer/src/members/entry-monitor.ts
@@ -11,7 +11,7 @@
   LivenessTracker,
 } from '@wasabidyke/policy';
 import type {Clock} from '@wasabidyke/shared';
-import type {EntryClient} from '../feed/entry-client.js';
+import {bodyOf, type EntryClient} from '../feed/entry-client.js';
 import type {DecisionLog} from '../reporting/decision-log.js';
 import type {EntryRecord} from './entry-record.js';
 import {
@@ -229,14 +229,14 @@
         body: JSON.stringify({target}),
         timeoutMs: OPINION_TIMEOUT_MS,
       }));
-    const opinion = opinionSchema.safeParse(answer);
+    const opinion = opinionSchema.safeParse(bodyOf(answer));
     if (!opinion.success || opinion.data.isReachable === undefined) {
       return 'none';
     }
     return opinion.data.isReachable ? 'reachable' : 'unreachable';
   }
 
-  /** Exchanges statements with an entry; returns whether it answered. */
+  /** Exchanges statements with an entry; returns whether it runs. One of an older build doesn't know the message. */
   async #exchange(peer: EntryRecord, isKept: boolean): Promise<boolean> {
     const {client, tracker} = this.#options;
     const message = {
@@ -248,11 +248,11 @@
     const answer = await (isKept
       ? client.postKept(message)
       : client.post(message));
-    const parsed = statementsSchema.safeParse(answer);
+    const parsed = statementsSchema.safeParse(bodyOf(answer));
     if (parsed.success) {
       this.#believe(parsed.data.statements);
     }
-    return parsed.success;
+    return answer.kind !== 'silent';
   }
 
   #believe(statements: readonly LivenessStatement[]): void {
--- a/packages/balancer/src/members/entry-roster.ts
+++ b/packages/balancer/src/members/entry-roster.ts
@@ -110,8 +110,18 @@
     if (known !== undefined && known.revision > revision) {
       return;
     }
-    this.#liveness.onAnnounced(record.name, record.sequence ?? 0);
-    this.#members.set(record.name, {record, revision, removeAtMs: undefined});
+    const {name, sequence = revision} = record;
+    if (record.sequence === undefined) {
+      this.#liveness.onAnnouncedUnnumbered(name, sequence);
+    } else {
+      this.#liveness.onAnnounced(name, sequence);
+    }
+    const numbered = {...record, sequence};
+    this.#members.set(name, {
+      record: numbered,
+      revision,
+      removeAtMs: undefined,
+    });
   }
 
   /**
--- a/packages/balancer/src/relay/relay-messages.ts
+++ b/packages/balancer/src/relay/relay-messages.ts
@@ -133,14 +133,22 @@
   return defined;
 }
 
-/** Classifies an entry's answer by its headers. Only its own word says that a request has not run. */
-export function classifyRelayAnswer(headers: IncomingHttpHeaders): AnswerKind {
+/** Status of an entry of another build that doesn't know the message. */
+const UNKNOWN_MESSAGE_STATUS = 404;
+
+/** Classifies an entry's answer. Only its own word says that a request has not run, or that it doesn't know the message. */
+export function classifyRelayAnswer(
+  status: number,
+  headers: IncomingHttpHeaders,
+): AnswerKind {
   switch (headers[RESULT_HEADER]) {
     case 'answer':
     case 'unknown':
       return 'answer';
     case 'not-run':
       return 'not-run';
+    case undefined:
+      return status === UNKNOWN_MESSAGE_STATUS ? 'not-run' : 'foreign';
     default:
       return 'foreign';
   }
--- a/packages/balancer/src/relay/relay-sender.ts
+++ b/packages/balancer/src/relay/relay-sender.ts
@@ -145,7 +145,7 @@
       connection,
       this.#toMessage(request, excluded, nowMs),
       {
-        classifyAnswer: (_status, headers) => classifyRelayAnswer(headers),
+        classifyAnswer: classifyRelayAnswer,
         memory,
         maximumBytes: MAXIMUM_ANSWER_BYTES,
       },
--- a/packages/balancer/src/suspects/peer-notifier.ts
+++ b/packages/balancer/src/suspects/peer-notifier.ts
@@ -54,7 +54,7 @@
           body,
           timeoutMs: ANSWER_TIMEOUT_MS,
         });
-        reached += Number(answer !== undefined);
+        reached += Number(answer.kind === 'answered');
       }
     };
     await Promise.all(Array.from({length: CONCURRENT_SENDS}, sendRemaining));
--- a/packages/balancer/src/suspects/upstream-check.ts
+++ b/packages/balancer/src/suspects/upstream-check.ts
@@ -4,7 +4,7 @@
  */
 
 import * as z from 'zod/mini';
-import type {EntryClient} from '../feed/entry-client.js';
+import {bodyOf, type EntryClient} from '../feed/entry-client.js';
 import type {EntryRecord} from '../members/entry-record.js';
 import type {UpstreamHandle} from '../members/upstream-handle.js';
 import type {UpstreamRegistry} from '../members/upstream-registry.js';
@@ -129,7 +129,7 @@
       body: JSON.stringify({upstream: handle.id}),
       timeoutMs: OPINION_TIMEOUT_MS,
     });
-    const parsed = opinionSchema.safeParse(answer);
+    const parsed = opinionSchema.safeParse(bodyOf(answer));
     return parsed.success ? parsed.data.opinion : 'unsure';
   }
 }
--- a/packages/policy/src/liveness.ts
+++ b/packages/policy/src/liveness.ts
@@ -78,6 +78,8 @@
   #members = new Map<string, LivenessMember>();
   readonly #beliefs = new Map<string, Belief>();
   readonly #silences = new Map<string, Silence>();
+  /** Sequences of announcements that name none, as older builds write them. */
+  readonly #unnumbered = new Map<string, number>();
   readonly #unhelpfulUntilMs = new Map<string, number>();
 
   /** @param self This entry; its sequence is higher than those of its earlier processes. */
@@ -137,13 +139,31 @@
 
   /** Takes the sequence of an announcement: a process that announced itself later is up. */
   onAnnounced(name: string, sequence: number): void {
+    this.#unnumbered.delete(name);
     const belief = this.#beliefs.get(name);
     if (belief !== undefined && belief.statement.sequence < sequence) {
-      this.#beliefs.delete(name);
-      this.#silences.delete(name);
+      this.#forgetEntry(name);
+    }
+  }
+
+  /**
+   * Takes an announcement that names no sequence. Such an entry takes back
+   * nothing that is said of it, so that only statements on this very
+   * announcement are believed.
+   * @param sequence Differs from those of its other announcements.
+   */
+  onAnnouncedUnnumbered(name: string, sequence: number): void {
+    if (this.#unnumbered.get(name) !== sequence) {
+      this.#unnumbered.set(name, sequence);
+      this.#forgetEntry(name);
     }
   }
 
+  #forgetEntry(name: string): void {
+    this.#beliefs.delete(name);
+    this.#silences.delete(name);
+  }
+
   /** Entries to check now: the next one in the ring that is up, and more behind those that don't answer. */
   selectTargets(): readonly string[] {
     const targets: string[] = [];
@@ -247,6 +267,10 @@
     if (name === this.#self.name) {
       return this.#defend(statement);
     }
+    const unnumbered = this.#unnumbered.get(name);
+    if (unnumbered !== undefined && sequence !== unnumbered) {
+      return false;
+    }
     const known = this.#beliefs.get(name)?.statement;
     const knownSequence = this.#sequenceOf(name);
     const isKnownUp = known?.isUp ?? true;
@@ -341,9 +365,11 @@
         this.#unhelpfulUntilMs.delete(name);
       }
     }
-    for (const name of this.#silences.keys()) {
-      if (!this.#members.has(name)) {
-        this.#silences.delete(name);
+    for (const byName of [this.#silences, this.#unnumbered]) {
+      for (const name of byName.keys()) {
+        if (!this.#members.has(name)) {
+          byName.delete(name);
+        }
       }
     }
   }
