fix(balancer): a refusal that is written once more is taken for no other request

What callers saw: 'not run, try again' for an order that a worker ran, or the order run at a second worker.

Cause: an answer that names no request was taken as the answer to the request that its connection carried. A refusal of a load query names none, and load queries share connections with requests. After an answer to a load query that came from nobody known, the connection was used on although the real answer was still to come.

On a connection that carried something before, an answer must name its request; on a new one nothing else can arrive. The answer to a load query must name none. A connection is used again only after the whole answer of the upstream to that very request. A copy under the same id can't meet its request again: no upstream is tried twice for one request, and what is relayed has connections of its own.

The scripted worker now names the request in its refusals, as the platform's workers do.

--- a/features/balancer/relay.feature
+++ b/features/balancer/relay.feature
@@ -133,3 +133,35 @@
     Then the answer is 200 with body "w1 ran /read/a"
     And the balancer was not ready while it stopped
     And the store no longer names it
+
+  # Guards against an order that runs while its caller is told that it has not run, or that runs twice.
+  Scenario Outline: A refusal that a worker writes once more is taken for no other request: <script>
+    Given workers "w1"
+    And every worker "<script>"
+    When a caller sends "GET /read/first" with id "r-1" and 3000 ms
+    And a caller sends "POST /write/second" with the body "order"
+    Then the answer says that the order ran, or may have
+    And the workers got 1 request with "/write/second"
+
+    Examples:
+      | script                     |
+      | repeats-refusal            |
+      | repeats-refusal-without-id |
+      | repeats-load-refusal       |
+
+  # Guards against a success with an empty or short body that looks whole.
+  Scenario Outline: An answer whose head is cut is no success: <script>
+    Given workers "w1"
+    And every worker "<script>"
+    When a caller sends "POST /write/a" with the body "order"
+    Then the answer is 502
+    When a caller sends "GET /read/a" with id "r-2" and 3000 ms
+    Then the answer is 502
+
+    Examples:
+      | script                       |
+      | cut-status                   |
+      | cut-header                   |
+      | cut-head                     |
+      | cut-head-reset               |
+      | cut-head-after-informational |
--- a/features/steps/balancer.steps.ts
+++ b/features/steps/balancer.steps.ts
@@ -245,6 +245,26 @@
   await sleep(milliseconds);
 });
 
+Then(
+  'the answer says that the order ran, or may have',
+  function (this: BalancerWorld) {
+    assert.ok([200, 502, 504].includes(this.answer.status));
+  },
+);
+
+Then(
+  'the workers got {int} request with {string}',
+  function (this: BalancerWorld, count: number, path: string) {
+    const requests = this.balancerSite.workers.flatMap(
+      worker => worker.requests,
+    );
+    assert.equal(
+      requests.filter(request => request.path === path).length,
+      count,
+    );
+  },
+);
+
 Then('the answer is {int}', function (this: BalancerWorld, status: number) {
   assert.equal(this.answer.status, status);
 });
--- a/features/support/scripted-worker.ts
+++ b/features/support/scripted-worker.ts
@@ -24,6 +24,17 @@
   | 'error'
   | 'other-worker'
   | 'unsigned'
+  /** The first request is refused, and that refusal is written once more while the next one runs: with its id or without one. */
+  | 'repeats-refusal'
+  | 'repeats-refusal-without-id'
+  /** Load queries are refused, and the refusal of one is written once more while the next request runs. */
+  | 'repeats-load-refusal'
+  /** The connection ends, or is reset, within the head of an answer. */
+  | 'cut-status'
+  | 'cut-header'
+  | 'cut-head'
+  | 'cut-head-reset'
+  | 'cut-head-after-informational'
   /** Bytes without end, until the connection closes: in a head, a body, a chunk's extension, or the answer to a load query. */
   | 'endless-head'
   | 'endless-informational'
@@ -52,6 +63,9 @@
 
 const HEAD_END = '\r\n\r\n';
 
+/** Time after a refusal until it is written once more, in milliseconds. */
+const REPEAT_MS = 60;
+
 /** The worker. */
 export class ScriptedWorker {
   readonly id: string;
@@ -77,6 +91,7 @@
   readonly requests: WorkerRequest[] = [];
   /** Connections that ended while a request ran. */
   brokenOff = 0;
+  #hasRefused = false;
   #isResetting = false;
   #isClosed = false;
   #port = 0;
@@ -182,6 +197,10 @@
       writeEndlessly(socket, `${head}\r\nConnection: close${HEAD_END}`, 'body');
       return;
     }
+    if (this.script === 'repeats-load-refusal' && !this.#hasRefused) {
+      this.#refuseTwice(socket, '');
+      return;
+    }
     if (this.isTalking) {
       const leaving = this.isLeaving ? '\r\nServer-Leaving: 1' : '';
       const head = `HTTP/1.1 200 OK\r\nWasabidyke-Instance-Id: ${this.id}\r\nWasabidyke-Server-Load: ${this.load}`;
@@ -190,8 +209,17 @@
     }
   }
 
+  /** Refuses a request, and writes the refusal once more later. */
+  #refuseTwice(socket: Socket, fields: string): void {
+    const refusal = `HTTP/1.1 503 Busy\r\nWasabidyke-Not-Executed: 1\r\n${fields}Content-Length: 0${HEAD_END}`;
+    this.#hasRefused = true;
+    socket.write(refusal);
+    setTimeout(() => socket.write(refusal), REPEAT_MS);
+  }
+
   #answer(socket: Socket, request: WorkerRequest): void {
     const requestId = request.headers.get('wasabidyke-attempt-id') ?? '';
+    const idField = `Wasabidyke-Attempt-Id: ${requestId}\r\n`;
     const body = `${this.id} ran ${request.path}`;
     const limit =
       this.limit === undefined ? '' : `Server-Limit: ${this.limit}\r\n`;
@@ -201,28 +229,64 @@
     const whole = `HTTP/1.1 200 OK\r\n${signed}${length}${HEAD_END}${body}`;
     if (this.rest !== undefined) {
       socket.write(
-        `HTTP/1.1 503 Busy\r\nWasabidyke-Not-Executed: 1\r\nRetry-After: ${this.rest}\r\nContent-Length: 0${HEAD_END}`,
+        `HTTP/1.1 503 Busy\r\n${idField}Wasabidyke-Not-Executed: 1\r\nRetry-After: ${this.rest}\r\nContent-Length: 0${HEAD_END}`,
       );
       return;
     }
     const onClose = () => (this.brokenOff += 1);
     socket.once('close', onClose);
     const done = () => socket.off('close', onClose);
+    const runSlowly = () => {
+      setTimeout(() => {
+        done();
+        socket.write(whole);
+      }, SLOW_MS);
+    };
     switch (this.script) {
       case 'answers':
         socket.write(whole);
         break;
+      case 'repeats-refusal':
+      case 'repeats-refusal-without-id':
+        if (this.#hasRefused) {
+          runSlowly();
+          return;
+        }
+        this.requests.pop();
+        this.#refuseTwice(
+          socket,
+          this.script === 'repeats-refusal' ? idField : '',
+        );
+        break;
+      case 'repeats-load-refusal':
+        runSlowly();
+        return;
+      case 'cut-status':
+        socket.end('HTTP/1.1 200 OK\r\n');
+        break;
+      case 'cut-header':
+        socket.end(`HTTP/1.1 200 OK\r\n${signed.slice(0, -6)}`);
+        break;
+      case 'cut-head':
+        socket.end(`HTTP/1.1 200 OK\r\n${signed}${length}\r\n`);
+        break;
+      case 'cut-head-reset':
+        socket.write(`HTTP/1.1 200 OK\r\n${signed}`, () =>
+          setTimeout(() => socket.resetAndDestroy(), SLOW_MS / 10),
+        );
+        break;
+      case 'cut-head-after-informational':
+        socket.write(`HTTP/1.1 103 Early${HEAD_END}`);
+        socket.end(`HTTP/1.1 200 OK\r\n${signed}Connection: close\r\n`);
+        break;
       case 'slow':
-        setTimeout(() => {
-          done();
-          socket.write(whole);
-        }, SLOW_MS);
+        runSlowly();
         return;
       case 'hangs':
         return;
       case 'sheds':
         socket.write(
-          `HTTP/1.1 503 Busy\r\nWasabidyke-Not-Executed: 1\r\nContent-Length: 0${HEAD_END}`,
+          `HTTP/1.1 503 Busy\r\n${idField}Wasabidyke-Not-Executed: 1\r\nContent-Length: 0${HEAD_END}`,
         );
         break;
       case 'resets':
@@ -261,7 +325,7 @@
         break;
       case 'other-worker':
         socket.write(
-          `HTTP/1.1 421 Misdirected\r\nWasabidyke-Instance-Id: another\r\nContent-Length: 0${HEAD_END}`,
+          `HTTP/1.1 421 Misdirected\r\n${idField}Wasabidyke-Instance-Id: another\r\nContent-Length: 0${HEAD_END}`,
         );
         break;
       case 'endless-head':
--- a/packages/balancer/src/exchange/connection-pool.ts
+++ b/packages/balancer/src/exchange/connection-pool.ts
@@ -39,6 +39,7 @@
   readonly #client: Client;
   #isBroken = false;
   #isReset = false;
+  #isUsed = false;
   #socket: Socket | undefined;
   /** Whether the head of an answer is expected and none has been checked. */
   #isHeadDue = false;
@@ -61,6 +62,11 @@
     return this.#isBroken || this.#client.destroyed;
   }
 
+  /** Whether a request was sent on the connection before. */
+  get isUsed(): boolean {
+    return this.#isUsed;
+  }
+
   /** Bytes received on the connection so far. */
   get receivedBytes(): number {
     return this.#socket?.bytesRead ?? 0;
@@ -76,6 +82,7 @@
     handler: Dispatcher.DispatchHandler,
   ): void {
     this.#isHeadDue = true;
+    this.#isUsed = true;
     this.#client.dispatch(options, handler);
   }
 
--- a/packages/balancer/src/exchange/exchange.ts
+++ b/packages/balancer/src/exchange/exchange.ts
@@ -109,9 +109,11 @@
     this.#settle = settleResult;
   }
 
-  /** Whether the answer was read completely, so that the connection can carry another request. */
+  /** Whether the upstream's whole answer to this request was read, so that the connection can carry another one. */
   get isConnectionReusable(): boolean {
-    return this.#answerKind !== undefined && this.#isComplete;
+    const isOwn =
+      this.#answerKind === 'answer' || this.#answerKind === 'not-run';
+    return isOwn && this.#isComplete;
   }
 
   /** Whether the head of an answer was received. */
--- a/packages/balancer/src/exchange/wire-protocol.ts
+++ b/packages/balancer/src/exchange/wire-protocol.ts
@@ -31,6 +31,14 @@
   /** It belongs to another request, or does not come from an upstream. */
   | 'foreign';
 
+/** What tells the answer to a request from others on the same connection. */
+export interface AnswerExpectation {
+  /** Undefined if the caller set none. */
+  readonly requestId: string | undefined;
+  /** Whether the connection carried nothing before, so that no other answer can arrive on it. */
+  readonly isFirst: boolean;
+}
+
 /** What an answer says of the upstream's limit: requests per second from all entries together, that there is none, or something that can't be read. */
 export type NamedLimit = number | 'none' | 'unreadable';
 
@@ -49,9 +57,12 @@
   abstract classifyAnswer(
     status: number,
     headers: IncomingHttpHeaders,
-    requestId: string | undefined,
+    expected: AnswerExpectation,
   ): AnswerKind;
 
+  /** Whether an answer names the request that it belongs to; those to load queries name none. */
+  abstract namesRequest(headers: IncomingHttpHeaders): boolean;
+
   /** Reads the upstream's load from an answer; undefined if there is none. */
   abstract readOccupancy(
     headers: IncomingHttpHeaders,
--- a/packages/balancer/src/members/upstream-handle.ts
+++ b/packages/balancer/src/members/upstream-handle.ts
@@ -251,6 +251,9 @@
       {method: 'GET', path, headers: {host: record.address}, body: null},
       {
         classifyAnswer: (_status, headers) => {
+          if (protocol.namesRequest(headers)) {
+            return 'foreign';
+          }
           const isSame = protocol.readUpstreamId(headers) === this.id;
           return isSame ? 'answer' : 'other-upstream';
         },
--- a/packages/balancer/src/serving/upstream-sender.ts
+++ b/packages/balancer/src/serving/upstream-sender.ts
@@ -68,12 +68,13 @@
       remainingMs: Math.max(1, Math.floor(remainingMs)),
       upstreamId: handle.id,
     });
+    const expected = {requestId, isFirst: !connection.isUsed};
     const exchange = new Exchange(
       connection,
       {method, path: url, headers: upstreamHeaders, body},
       {
         classifyAnswer: (status, answerHeaders) =>
-          protocol.classifyAnswer(status, answerHeaders, requestId),
+          protocol.classifyAnswer(status, answerHeaders, expected),
         memory: handle.answerMemory,
       },
     );
