fix(entry): a connection on which an upstream refused a request carries no other one

What callers would see: 'not run' for an order that runs, or that order run at a second upstream.

Cause: on the product's own interface answers name no request. A refusal that an upstream writes once more on a kept connection was taken as the answer to the next request.

The connection is closed after a refusal. Its price is a new connection for each refused request; an answer other than a refusal that is written twice can't be told from the next one there, which stays open.

'A refusal that an upstream writes once more is not taken for the next request' failed before: the order counted as refused while it ran.

--- a/packages/entry/src/data-path/attempt.ts
+++ b/packages/entry/src/data-path/attempt.ts
@@ -144,6 +144,8 @@
       headers[OUTCOME_HEADER] === 'not-run';
     if (this.#isShed) {
       this.#retryAfterSeconds = readRetryAfter(headers);
+      // Answers name no request: one that is written once more would be taken for the next one.
+      controller.abort(new Error('a connection is not used after a refusal'));
       return;
     }
     this.#isCloseDelimited = this.#hasCloseDelimitedBody(status, headers);
