fix(balancer): a stopping entry passes on nothing that it can't answer before its end

What callers saw: in a planned stop, orders that came late in the grace were taken and passed on, and cut at its end with no answer.

Cause: whether an entry is stopping was asked before the body of a request was read. A long upload was passed on after that, and no attempt, retry or hedge knew when the process ends: routes allow 5 s where 2.6 s may be left.

The end of the process bounds the deadline of each request, also of those that came before the stop and of those that other entries relay here. Their upstreams are told the shorter time. What is estimated to take longer is refused as not run, with when to come back; there are no trials of the estimate then. What is still at work at the end is answered 504 in place of a closed connection.

--- a/features/support/balancer-site.ts
+++ b/features/support/balancer-site.ts
@@ -197,11 +197,15 @@
   }
 
   /** Writes a configuration; idempotent requests go to `/read/`, others to `/write/`. */
-  configure(changes: object = {}, attempts = 2): void {
+  configure(
+    changes: object = {},
+    attempts = 2,
+    timeoutMs = ROUTE_TIMEOUT_MS,
+  ): void {
     this.#version += 1;
     const route = {
       host: HOST,
-      timeout: `${ROUTE_TIMEOUT_MS}ms`,
+      timeout: `${timeoutMs}ms`,
       target_latency: '200ms',
       priority: 1,
       max_attempts: attempts,
--- a/packages/balancer/src/balancer.ts
+++ b/packages/balancer/src/balancer.ts
@@ -57,6 +57,9 @@
 /** The process exits by itself this long before it would be killed, in milliseconds. */
 const EXIT_MARGIN_MS = 400;
 
+/** Time for the last answers to be written, in milliseconds: a part of `EXIT_MARGIN_MS`. */
+const LAST_ANSWERS_MS = 100;
+
 /** Burst of load queries that may accumulate, in milliseconds at the allowed rate. */
 const LOAD_QUERY_BURST_MS = 2_000;
 
@@ -95,6 +98,7 @@
   readonly #relayReceiver: RelayReceiver;
   readonly #discoveryServer: DiscoveryServer;
   #state: BalancerState = 'starting';
+  #endsAtMs = Infinity;
   #tickTimer: NodeJS.Timeout | undefined;
 
   constructor(
@@ -258,7 +262,8 @@
     if (this.#state === 'stopping' || this.#state === 'stopped') {
       return;
     }
-    const startedAtMs = this.#clock.now();
+    const withinMs = this.#settings.stopWithin - EXIT_MARGIN_MS;
+    this.#endsAtMs = this.#clock.now() + withinMs;
     this.#state = 'stopping';
     this.#log.record('process.stopping', {
       inFlight: this.#callerServer.inFlight,
@@ -266,20 +271,17 @@
     this.#entries.unlistSelf();
     this.#entryMonitor.leave();
     this.#callerServer.closeConnections();
-    const withdrawn = this.#announcer.stop(
-      this.#settings.stopWithin - EXIT_MARGIN_MS,
-    );
+    const withdrawn = this.#announcer.stop(withinMs);
     await sleep(this.#settings.stopWithin * DRAINING_SHARE);
-    const remainingMs =
-      this.#settings.stopWithin -
-      EXIT_MARGIN_MS -
-      (this.#clock.now() - startedAtMs);
+    const remainingMs = this.#endsAtMs - this.#clock.now();
     const finished = Promise.all([
       this.#callerServer.stop(),
       this.#relayReceiver.stop(),
       withdrawn,
     ]);
     await Promise.race([finished, sleep(remainingMs)]);
+    this.#callerServer.expire();
+    await Promise.race([finished, sleep(LAST_ANSWERS_MS)]);
     this.#storeWatcher.stop();
     this.#entryMonitor.stop();
     this.#suspects.announcer.stop();
@@ -389,6 +391,7 @@
       crashMonitor: this.#suspects.monitor,
       upstreamCheck: this.#suspects.upstreamCheck,
       relay: this.#relaySender,
+      endsAtMs: () => this.#endsAtMs,
       table: () => this.#clusterState.table,
     };
   }
--- a/packages/balancer/src/relay/relay-receiver.ts
+++ b/packages/balancer/src/relay/relay-receiver.ts
@@ -100,6 +100,11 @@
       response.writeHead(400, {connection: 'close'}).end();
       return;
     }
+    // The body may have ended after the stop began.
+    if (this.#isStopping) {
+      this.#refuse(response, 'not-run', 'stopping', 0);
+      return;
+    }
     const routed = this.#toRoutedRequest(routing, message);
     if (routed === undefined) {
       this.#refuse(response, 'not-run', 'other-configuration', 0);
@@ -122,7 +127,12 @@
       return undefined;
     }
     const nowMs = this.#options.clock.now();
+    const {endsAtMs} = this.#options;
     const arrivedAtMs = nowMs - elapsedMs;
+    const deadlineMs = Math.min(
+      nowMs + remainingMs,
+      arrivedAtMs + route.timeoutMs,
+    );
     return {
       requestId: request.requestId,
       method: request.method,
@@ -136,7 +146,9 @@
       loadPath: table.findService(service)?.loadPath ?? '/',
       configurationVersion: table.version,
       arrivedAtMs,
-      deadlineMs: Math.min(nowMs + remainingMs, arrivedAtMs + route.timeoutMs),
+      get deadlineMs() {
+        return Math.min(deadlineMs, endsAtMs());
+      },
       relayed: {excluded: request.excluded},
     };
   }
--- a/packages/balancer/src/serving/attempt-timing.ts
+++ b/packages/balancer/src/serving/attempt-timing.ts
@@ -13,11 +13,15 @@
 /** Longest estimate of a hedge, as a share of the remaining time. */
 const MAXIMUM_HEDGE_SHARE = 0.9;
 
-/** Whether an attempt is expected to be answered before the deadline, or is a trial of that estimate at an upstream where nothing waits. */
+/**
+ * Whether an attempt is expected to be answered before the deadline, or is a
+ * trial of that estimate at an upstream where nothing waits.
+ * @param trials Allows trials; undefined if none is allowed.
+ */
 export function isAttemptInTime(
   {estimateMs, freeSlots}: SelectedUpstream,
   {deadlineMs, route}: RoutedRequest,
-  workEstimate: WorkEstimate,
+  trials: WorkEstimate | undefined,
   nowMs: number,
 ): boolean {
   const remainingMs = deadlineMs - nowMs;
@@ -25,7 +29,7 @@
     return true;
   }
   const isTrialUseful = freeSlots > 0 && remainingMs >= route.targetLatencyMs;
-  return isTrialUseful && workEstimate.takeTrial(nowMs);
+  return isTrialUseful && trials?.takeTrial(nowMs) === true;
 }
 
 /** Time after the first attempt until its hedge, in milliseconds. */
--- a/packages/balancer/src/serving/caller-server.ts
+++ b/packages/balancer/src/serving/caller-server.ts
@@ -22,6 +22,7 @@
 import type {RoutingTable} from '../routing/routing-table.js';
 import {readBody} from './body-reader.js';
 import type {RequestDispatcherOptions} from './dispatcher-options.js';
+import {STOPPING_RETRY_AFTER_MS} from './refusals.js';
 import {RequestDispatcher} from './request-dispatcher.js';
 import type {Refusal, RoutedRequest} from './routed-request.js';
 
@@ -45,8 +46,7 @@
 /** Interval of Node's check for connections that exceed a timeout, in milliseconds. */
 const CONNECTION_CHECK_INTERVAL_MS = 1_000;
 
-/** Delays after which a caller that a stopping or unconfigured entry refuses may try another entry, in milliseconds. */
-const STOPPING_RETRY_AFTER_MS = 50;
+/** Delay after which a caller that an unconfigured entry refuses may try another entry, in milliseconds. */
 const UNCONFIGURED_RETRY_AFTER_MS = 300;
 
 /** Serves callers' requests. */
@@ -55,6 +55,7 @@
   readonly #server: Server;
   readonly #latency: DurationHistogram;
   readonly #requests: Counter;
+  readonly #dispatchers = new Set<RequestDispatcher>();
   /** Unanswered requests of each connection. */
   readonly #unansweredRequests = new WeakMap<Socket, number>();
   #inFlight = 0;
@@ -113,6 +114,13 @@
     }
   }
 
+  /** Answers the requests that are still in flight: whether they have run isn't known. */
+  expire(): void {
+    for (const dispatcher of [...this.#dispatchers]) {
+      dispatcher.expire();
+    }
+  }
+
   /** Uses Node's HTTP server directly: a framework would double the duration of a restart. */
   #createServer(): Server {
     const server = createServer(
@@ -177,11 +185,7 @@
       return;
     }
     if (this.#isStopping) {
-      this.#refuse(response, requestId, {
-        reason: 'stopping',
-        isNotRun: true,
-        retryAfterMs: STOPPING_RETRY_AFTER_MS,
-      });
+      this.#refuseStopping(response, requestId);
       return;
     }
     const url = request.url ?? '/';
@@ -206,6 +210,12 @@
       this.#refuseBody(response, bodyResult.kind);
       return;
     }
+    // A long upload may have ended after the stop began.
+    if (this.#isStopping) {
+      this.#refuseStopping(response, requestId);
+      return;
+    }
+    const {endsAtMs} = this.#options;
     const timeoutMs = Math.min(route.timeoutMs, remainingMs ?? Infinity);
     await this.#dispatch(response, {
       requestId,
@@ -220,7 +230,9 @@
       loadPath: table.findService(service)?.loadPath ?? '/',
       configurationVersion: table.version,
       arrivedAtMs,
-      deadlineMs: arrivedAtMs + timeoutMs,
+      get deadlineMs() {
+        return Math.min(arrivedAtMs + timeoutMs, endsAtMs());
+      },
     });
   }
 
@@ -234,8 +246,10 @@
     const dispatcher = new RequestDispatcher(request, this.#options);
     const onClose = () => dispatcher.cancel();
     response.once('close', onClose);
+    this.#dispatchers.add(dispatcher);
     dispatcher.start();
     const result = await dispatcher.result;
+    this.#dispatchers.delete(dispatcher);
     if (result === undefined) {
       // The caller closed its connection before the answer.
       this.#options.log.record('request.left', {
@@ -299,6 +313,17 @@
     this.#send(response, status, headers);
   }
 
+  #refuseStopping(
+    response: ServerResponse,
+    requestId: string | undefined,
+  ): void {
+    this.#refuse(response, requestId, {
+      reason: 'stopping',
+      isNotRun: true,
+      retryAfterMs: STOPPING_RETRY_AFTER_MS,
+    });
+  }
+
   #refuseBody(
     response: ServerResponse,
     reason: 'too-large' | 'broken-off',
--- a/packages/balancer/src/serving/dispatcher-options.ts
+++ b/packages/balancer/src/serving/dispatcher-options.ts
@@ -22,6 +22,8 @@
   readonly log: DecisionLog;
   readonly crashMonitor: CrashMonitor;
   readonly upstreamCheck: UpstreamCheck;
+  /** When this process ends, on the monotonic clock in milliseconds; infinite unless it is stopping. */
+  readonly endsAtMs: () => number;
   /** Sends requests through other entries. */
   readonly relay: RelaySender;
 }
--- a/packages/balancer/src/serving/refusals.ts
+++ b/packages/balancer/src/serving/refusals.ts
@@ -27,6 +27,9 @@
 /** Time after which an entry that reaches no upstream may reach one again, in milliseconds: the shortest pause between its load queries, and their answers. */
 const UNREACHED_RETRY_AFTER_MS = 400;
 
+/** Delay after which a caller that a stopping entry refuses may try another entry, in milliseconds. */
+export const STOPPING_RETRY_AFTER_MS = 50;
+
 /** Creates the refusals of one request. */
 export class Refusals {
   readonly #request: RoutedRequest;
@@ -81,6 +84,8 @@
         const remainingMs = registry.restRemainingMs(this.#request.service);
         return retryAfterMs(1, remainingMs, random);
       }
+      case 'stopping':
+        return STOPPING_RETRY_AFTER_MS;
       case 'unreached':
         return retryAfterMs(1, UNREACHED_RETRY_AFTER_MS, random);
       default:
--- a/packages/balancer/src/serving/request-dispatcher.ts
+++ b/packages/balancer/src/serving/request-dispatcher.ts
@@ -75,7 +75,7 @@
   /** Starts the first attempt and the deadline timer. */
   start(): void {
     const remainingMs = this.#request.deadlineMs - this.#options.clock.now();
-    this.#deadlineTimer = setTimeout(() => this.#onDeadline(), remainingMs);
+    this.#deadlineTimer = setTimeout(() => this.expire(), remainingMs);
     // The entry that relays a request counts it.
     if (this.#request.relayed === undefined) {
       this.#repeatBudget.onRequest(this.#options.clock.now());
@@ -83,6 +83,12 @@
     void this.#startAttempt();
   }
 
+  /** Called at the deadline, or when this process ends. */
+  expire(): void {
+    this.#mayHaveRun ||= this.#activeAttempts.size > 0;
+    this.#endWithoutSuccess('timeout');
+  }
+
   /** Aborts all attempts; called when the caller closes its connection. */
   cancel(): void {
     this.#end(undefined);
@@ -115,13 +121,14 @@
       this.#endWithoutSuccess(this.#refusals.reasonWithoutUpstream);
       return;
     }
-    const workEstimate = this.#options.routeState.workEstimate(
-      this.#request.route,
-    );
-    const nowMs = this.#options.clock.now();
-    if (!isAttemptInTime(selected, this.#request, workEstimate, nowMs)) {
+    const {routeState, clock, endsAtMs} = this.#options;
+    const {route} = this.#request;
+    const nowMs = clock.now();
+    const isStopping = endsAtMs() < Infinity;
+    const trials = isStopping ? undefined : routeState.workEstimate(route);
+    if (!isAttemptInTime(selected, this.#request, trials, nowMs)) {
       this.#lastSelected = selected;
-      this.#endWithoutSuccess('no-room');
+      this.#endWithoutSuccess(isStopping ? 'stopping' : 'no-room');
       return;
     }
     if (this.#sentCount > 0 && !this.#repeatBudget.take(nowMs)) {
@@ -351,11 +358,6 @@
     return isInFlight && this.#hedging.isAffordable(first, this.#repeatBudget);
   }
 
-  #onDeadline(): void {
-    this.#mayHaveRun ||= this.#activeAttempts.size > 0;
-    this.#endWithoutSuccess('timeout');
-  }
-
   /** Ends the request with the last error answer, or else with a refusal; does nothing while another attempt may succeed. */
   #endWithoutSuccess(reason: RefusalReason, retryAfterMs?: number): void {
     if (this.#activeAttempts.size > 0 && reason !== 'timeout') {
--- a/packages/balancer/src/serving/routed-request.ts
+++ b/packages/balancer/src/serving/routed-request.ts
@@ -25,7 +25,7 @@
   readonly configurationVersion: number;
   /** On the monotonic clock, in milliseconds. */
   readonly arrivedAtMs: number;
-  /** Earlier of the caller's deadline and the route's timeout, on the monotonic clock in milliseconds. */
+  /** Earliest of the caller's deadline, the route's timeout and the end of this process, on the monotonic clock in milliseconds. */
   readonly deadlineMs: number;
   /** Set if another entry relays the request, which is then not relayed again. */
   readonly relayed?: RelayOrigin;
