test(soak): bursts of configurations, the loss of readers, older builds, and workers that repeat refusals

New acts: configurations each 80 ms for five seconds; a kill and a pause of an entry that reads the store; workers that write a refusal twice, or end within a head; callers whose uploads take 700 ms, also across stops.

A stop waited for ever for a process that a signal had ended.

--- a/packages-private/soak/src/acts.ts
+++ b/packages-private/soak/src/acts.ts
@@ -3,6 +3,7 @@
 import type {LinkState} from '@wasabidyke/stand-ins';
 import {STOP_WITHIN_MS, type EntryProcess} from './entry-process.js';
 import {nowMs, type History} from './history.js';
+import {actOnReader, changeOften, replaceOlder} from './acts-on-builds.js';
 import {cutEntries} from './entry-cut.js';
 import {sendCrashing} from './crashing-request.js';
 import type {Operator} from './operator.js';
@@ -20,6 +21,8 @@
   readonly links: Map<string, string>;
   /** Starts another entry, which runs until the end. */
   readonly join: () => Promise<void>;
+  /** The program of this build; entries may begin with an older one. */
+  readonly program: string;
   readonly workers: readonly WorkerSlot[];
   readonly store: StoreStandIn;
   readonly operator: Operator;
@@ -51,6 +54,8 @@
   'worker-errors': 'errors',
   'worker-truncates': 'truncates',
   'worker-hangs': 'hangs',
+  'worker-repeats-refusal': 'repeats-refusal',
+  'worker-cuts-head': 'cuts-head',
 };
 
 const ENTRY_LINKS: Partial<
@@ -83,6 +88,12 @@
     await restWorkers(site, step);
   } else if (step.act === 'entries-join') {
     await site.join();
+  } else if (step.act === 'configuration-burst') {
+    await changeOften(site, step);
+  } else if (step.act === 'entries-upgrade') {
+    await replaceOlder(site);
+  } else if (step.act.startsWith('reader-')) {
+    await actOnReader(site, step);
   } else if (step.act === 'move-route') {
     site.operator.moveRoute();
   } else if (step.act.startsWith('store-')) {
--- a/packages-private/soak/src/caller.ts
+++ b/packages-private/soak/src/caller.ts
@@ -38,6 +38,10 @@
   readonly linkOf: (address: string) => string | undefined;
 }
 
+/** Uploads for each long one, and the time that this takes in milliseconds. */
+const LONG_ONE_IN = 10;
+const LONG_UPLOAD_MS = 700;
+
 /** One caller. */
 export class Caller {
   readonly #options: CallerOptions;
@@ -151,6 +155,7 @@
   ): Promise<void> {
     const [host, port] = link.split(':');
     const {id, kind, path} = record;
+    const isLong = kind === 'unsafe' && this.#sent % LONG_ONE_IN === 0;
     return new Promise(resolve => {
       const request = sendRequest({
         host,
@@ -188,7 +193,12 @@
           end();
         });
       });
-      request.end(body);
+      if (isLong) {
+        request.write(body.slice(0, 1));
+        setTimeout(() => request.end(body.slice(1)), LONG_UPLOAD_MS);
+      } else {
+        request.end(body);
+      }
     });
   }
 }
--- a/packages-private/soak/src/entry-process.ts
+++ b/packages-private/soak/src/entry-process.ts
@@ -29,6 +29,7 @@
   /** Five ports: callers, entries, readiness, metrics, feed. */
   readonly ports: readonly number[];
   readonly storeAddress: string;
+  /** The program of its first process. */
   readonly program: string;
   readonly directory: string;
   readonly history: History;
@@ -45,6 +46,8 @@
   #child: ChildProcess | undefined;
   #isEnded = false;
   #isSignalled = false;
+  /** The program of its next process. */
+  program: string;
   /** Pauses that are not over. */
   #pauses = 0;
 
@@ -53,6 +56,7 @@
     this.name = name;
     this.zone = zone;
     this.#options = options;
+    this.program = options.program;
     this.#settingsFile = join(directory, `${name}.json`);
     const listen = '127.0.0.1:0';
     const open = {listen, mode: 'open', delayMs: 0} as const;
@@ -83,6 +87,10 @@
     return this.#options.ports[1];
   }
 
+  get metricsPort(): number {
+    return this.#options.ports[3];
+  }
+
   get readinessPort(): number {
     return this.#options.ports[2];
   }
@@ -128,7 +136,8 @@
     const child = this.#child;
     this.signal('SIGTERM');
     const timer = setTimeout(() => child?.kill('SIGKILL'), STOP_WITHIN_MS);
-    if (child !== undefined && child.exitCode === null) {
+    const isRunning = child?.exitCode === null && child.signalCode === null;
+    if (child !== undefined && isRunning) {
       await once(child, 'exit');
     }
     clearTimeout(timer);
@@ -142,10 +151,10 @@
   }
 
   async #live(): Promise<void> {
-    const {directory, program, history} = this.#options;
+    const {directory, history} = this.#options;
     const log = openSync(join(directory, `${this.name}.log`), 'a');
     this.#isSignalled = false;
-    const child = spawn(process.execPath, [program], {
+    const child = spawn(process.execPath, [this.program], {
       stdio: ['ignore', log, log],
       env: {...process.env, WASABIDYKE_SETTINGS: this.#settingsFile},
     });
--- a/packages-private/soak/src/main.ts
+++ b/packages-private/soak/src/main.ts
@@ -17,6 +17,7 @@
   readonly workers: number;
   readonly callers: number;
   readonly directory: string;
+  readonly older?: string;
 }
 
 const options = new Command('soak')
@@ -29,6 +30,10 @@
   .option('--workers <number>', 'workers of the two services', parseWhole, 12)
   .option('--callers <number>', 'callers', parseWhole, 24)
   .option('--directory <path>', 'where runs are kept', '.runs')
+  .option(
+    '--older <path>',
+    'program of an older build that entries begin with; see scripts/bundle-commit.mjs',
+  )
   .parse()
   .opts<Options>();
 
@@ -39,7 +44,7 @@
 await soak();
 
 async function soak(): Promise<void> {
-  const {seed, seconds, directory, ...size} = options;
+  const {seed, seconds, directory, older, ...size} = options;
   console.log(`seed ${seed}, ${seconds} s`);
   if (!existsSync(PROGRAM)) {
     throw new Error(`${PROGRAM} is missing: build it with npm run bundle`);
@@ -53,6 +58,7 @@
     ...size,
     schedule,
     program: PROGRAM,
+    olderProgram: older,
     directory: path,
   });
   const {violations, calls, served, arrivals} = report;
--- a/packages-private/soak/src/schedule.ts
+++ b/packages-private/soak/src/schedule.ts
@@ -30,7 +30,7 @@
   'move-route',
 ] as const;
 
-/** One kind of act. The others are no part of a series: a request that crashes workers, the loss of all entries at once, an entry that joins, one that stands still for long, workers that name a limit, entries that lose their links to workers, workers that ask for rest, and one that says only in its answers that it leaves. */
+/** One kind of act. The others are no part of a series: a request that crashes workers, the loss of all entries at once, an entry that joins, one that stands still for long, workers that name a limit, entries that lose their links to workers, workers that ask for rest, one that says only in its answers that it leaves, bursts of configurations, the loss or a pause of an entry that reads the store, and the replacement of an older build. */
 export type Act =
   | (typeof ACTS)[number]
   | 'crashing-request'
@@ -40,7 +40,13 @@
   | 'workers-limit'
   | 'entries-cut'
   | 'workers-rest'
-  | 'worker-says-leaving';
+  | 'worker-says-leaving'
+  | 'configuration-burst'
+  | 'reader-kill'
+  | 'reader-pause'
+  | 'worker-repeats-refusal'
+  | 'worker-cuts-head'
+  | 'entries-upgrade';
 
 /** One act of a run. */
 export interface Step {
@@ -79,6 +85,10 @@
   'entries-cut': 7_000,
   'workers-rest': 8_000,
   'worker-says-leaving': 8_000,
+  'configuration-burst': 5_000,
+  'reader-pause': 4_000,
+  'worker-repeats-refusal': 6_000,
+  'worker-cuts-head': 3_000,
 };
 
 /** Draws the steps of one run. @param acts Those to draw from. */
@@ -131,6 +141,13 @@
     'entries-cut',
     'workers-rest',
     'worker-says-leaving',
+    'configuration-burst',
+    'configuration-burst',
+    'reader-kill',
+    'reader-pause',
+    'worker-repeats-refusal',
+    'worker-cuts-head',
+    'entries-upgrade',
   ];
   return [...acts, ...others].map(draw);
 }
--- a/packages-private/soak/src/soak.ts
+++ b/packages-private/soak/src/soak.ts
@@ -24,6 +24,8 @@
   readonly callers: number;
   /** The bundled entry. */
   readonly program: string;
+  /** The one of an older build that entries begin with; undefined if they begin with this one. */
+  readonly olderProgram?: string;
   /** Takes settings, logs and the history. */
   readonly directory: string;
 }
@@ -110,7 +112,7 @@
       regionByZone: REGION_BY_ZONE,
       ports: entryPorts,
       storeAddress,
-      program: options.program,
+      program: options.olderProgram ?? options.program,
       directory: options.directory,
       history,
     });
@@ -127,7 +129,18 @@
     // Its processes are ended with those of the others.
     void entry.run();
   };
-  return {entries, joined, join, links, workers, store, operator, history};
+  const {program} = options;
+  return {
+    entries,
+    joined,
+    join,
+    links,
+    program,
+    workers,
+    store,
+    operator,
+    history,
+  };
 }
 
 async function play(site: Site, options: SoakOptions): Promise<void> {
--- a/packages-private/soak/src/worker-stand-in.ts
+++ b/packages-private/soak/src/worker-stand-in.ts
@@ -18,7 +18,16 @@
 import {readBody} from './store-stand-in.js';
 
 /** How a worker misbehaves. */
-export type WorkerFault = 'none' | 'slow' | 'errors' | 'truncates' | 'hangs';
+export type WorkerFault =
+  | 'none'
+  | 'slow'
+  | 'errors'
+  | 'truncates'
+  | 'hangs'
+  /** Each third request is refused, and the refusal written once more later. */
+  | 'repeats-refusal'
+  /** The connection ends within the head of the answer. */
+  | 'cuts-head';
 
 /** Slots, places in the queue, and the time of one run in milliseconds. */
 const SLOTS = 4;
@@ -26,6 +35,10 @@
 const WORK_MS = 30;
 const SLOW_WORK_MS = 400;
 
+/** Time after a refusal until it is written once more, in milliseconds, and how many requests come for each that is refused. */
+const REPEAT_MS = 40;
+const REFUSED_ONE_IN = 3;
+
 /** Part of the paths of requests that crash each worker that begins to run them. */
 export const CRASHING_PATH = 'crashing-';
 
@@ -195,6 +208,11 @@
       this.#askForRest(arrival, response, this.restSeconds);
       return;
     }
+    const isNext = this.#history.arrivals.length % REFUSED_ONE_IN === 0;
+    if (this.fault === 'repeats-refusal' && isNext) {
+      refuseTwice(request.socket, id);
+      return;
+    }
     if (this.#running >= SLOTS && this.#queue.length >= QUEUE) {
       response.setHeader('Wasabidyke-Not-Executed', 'full');
       response.writeHead(503).end();
@@ -245,12 +263,23 @@
       response.setHeader('Content-Length', Buffer.byteLength(text));
       response.write(text.slice(0, text.length / 2));
       setImmediate(() => response.destroy());
+    } else if (this.fault === 'cuts-head') {
+      response.socket?.end(
+        `HTTP/1.1 200 OK\r\nWasabidyke-Attempt-Id: ${arrival.id}\r\nWasabi`,
+      );
     } else {
       response.end(text);
     }
   }
 }
 
+/** Writes a refusal past the server, which takes one answer for each request. */
+function refuseTwice(socket: Socket, id: string): void {
+  const refusal = `HTTP/1.1 503 Busy\r\nWasabidyke-Not-Executed: 1\r\nWasabidyke-Attempt-Id: ${id}\r\nConnection: keep-alive\r\nContent-Length: 0\r\n\r\n`;
+  socket.write(refusal);
+  setTimeout(() => socket.writable && socket.write(refusal), REPEAT_MS);
+}
+
 /** What a worker answers to a request. */
 export function toAnswer(worker: string, id: string, body: string): string {
   const digest = createHash('sha256').update(body).digest('hex');
