--- a/features/steps/repeated-refusal.steps.ts
+++ b/features/steps/repeated-refusal.steps.ts
@@ -25,7 +25,7 @@
 
 interface RefusalWorld {
   refusingServer: Server;
-  pool: Pool;
+  refusalPool: Pool;
   attempts: Attempt[];
 }
 
@@ -48,7 +48,7 @@
     this.refusingServer.listen(0, '127.0.0.1');
     await once(this.refusingServer, 'listening');
     const {port} = this.refusingServer.address() as AddressInfo;
-    this.pool = new Pool(`http://127.0.0.1:${port}`, {connections: 1});
+    this.refusalPool = new Pool(`http://127.0.0.1:${port}`, {connections: 1});
   },
 );
 
@@ -58,7 +58,7 @@
     this.attempts = ['GET', 'POST'].map(
       method =>
         new Attempt({
-          dispatcher: this.pool,
+          dispatcher: this.refusalPool,
           request: {method, path: '/', headers: {}, body: null},
           sink: new DroppingSink(),
           onAnswerHead: () => {},
@@ -84,5 +84,5 @@
 
 After(async function (this: Partial<RefusalWorld>) {
   this.refusingServer?.close();
-  await this.pool?.destroy();
+  await this.refusalPool?.destroy();
 });
