feat(balancer): log checks of upstreams, and what an attempt that ended had of its answer

Logs could not tell apart why a request that ends its upstreams is not held: an end within the answer that is not asked about, a check that came too early, or an attempt that nobody waits for any more.

'upstream.checked' tells each check and what other entries said. 'attempt.ended' says whether the head of an answer had come, and has the fingerprint of attempts that were given up as well. No decision changes.

--- a/packages/balancer/src/serving/attempt-recorder.ts
+++ b/packages/balancer/src/serving/attempt-recorder.ts
@@ -81,7 +81,7 @@
 
   /** Logs an attempt that failed, was a repeat or exceeded the target latency. @param sentCount Attempts of the request so far. */
   logIfNotable(
-    {selected, startedAtMs}: Attempt,
+    {selected, exchange, startedAtMs}: Attempt,
     result: ExchangeResult,
     sentCount: number,
   ): void {
@@ -104,8 +104,10 @@
       result: result.kind,
       status: result.kind === 'answered' ? result.answer.status : undefined,
       cause: 'message' in result ? result.message : undefined,
-      fingerprint:
-        result.kind === 'broken' ? fingerprintOf(this.#request) : undefined,
+      hasHead: exchange.hasAnswerHead,
+      fingerprint: mayHaveRunOn(result)
+        ? fingerprintOf(this.#request)
+        : undefined,
       estimateMs: Math.round(selected.estimateMs),
       reportAgeMs: Math.round(selected.reportAgeMs),
       slowdown: round(selected.slowdown),
@@ -120,6 +122,11 @@
   return Math.round(value * HUNDREDTHS) / HUNDREDTHS;
 }
 
+/** Whether the upstream may still run the request, or have ended under it. */
+function mayHaveRunOn({kind}: ExchangeResult): boolean {
+  return kind === 'broken' || kind === 'given-up';
+}
+
 function toEnd(result: ExchangeResult): AttemptOutcome {
   switch (result.kind) {
     case 'answered':
--- a/packages/balancer/src/suspects/upstream-check.ts
+++ b/packages/balancer/src/suspects/upstream-check.ts
@@ -8,6 +8,7 @@
 import type {EntryRecord} from '../members/entry-record.js';
 import type {UpstreamHandle} from '../members/upstream-handle.js';
 import type {UpstreamRegistry} from '../members/upstream-registry.js';
+import type {DecisionLog} from '../reporting/decision-log.js';
 
 /** Path at which an entry checks an upstream for another one. */
 export const UPSTREAM_CHECK_PATH = '/v1/upstream-check';
@@ -23,6 +24,7 @@
   /** The other entries that take messages and are up. */
   readonly peers: () => readonly EntryRecord[];
   readonly client: EntryClient;
+  readonly log: DecisionLog;
 }
 
 /** What an entry says of an upstream: `unsure` if it reaches no other one either. */
@@ -79,15 +81,30 @@
 
   async #check(handle: UpstreamHandle): Promise<boolean> {
     if (await this.#isAlive(handle)) {
+      this.#logResult(handle, true, []);
       return false;
     }
     const opinions = await Promise.all(
       this.#selectHelpers().map(peer => this.#ask(peer, handle)),
     );
-    if (opinions.includes('running')) {
-      return false;
-    }
-    return opinions.includes('crashed') || this.#reachesAnother(handle);
+    const isRunning =
+      opinions.includes('running') ||
+      (!opinions.includes('crashed') && !(await this.#reachesAnother(handle)));
+    this.#logResult(handle, isRunning, opinions);
+    return !isRunning;
+  }
+
+  #logResult(
+    {record}: UpstreamHandle,
+    isRunning: boolean,
+    opinions: readonly UpstreamOpinion[],
+  ): void {
+    this.#options.log.record('upstream.checked', {
+      upstream: record.id,
+      service: record.service,
+      opinions: opinions.join(' '),
+      isRunning,
+    });
   }
 
   async #see(handle: UpstreamHandle): Promise<UpstreamOpinion> {
