test(balancer): requests that end their workers within the answer, after it is given up, or in silence

Green already: innocent look-ups beside such a request, workers that cut their answers, stand still, are left by callers, or leave as planned.

The stand-in is truer to the protocol: a worker that is back after a crash announces a new start, under its former id or another one, and answers 421 to what is meant for an earlier one. Before, it went on as the same start, as no worker does.

--- a/features/steps/balancer-crashes.steps.ts
+++ b/features/steps/balancer-crashes.steps.ts
@@ -17,9 +17,11 @@
   type CallerRequest,
 } from '../support/balancer-site.js';
 import {eventually} from '../support/eventually.js';
+import type {CallerHabit} from '../support/worker-ending.js';
 
-/** Pause between sends, in milliseconds. */
+/** Pause between sends, in milliseconds, and the one of callers that don't wait for their answers. */
 const PAUSE_MS = 50;
+const HASTY_PAUSE_MS = 200;
 
 /** Sends after which a request that isn't refused should have crashed enough workers. */
 const MOST_SENDS = 60;
@@ -37,6 +39,10 @@
 interface CrashWorld {
   balancerSite: BalancerSite;
   request: CallerRequest;
+  /** What the caller of the request does; undefined if it waits for its answer. */
+  habit: CallerHabit | undefined;
+  /** The entry that all sends go to; undefined if they go to all in turn. */
+  onlyEntry: number | undefined;
   lastAnswer: CallerAnswer;
   reachedBefore: number;
   lookUps: CallerRequest[];
@@ -62,6 +68,20 @@
   },
 );
 
+Given(
+  '{string} is sent to entry {int} until it has crashed {int} workers',
+  async function (
+    this: CrashWorld,
+    line: string,
+    entry: number,
+    crashes: number,
+  ) {
+    this.request = toRequest(line);
+    this.onlyEntry = entry - 1;
+    await sendUntilCrashed(this, crashes);
+  },
+);
+
 Given(
   '{string} is sent to the entries in turn until it has crashed {int} workers, each beside {int} look-ups',
   async function (
@@ -301,7 +321,7 @@
       }),
     );
     world.lookUps?.push(...lookUps);
-    await sleep(PAUSE_MS);
+    await sleep(pauseMsOf(world));
     await send(world, sent);
     await Promise.all(answers);
   }
@@ -310,14 +330,18 @@
 async function sendInTurn(world: CrashWorld, count: number): Promise<void> {
   for (let sent = 0; sent < count; sent++) {
     await send(world, sent);
-    await sleep(PAUSE_MS);
+    await sleep(pauseMsOf(world));
   }
 }
 
 async function send(world: CrashWorld, index: number): Promise<void> {
-  const {balancerSite, request} = world;
-  const entry = index % balancerSite.entries;
-  world.lastAnswer = await balancerSite.call({...request, entry});
+  const {balancerSite, request, habit, onlyEntry} = world;
+  const entry = onlyEntry ?? index % balancerSite.entries;
+  world.lastAnswer = await balancerSite.call({...request, ...habit, entry});
+}
+
+function pauseMsOf({habit}: CrashWorld): number {
+  return habit === undefined ? PAUSE_MS : HASTY_PAUSE_MS;
 }
 
 /** How many workers the request has crashed: one that is back may have been crashed twice. */
--- a/features/support/balancer-site.ts
+++ b/features/support/balancer-site.ts
@@ -71,6 +71,8 @@
   readonly entry?: number;
   /** Loopback address of the caller. */
   readonly from?: string;
+  /** Time after which the caller closes its connection, in milliseconds; its answer has the status 0 then. */
+  readonly leavesAfterMs?: number;
 }
 
 /** An entry of the site. */
@@ -91,6 +93,8 @@
   readonly store = new MemoryRecordStore();
   readonly log = new MemoryLog();
   readonly workers: ScriptedWorker[] = [];
+  /** Whether a worker that was crashed is back under its former id. */
+  keepsIds = true;
   readonly #hasLinks: boolean;
   #entries: SiteEntry[] = [];
   #started = 0;
@@ -244,6 +248,15 @@
       );
     }
     this.announce(worker, {});
+    let starts = 1;
+    worker.onRestart = () => {
+      starts += 1;
+      if (!this.keepsIds) {
+        this.store.set(`servers/${worker.id}`, undefined);
+        worker.id = `${id}-${starts}`;
+      }
+      this.announce(worker, {}, starts);
+    };
     return worker;
   }
 
@@ -321,7 +334,7 @@
 
 function send(
   port: number,
-  {path, method = 'GET', body, from}: CallerRequest,
+  {path, method = 'GET', body, from, leavesAfterMs}: CallerRequest,
   headers: Record<string, string>,
 ): Promise<CallerAnswer> {
   const startMs = performance.now();
@@ -352,5 +365,14 @@
     );
     request.on('error', reject);
     request.end(body);
+    if (leavesAfterMs !== undefined) {
+      const leave = () => {
+        const tookMs = performance.now() - startMs;
+        resolve({status: 0, headers: {}, body: '', tookMs});
+        request.destroy();
+      };
+      const timer = setTimeout(leave, leavesAfterMs);
+      request.once('close', () => clearTimeout(timer));
+    }
   });
 }
--- a/features/support/scripted-worker.ts
+++ b/features/support/scripted-worker.ts
@@ -8,43 +8,10 @@
   type Socket,
 } from 'node:net';
 import {writeEndlessly} from './endless-writer.js';
+import {planEnding, type WorkerEnding} from './worker-ending.js';
+import type {WorkerScript} from './worker-script.js';
 
-/** How the worker answers requests. */
-export type WorkerScript =
-  | 'answers'
-  | 'slow'
-  | 'hangs'
-  | 'sheds'
-  | 'resets'
-  | 'truncates'
-  | 'unframed'
-  | 'unframed-reset'
-  | 'foreign'
-  | 'extra'
-  | 'early'
-  | 'error'
-  | 'other-worker'
-  | 'unsigned'
-  /** Answers have a header with bytes beyond ASCII. */
-  | 'has-odd-headers'
-  /** The first request is refused, and that refusal is written once more while the next one runs: with its id or without one. */
-  | 'repeats-refusal'
-  | 'repeats-refusal-without-id'
-  /** Load queries are refused, and the refusal of one is written once more while the next request runs. */
-  | 'repeats-load-refusal'
-  /** The connection ends, or is reset, within the head of an answer. */
-  | 'cut-status'
-  | 'cut-header'
-  | 'cut-head'
-  | 'cut-head-reset'
-  | 'cut-head-after-informational'
-  /** Bytes without end, until the connection closes: in a head, a body, a chunk's extension, or the answer to a load query. */
-  | 'endless-head'
-  | 'endless-informational'
-  | 'endless-body'
-  | 'endless-unsigned'
-  | 'endless-extension'
-  | 'endless-load';
+export type {WorkerScript} from './worker-script.js';
 
 /** A request as the worker read it. */
 export interface WorkerRequest {
@@ -71,8 +38,12 @@
 
 /** The worker. */
 export class ScriptedWorker {
-  readonly id: string;
+  id: string;
   script: WorkerScript = 'answers';
+  /** When in its life a request that crashes the worker does so. */
+  ending: WorkerEnding = 'before its answer';
+  /** Called when it is back after a crash, before it takes connections. */
+  onRestart: () => void = () => {};
   /** The load that it reports: running, waiting, slots, pace. */
   load = '0,0,4,100';
   /** Limit that it names in its answers, in requests per second. */
@@ -97,6 +68,8 @@
   #hasRefused = false;
   #isResetting = false;
   #isClosed = false;
+  /** Whether a request that crashes it has silenced it. */
+  #isSilent = false;
   #port = 0;
   #server: Server;
   readonly #sockets = new Set<Socket>();
@@ -135,12 +108,41 @@
     for (const socket of this.#sockets) {
       socket.resetAndDestroy();
     }
-    setTimeout(() => {
-      if (!this.#isClosed) {
-        this.#server = createServer(socket => this.#serve(socket));
-        void this.listen();
+    setTimeout(() => void this.#restart(), RESTART_MS);
+  }
+
+  async #restart(): Promise<void> {
+    if (!this.#isClosed) {
+      this.#isSilent = false;
+      this.onRestart();
+      this.#server = createServer(socket => this.#serve(socket));
+      await this.listen();
+    }
+  }
+
+  /** Runs a request that crashes the worker. */
+  #runCrashing(socket: Socket, {headers}: WorkerRequest): void {
+    const requestId = headers.get('wasabidyke-attempt-id') ?? '';
+    const plan = planEnding(this.ending, requestId);
+    this.#isSilent ||= plan.isSilent;
+    socket.write(plan.answer);
+    const server = this.#server;
+    const end = () => {
+      // Another request may have crashed it first.
+      if (server !== this.#server || !server.listening) {
+        return;
+      }
+      if (plan.livesOn === true) {
+        this.#isSilent = false;
+      } else {
+        this.crash();
       }
-    }, RESTART_MS);
+    };
+    if (plan.endsAfterMs === 0) {
+      end();
+    } else {
+      setTimeout(end, plan.endsAfterMs);
+    }
   }
 
   close(): void {
@@ -162,7 +164,7 @@
     socket.on('close', () => this.#sockets.delete(socket));
     socket.on('data', chunk => {
       received = Buffer.concat([received, chunk]);
-      received = this.#read(socket, received);
+      received = this.#isSilent ? received : this.#read(socket, received);
     });
   }
 
@@ -182,10 +184,14 @@
     const body = received.subarray(bodyAt, bodyAt + length).toString('latin1');
     if (request.path === '/load') {
       this.#answerLoad(socket);
+    } else if (this.#isMisdirected(request.headers)) {
+      socket.write(
+        `HTTP/1.1 421 Misdirected\r\nWasabidyke-Attempt-Id: ${request.headers.get('wasabidyke-attempt-id')}\r\nWasabidyke-Instance-Id: ${this.id}\r\nContent-Length: 0${HEAD_END}`,
+      );
     } else {
       this.requests.push({...request, body});
       if (this.isCrashable && request.path.endsWith(CRASHING)) {
-        this.crash();
+        this.#runCrashing(socket, {...request, body});
         return Buffer.alloc(0);
       }
       this.#answer(socket, {...request, body});
@@ -193,6 +199,11 @@
     return received.subarray(bodyAt + length);
   }
 
+  /** Whether a request is meant for an earlier worker at this address. */
+  #isMisdirected(headers: ReadonlyMap<string, string>): boolean {
+    return (headers.get('wasabidyke-expected-instance') ?? this.id) !== this.id;
+  }
+
   #answerLoad(socket: Socket): void {
     this.loadQueries += 1;
     if (this.script === 'endless-load') {
--- /dev/null
+++ b/features/support/worker-script.ts
@@ -0,0 +1,38 @@
+/** What a scripted worker can be told to do. */
+
+/** How the worker answers requests. */
+export type WorkerScript =
+  | 'answers'
+  | 'slow'
+  | 'hangs'
+  | 'sheds'
+  | 'resets'
+  | 'truncates'
+  | 'unframed'
+  | 'unframed-reset'
+  | 'foreign'
+  | 'extra'
+  | 'early'
+  | 'error'
+  | 'other-worker'
+  | 'unsigned'
+  /** Answers have a header with bytes beyond ASCII. */
+  | 'has-odd-headers'
+  /** The first request is refused, and that refusal is written once more while the next one runs: with its id or without one. */
+  | 'repeats-refusal'
+  | 'repeats-refusal-without-id'
+  /** Load queries are refused, and the refusal of one is written once more while the next request runs. */
+  | 'repeats-load-refusal'
+  /** The connection ends, or is reset, within the head of an answer. */
+  | 'cut-status'
+  | 'cut-header'
+  | 'cut-head'
+  | 'cut-head-reset'
+  | 'cut-head-after-informational'
+  /** Bytes without end, until the connection closes: in a head, a body, a chunk's extension, or the answer to a load query. */
+  | 'endless-head'
+  | 'endless-informational'
+  | 'endless-body'
+  | 'endless-unsigned'
+  | 'endless-extension'
+  | 'endless-load';
