fix(balancer): a request is suspected of ending its upstream however far the answer had come and whoever waits

What callers saw: one request ended one worker after the other, on and on, and innocent requests beside it were refused for minutes.

Cause: that an upstream's process has ended was read from how an attempt ended, and only from an attempt that somebody still waited for. An end within the answer asked nothing; one after the caller had left, after the deadline or after the entry broke off itself was never seen; a silent upstream never ended.

Now it belongs to the upstream. A check asks on an open connection first, and asks other entries while it waits, so that silence is confirmed within a second or so. An upstream that answers after all, since it only stood still or was cut off, has its ends withdrawn; a later start under its id confirms them again. Records between entries are as before.

A whole answer settles a send: what ends its upstream after that was served, and blaming it would blame what was answered just before any other end.

--- a/features/policy/crash-guard.feature
+++ b/features/policy/crash-guard.feature
@@ -164,3 +164,11 @@
     Then "page" is quarantined
     When "page" is answered
     Then "page" is clear
+
+  # Guards against a request that stays blamed for an upstream which only stood still.
+  Scenario: A crash is withdrawn when its upstream runs after all
+    When this entry sees 3 crashes of "page"
+    Then "page" is quarantined
+    When this entry sees that upstream "u1" runs after all
+    Then "page" is a suspect
+    And at most 2 crashes of "page" are kept
--- a/features/steps/crash-guard.steps.ts
+++ b/features/steps/crash-guard.steps.ts
@@ -90,6 +90,13 @@
   },
 );
 
+When(
+  'this entry sees that upstream {string} runs after all',
+  function (this: GuardWorld, upstream: string) {
+    assert.equal(this.guard.onRefuted(upstream, this.nowMs).length, 1);
+  },
+);
+
 When(
   '{int} entries report that {string} crashed one upstream each',
   function (this: GuardWorld, count: number, fingerprint: string) {
--- a/packages/balancer/src/balancer-gauges.ts
+++ b/packages/balancer/src/balancer-gauges.ts
@@ -7,6 +7,7 @@
 import type {EntryRoster} from './members/entry-roster.js';
 import type {UpstreamRegistry} from './members/upstream-registry.js';
 import type {StoreWatcher} from './store/store-watcher.js';
+import type {ProcessWatch} from './suspects/process-watch.js';
 
 /** The parts that the gauges are read from. */
 export interface GaugeSources {
@@ -17,6 +18,7 @@
   readonly entries: EntryRoster;
   readonly liveness: LivenessTracker;
   readonly crashGuard: CrashGuard;
+  readonly processWatch: ProcessWatch;
 }
 
 /** Registers the gauges. */
@@ -85,4 +87,9 @@
     'Requests that were in flight at upstreams that crashed.',
     () => sources.crashGuard.size,
   );
+  metrics.gauge(
+    'wasabidyke_sends_unsettled',
+    'Sends to upstreams that were neither answered nor refused.',
+    () => sources.processWatch.unsettledCount,
+  );
 }
--- a/packages/balancer/src/balancer.ts
+++ b/packages/balancer/src/balancer.ts
@@ -177,6 +177,7 @@
       entries: this.#entries,
       registry: this.#registry,
       crashMonitor: this.#suspects.monitor,
+      onReplaced: record => this.#suspects.processWatch.onReplaced(record),
       clock,
       log,
       onTable: table => {
@@ -226,6 +227,7 @@
       entries: this.#entries,
       liveness: this.#liveness,
       crashGuard: this.#suspects.guard,
+      processWatch: this.#suspects.processWatch,
     });
   }
 
@@ -280,6 +282,7 @@
     this.#storeWatcher.stop();
     this.#entryMonitor.stop();
     this.#suspects.announcer.stop();
+    this.#suspects.processWatch.stop();
     clearInterval(this.#tickTimer);
     this.#discoveryServer.close();
     this.#registry.close();
@@ -335,6 +338,9 @@
           address,
           cause,
         }),
+      onHeard: handle => this.#suspects.processWatch.onHeard(handle),
+      onConnectionLost: handle =>
+        this.#suspects.processWatch.onConnectionLost(handle),
       onLeaving: record => this.#clusterState.onUpstreamLeaving(record),
       onRest: ({id, service}, restMs) =>
         this.#log.record('upstream.resting', {upstream: id, service, restMs}),
@@ -384,7 +390,7 @@
       random: this.#random,
       log: this.#log,
       crashMonitor: this.#suspects.monitor,
-      upstreamCheck: this.#suspects.upstreamCheck,
+      processWatch: this.#suspects.processWatch,
       relay: this.#relaySender,
       endsAtMs: () => this.#endsAtMs,
       table: () => this.#clusterState.table,
--- a/packages/balancer/src/cluster-state.ts
+++ b/packages/balancer/src/cluster-state.ts
@@ -31,6 +31,8 @@
   readonly onTable: (table: RoutingTable) => void;
   /** Takes the records of requests that may crash upstreams. */
   readonly crashMonitor: CrashMonitor;
+  /** Called when the announcement of an upstream names a later start, and the earlier one has not said that it leaves. */
+  readonly onReplaced: (record: UpstreamRecord) => void;
   /** Records what was read, for the entries that follow this one. */
   readonly history: RecordHistory;
 }
@@ -57,6 +59,9 @@
       },
       onChanged: record => registry.update(record),
       onLeaving: (record, reason) => {
+        if (reason === 'replaced' && !record.isDraining) {
+          options.onReplaced(record);
+        }
         registry.remove(record);
         log.record('upstream.leaving', {
           upstream: record.id,
--- a/packages/balancer/src/exchange/connection-pool.ts
+++ b/packages/balancer/src/exchange/connection-pool.ts
@@ -44,7 +44,8 @@
   /** Whether the head of an answer is expected and none has been checked. */
   #isHeadDue = false;
 
-  constructor(origin: string) {
+  /** @param onLost Called when the connection ends, unless by `destroy`. */
+  constructor(origin: string, onLost: () => void) {
     this.#client = new Client(origin, {
       pipelining: 1,
       connect: (options, callback) => this.#connect(options, callback),
@@ -54,7 +55,13 @@
       keepAliveMaxTimeout: IDLE_TIMEOUT_MS,
       keepAliveTimeoutThreshold: IDLE_TIMEOUT_MARGIN_MS,
     });
-    this.#client.on('disconnect', () => (this.#isBroken = true));
+    this.#client.on('disconnect', () => {
+      const isLost = !this.#isBroken;
+      this.#isBroken = true;
+      if (isLost) {
+        onLost();
+      }
+    });
   }
 
   /** Whether the connection is closed; the client would open another one for the next request. */
@@ -163,13 +170,18 @@
 /** Idle and busy connections to one upstream, up to a limit. */
 export class ConnectionPool {
   readonly #origin: string;
+  readonly #onLost: () => void;
   readonly #idleConnections: UpstreamConnection[] = [];
   readonly #openConnections = new Set<UpstreamConnection>();
   #limit: number;
   #isClosed = false;
 
-  /** @throws TypeError if the address is none, now rather than with the first connection. */
-  constructor(address: string, limit: number) {
+  /**
+   * @param onLost Called when a connection ends that the pool didn't close.
+   * @throws TypeError if the address is none, now rather than with the first connection.
+   */
+  constructor(address: string, limit: number, onLost: () => void = () => {}) {
+    this.#onLost = onLost;
     this.#origin = new URL(`http://${address}`).origin;
     this.#limit = limit;
   }
@@ -216,7 +228,7 @@
   }
 
   #open(): UpstreamConnection {
-    const connection = new UpstreamConnection(this.#origin);
+    const connection = new UpstreamConnection(this.#origin, this.#onLost);
     this.#openConnections.add(connection);
     return connection;
   }
--- a/packages/balancer/src/members/upstream-handle.ts
+++ b/packages/balancer/src/members/upstream-handle.ts
@@ -45,6 +45,10 @@
   readonly answerMemory: AnswerMemory;
   /** Called when what is known of the limit has changed. */
   readonly onLimit: (source: LimitSource) => void;
+  /** Called when the upstream has answered anything. */
+  readonly onHeard: () => void;
+  /** Called when a connection to the upstream ends that this entry didn't close. */
+  readonly onConnectionLost: () => void;
   /** Called when the upstream says that it is leaving. */
   readonly onLeaving: (record: UpstreamRecord) => void;
   /** Called when the upstream asks for rest. */
@@ -86,6 +90,7 @@
     maximumMs: MAXIMUM_BACKOFF_MS,
   });
   #isDraining = false;
+  #heardAtMs = -Infinity;
 
   constructor(options: UpstreamHandleOptions) {
     const {record, distance, roundTripMs, connectionLimit} = options;
@@ -98,7 +103,11 @@
       options.groupFailureShare,
       options.reach,
     );
-    this.connections = new ConnectionPool(record.address, connectionLimit);
+    this.connections = new ConnectionPool(
+      record.address,
+      connectionLimit,
+      options.onConnectionLost,
+    );
     this.applyRecord(record);
   }
 
@@ -110,6 +119,11 @@
     return this.#record;
   }
 
+  /** When the upstream last answered anything, on the monotonic clock in milliseconds. */
+  get heardAtMs(): number {
+    return this.#heardAtMs;
+  }
+
   /** Memory for answers, shared with the other upstreams. */
   get answerMemory(): AnswerMemory {
     return this.#options.answerMemory;
@@ -136,6 +150,7 @@
     source: 'answer' | 'load-query',
   ): void {
     const {protocol, clock, rest, onRest, onLeaving} = this.#options;
+    this.#onHeard();
     this.#readLimit(headers, source);
     if (!this.#isDraining && protocol.isLeaving(headers)) {
       onLeaving(this.#record);
@@ -241,9 +256,17 @@
     const {kind} = await exchange.result;
     clearTimeout(timer);
     this.release(connection, exchange);
+    if (kind === 'answered') {
+      this.#onHeard();
+    }
     return kind === 'answered';
   }
 
+  #onHeard(): void {
+    this.#heardAtMs = this.#options.clock.now();
+    this.#options.onHeard();
+  }
+
   #createLoadQuery(connection: UpstreamConnection, path: string): Exchange {
     const {protocol, record} = this.#options;
     return new Exchange(
--- a/packages/balancer/src/members/upstream-registry.ts
+++ b/packages/balancer/src/members/upstream-registry.ts
@@ -44,6 +44,10 @@
   readonly connectionLimit: (service: string) => number;
   /** Called with what an upstream says of its limit, when it changes what is known. */
   readonly onLimit: (handle: UpstreamHandle, source: LimitSource) => void;
+  /** Called when an upstream has answered anything. */
+  readonly onHeard: (handle: UpstreamHandle) => void;
+  /** Called when a connection to an upstream ends that this entry didn't close. */
+  readonly onConnectionLost: (handle: UpstreamHandle) => void;
   /** Called when an upstream says in an answer that it is leaving. */
   readonly onLeaving: (record: UpstreamRecord) => void;
   /** Called when an upstream asks for rest. */
@@ -175,7 +179,7 @@
     const {locality, protocol, clock, connectionLimit, onUnresponsive} =
       this.#options;
     const distance = distanceTo(record.zone, locality);
-    const {entry, random, onLimit, onRest, onLeaving} = this.#options;
+    const {entry, random, onLimit, onRest, onLeaving, onHeard} = this.#options;
     const limit = new RequestLimit({upstream: record.id, entry, random});
     limit.applyEntries(this.#entries, clock.now());
     const handle: UpstreamHandle = new UpstreamHandle({
@@ -191,6 +195,8 @@
       rest: new RestPeriod(random),
       answerMemory: this.answerMemory,
       onLimit: source => onLimit(handle, source),
+      onHeard: () => onHeard(handle),
+      onConnectionLost: () => this.#options.onConnectionLost(handle),
       onRest,
       onLeaving,
       onUnresponsive,
--- a/packages/balancer/src/serving/dispatcher-options.ts
+++ b/packages/balancer/src/serving/dispatcher-options.ts
@@ -7,7 +7,7 @@
 import type {RelaySender} from '../relay/relay-sender.js';
 import type {DecisionLog} from '../reporting/decision-log.js';
 import type {CrashMonitor} from '../suspects/crash-monitor.js';
-import type {UpstreamCheck} from '../suspects/upstream-check.js';
+import type {ProcessWatch} from '../suspects/process-watch.js';
 import type {RouteState} from './route-state.js';
 import type {UpstreamSelector} from './upstream-selector.js';
 
@@ -21,7 +21,7 @@
   readonly random: RandomSource;
   readonly log: DecisionLog;
   readonly crashMonitor: CrashMonitor;
-  readonly upstreamCheck: UpstreamCheck;
+  readonly processWatch: ProcessWatch;
   /** When this process ends, on the monotonic clock in milliseconds; infinite unless it is stopping. */
   readonly endsAtMs: () => number;
   /** Sends requests through other entries. */
--- a/packages/balancer/src/serving/request-dispatcher.ts
+++ b/packages/balancer/src/serving/request-dispatcher.ts
@@ -55,17 +55,18 @@
     this.#options = options;
     this.#recorder = new AttemptRecorder(request, options);
     this.#limitGate = new LimitGate(request, options);
-    this.#sender = new UpstreamSender(request, options);
     this.#relay = new RequestRelay(request, options);
     this.#hedging = new Hedging(request, options);
     for (const id of request.relayed?.excluded ?? []) {
       this.#exclude(id);
     }
-    this.#crashTracker = new CrashTracker(request, options);
+    const crashTracker = new CrashTracker(request, options);
+    this.#crashTracker = crashTracker;
+    this.#sender = new UpstreamSender(request, {...options, crashTracker});
     this.#refusals = new Refusals(request, {
       ...options,
       limitGate: this.#limitGate,
-      crashTracker: this.#crashTracker,
+      crashTracker,
     });
     let resolveResult: (result: DispatchResult) => void = () => {};
     this.result = new Promise(resolve => (resolveResult = resolve));
@@ -260,9 +261,8 @@
 
   /** Retries, unless another upstream crashed under a request that is suspected of that already. */
   async #retryAfterBreak(attempt: UpstreamAttempt): Promise<void> {
-    const mayRetry =
-      attempt.exchange.hasAnswerHead ||
-      (await this.#crashTracker.onBreak(attempt));
+    const {handle} = attempt.selected;
+    const mayRetry = await this.#crashTracker.onBreak(handle);
     if (this.#isFinished) {
       return;
     }
--- a/packages/balancer/src/serving/upstream-sender.ts
+++ b/packages/balancer/src/serving/upstream-sender.ts
@@ -4,6 +4,8 @@
 import type {Clock} from '@wasabidyke/shared';
 import {Exchange} from '../exchange/exchange.js';
 import type {WireProtocol} from '../exchange/wire-protocol.js';
+import type {CrashTracker} from '../suspects/crash-tracker.js';
+import type {ProcessWatch} from '../suspects/process-watch.js';
 import type {Attempt} from './attempt-recorder.js';
 import type {RoutedRequest} from './routed-request.js';
 import type {SelectedUpstream} from './upstream-selector.js';
@@ -23,6 +25,8 @@
 export interface UpstreamSenderOptions {
   readonly protocol: WireProtocol;
   readonly clock: Clock;
+  readonly crashTracker: CrashTracker;
+  readonly processWatch: ProcessWatch;
 }
 
 /** Sends a request over connections to upstreams. */
@@ -81,9 +85,14 @@
     const {distance} = handle.statistics;
     const attempt = {selected, exchange, startedAtMs, estimateMs, distance};
     handle.statistics.onSend();
+    const {crashTracker, processWatch} = this.#options;
+    const send = crashTracker.onSend(handle);
     exchange.start();
     void exchange.result.then(result => {
       handle.release(connection, exchange);
+      if (processWatch.onResult(handle, send, result)) {
+        crashTracker.onSettled(send);
+      }
       if (result.kind === 'not-sent' && !exchange.isAborted) {
         handle.onConnectFailure();
       }
--- a/packages/balancer/src/suspects/crash-monitor.ts
+++ b/packages/balancer/src/suspects/crash-monitor.ts
@@ -38,6 +38,14 @@
 /** Crashes under one request before it is quarantined. An innocent idempotent request may be retried at the next upstream that a guilty one crashes, but seldom at a third. */
 export const QUARANTINE_CRASHES = 3;
 
+/** Names one start of an upstream. */
+export function toStartName(
+  upstream: Pick<UpstreamRecord, 'id' | 'startedAtEpochMs'>,
+): string {
+  const {id, startedAtEpochMs} = upstream;
+  return `${id}@${startedAtEpochMs ?? ''}`;
+}
+
 /** Decides which requests are refused because they crash upstreams. */
 export class CrashMonitor {
   readonly #options: CrashMonitorOptions;
@@ -77,14 +85,13 @@
     {requestId, callerAddress}: Sender,
   ): void {
     const {guard, clock, log} = this.#options;
-    const {id, startedAtEpochMs = ''} = upstream;
-    const crash = {upstream: `${id}@${startedAtEpochMs}`, span};
+    const crash = {upstream: toStartName(upstream), span};
     guard.onCrash(identity, crash, clock.now());
     log.record('request.suspected', {
       request: requestId,
       fingerprint: identity.fingerprint,
       caller: callerAddress,
-      upstream: id,
+      upstream: upstream.id,
       crashes: guard.crashesOf(identity.fingerprint),
       outcome: this.statusOf(identity),
     });
@@ -120,6 +127,20 @@
     }
   }
 
+  /** Called when an upstream runs that was taken for crashed: withdraws what this entry reported. @param start Name of its start. */
+  onRefuted(start: string): void {
+    const {guard, announcer, clock, log} = this.#options;
+    for (const record of guard.onRefuted(start, clock.now())) {
+      const {fingerprint} = record;
+      log.record('suspect.withdrawn', {
+        fingerprint,
+        upstream: start,
+        crashes: guard.crashesOf(fingerprint),
+      });
+      announcer.correct(record);
+    }
+  }
+
   /** Called with each change of a record in the store. */
   onStoreChange(key: string, value: Buffer | undefined): void {
     if (value === undefined) {
--- a/packages/balancer/src/suspects/suspect-parts.ts
+++ b/packages/balancer/src/suspects/suspect-parts.ts
@@ -12,6 +12,7 @@
 import {PeerNotifier} from './peer-notifier.js';
 import {SuspectAnnouncer} from './suspect-announcer.js';
 import {parseSuspect} from './suspect-record.js';
+import {ProcessWatch} from './process-watch.js';
 import {UpstreamCheck} from './upstream-check.js';
 
 /** Options of `SuspectParts`. */
@@ -39,6 +40,7 @@
   readonly announcer: SuspectAnnouncer;
   readonly monitor: CrashMonitor;
   readonly upstreamCheck: UpstreamCheck;
+  readonly processWatch: ProcessWatch;
 
   constructor(options: SuspectPartsOptions) {
     const {entry, store, history, client, peers, random, clock, log} = options;
@@ -67,5 +69,7 @@
       ...options,
       peers: options.responsivePeers,
     });
+    const {upstreamCheck, monitor} = this;
+    this.processWatch = new ProcessWatch({...options, upstreamCheck, monitor});
   }
 }
--- a/packages/balancer/src/suspects/upstream-check.ts
+++ b/packages/balancer/src/suspects/upstream-check.ts
@@ -3,6 +3,7 @@
  * reach it, by asking other entries.
  */
 
+import {setTimeout as sleep} from 'node:timers/promises';
 import * as z from 'zod/mini';
 import {bodyOf, type EntryClient} from '../feed/entry-client.js';
 import type {EntryRecord} from '../members/entry-record.js';
@@ -43,6 +44,9 @@
 /** Other upstreams that are checked to find out whether this entry's own links work. */
 const OTHER_UPSTREAMS = 2;
 
+/** Time after which other entries are asked while this one still waits for its own answer, in milliseconds: several round trips between regions. */
+const PATIENCE_MS = 300;
+
 /** Time for the opinion of another entry, in milliseconds: a load query that isn't answered, another one, and the way to that entry. */
 const OPINION_TIMEOUT_MS = 2_500;
 
@@ -80,7 +84,10 @@
   }
 
   async #check(handle: UpstreamHandle): Promise<boolean> {
-    if (await this.#isAlive(handle)) {
+    const ownView = this.#isAlive(handle);
+    if (
+      await Promise.race([ownView, sleep(PATIENCE_MS, false, {ref: false})])
+    ) {
       this.#logResult(handle, true, []);
       return false;
     }
@@ -88,6 +95,7 @@
       this.#selectHelpers().map(peer => this.#ask(peer, handle)),
     );
     const isRunning =
+      (await ownView) ||
       opinions.includes('running') ||
       (!opinions.includes('crashed') && !(await this.#reachesAnother(handle)));
     this.#logResult(handle, isRunning, opinions);
--- a/packages/policy/src/crash-guard.ts
+++ b/packages/policy/src/crash-guard.ts
@@ -182,6 +182,19 @@
     return changed;
   }
 
+  /** Called when an upstream runs that this entry took for crashed. Returns its records that changed. */
+  onRefuted(upstream: string, nowMs: number): readonly SuspectRecord[] {
+    const {reporter} = this.#options;
+    const fingerprints = this.#fingerprintsByUpstream.get(upstream) ?? [];
+    const changed = [...fingerprints]
+      .map(fingerprint => this.recordOf(fingerprint, reporter))
+      .filter(record => record !== undefined)
+      .map(record => withoutCrash(record, upstream))
+      .filter(record => record !== undefined);
+    changed.forEach(record => this.onRecord(record, nowMs));
+    return changed;
+  }
+
   #find(fingerprint: string, nowMs: number): Suspect | undefined {
     const suspect = this.#suspects.get(fingerprint);
     if (suspect !== undefined && suspect.expiresAtMs <= nowMs) {
@@ -336,6 +349,17 @@
   return {...left, crashes: crashes.slice(-MAXIMUM_CRASHES), isAnswered};
 }
 
+/** The record without the crash of an upstream; undefined if it has none. */
+function withoutCrash(
+  record: SuspectRecord,
+  upstream: string,
+): SuspectRecord | undefined {
+  const crashes = record.crashes.filter(crash => crash.upstream !== upstream);
+  return crashes.length < record.crashes.length
+    ? {...record, sequence: record.sequence + 1, crashes}
+    : undefined;
+}
+
 /** The record after an answer to a caller; undefined if it changes nothing. */
 function toAnswered(
   record: SuspectRecord,
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -30,6 +30,7 @@
 export * from './token-bucket.js';
 export * from './two-choices-reported.js';
 export * from './two-choices.js';
+export * from './unsettled-sends.js';
 export * from './upstream-load.js';
 export * from './upstream-statistics.js';
 export * from './weighted-round-robin.js';
