fix(policy): a guilty request isn't freed by another one that shares some of its crashes

Cause: crashes at which a request with more crashes in turn was under way are left out, and only the rest had to show two in turn. Ends by silence are known late, so that their spans overlap; without the two that the other guilty request shared, no two were left in turn. Log: 'quarantined' from 54.2 s on, sent again at 56.9 s, when the other request had its third crash.

Now the rest must be enough in number, and all of its crashes together show whether upstreams were merely lost at once.

--- a/features/policy/crash-guard.feature
+++ b/features/policy/crash-guard.feature
@@ -172,3 +172,20 @@
     When this entry sees that upstream "u1" runs after all
     Then "page" is a suspect
     And at most 2 crashes of "page" are kept
+
+  # Guards against a guilty request that is freed because another one crashes an upstream at which both are under way.
+  Scenario: A request that shares a crash with another guilty one stays quarantined
+    When entry "a" reports that "guilty" was under way at these upstreams when they crashed
+      | upstream | from | to  |
+      | u1       | 0    | 100 |
+      | u2       | 50   | 101 |
+      | u3       | 90   | 102 |
+      | u4       | 200  | 300 |
+    Then "guilty" is quarantined
+    When entry "b" reports that "other" was under way at these upstreams when they crashed
+      | upstream | from | to  |
+      | u4       | 210  | 300 |
+      | u5       | 310  | 320 |
+      | u6       | 330  | 340 |
+    Then "guilty" is quarantined
+    And "other" is quarantined
--- a/packages/policy/src/crash-guard.ts
+++ b/packages/policy/src/crash-guard.ts
@@ -226,7 +226,7 @@
     return upstreamsOf(blamed).size >= quarantineCrashes;
   }
 
-  /** Whether enough upstreams crashed, not all of them together, for which no other request is to blame. */
+  /** Whether enough upstreams crashed for which no other request is to blame, and not all that crashed did so together. */
   #isGuiltyOverTime(crashes: readonly Crash[], suspect: Suspect): boolean {
     const blamed = crashes.filter(
       ({upstream}) =>
@@ -234,7 +234,7 @@
     );
     return (
       upstreamsOf(blamed).size >= this.#options.quarantineCrashes &&
-      countSuccessive(blamed) >= MINIMUM_SUCCESSIVE
+      countSuccessive(crashes) >= MINIMUM_SUCCESSIVE
     );
   }
 
