test(soak): crashing requests draw when and how they end a worker, and how long their callers wait

Before, a crashing request ended each worker before a byte of its answer, and its caller waited, so that the soak could not find the five other ways. Now the head or a part of an answer may come first, or silence; the end comes at once or up to 0.4 s later; the caller waits, leaves early or has a short deadline. The check counts from the end of the third worker, as the rule does.

--- a/packages-private/soak/src/checks.ts
+++ b/packages-private/soak/src/checks.ts
@@ -260,7 +260,10 @@
   const found: string[] = [];
   for (const path of new Set(runs.map(run => run.path))) {
     const own = runs.filter(run => run.path === path);
-    const thirdAtMs = own[CRASHES - 1]?.atMs ?? Infinity;
+    const ends = own
+      .map(({endedAtMs = Infinity}) => endedAtMs)
+      .sort((left, right) => left - right);
+    const thirdAtMs = ends[CRASHES - 1] ?? Infinity;
     const late = own.filter(({id, atMs}) => {
       const entry = crashing.get(id)?.entry ?? '';
       const isLate = atMs > thirdAtMs + BOUNDS.stableWindowMs;
--- a/packages-private/soak/src/crashing-request.ts
+++ b/packages-private/soak/src/crashing-request.ts
@@ -1,16 +1,34 @@
-/** A request that crashes each worker that begins to run it, and that its caller sends again and again to any entry. */
+/**
+ * A request that crashes each worker that begins to run it, and that its caller
+ * sends again and again to any entry. When and how workers end, and how long
+ * the caller waits, are drawn once for all sends.
+ */
 
 import {request as sendRequest} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {SeededRandom} from '@wasabidyke/policy';
+import {SeededRandom, type RandomSource} from '@wasabidyke/policy';
 import {HOST} from './caller.js';
 import type {EntryProcess} from './entry-process.js';
 import {nowMs, type CallRecord, type History} from './history.js';
-import {CRASHING_PATH} from './worker-stand-in.js';
+import {drawEnding, toEndingPath} from './worker-ending.js';
 
-/** Pause between sends, and what the caller waits for an answer, in milliseconds. */
+/** Pause between sends, in milliseconds. */
 const PAUSE_MS = 250;
+
+/** The deadline that a caller names, and the shortest one, in milliseconds. */
 const DEADLINE_MS = 1_000;
+const SHORTEST_DEADLINE_MS = 150;
+
+/** Shortest and longest time after which a caller leaves that doesn't wait for its answer, in milliseconds. */
+const SHORTEST_WAIT_MS = 20;
+const LONGEST_WAIT_MS = 300;
+
+/** How long the caller waits. */
+interface Patience {
+  readonly deadlineMs: number;
+  /** Time after which it closes its connection, in milliseconds. */
+  readonly waitMs: number;
+}
 
 /** Sends a crashing request until the run is over. @param listEntries Entries that may run now. @param seed Draws its kind and the entries that it is sent to. */
 export async function sendCrashing(
@@ -21,7 +39,9 @@
   const random = new SeededRandom(seed);
   const kind = random.nextBelow(2) === 0 ? 'safe' : 'unsafe';
   const prefix = kind === 'safe' ? '/read/' : '/write/';
-  const path = `${prefix}${CRASHING_PATH}${seed}-${history.calls.length}`;
+  const ending = toEndingPath(drawEnding(random));
+  const patience = drawPatience(random);
+  const path = `${prefix}${ending}${seed}-${history.calls.length}`;
   for (let sent = 1; !history.isOver; sent++) {
     const entries = listEntries();
     const entry = entries[random.nextBelow(entries.length)];
@@ -34,21 +54,42 @@
       isCrashing: true,
     };
     history.calls.push(record);
-    await send(record, entry.address);
+    await send(record, entry.address, patience);
     record.endedAtMs = nowMs();
     await sleep(PAUSE_MS);
   }
 }
 
+/** Half of the callers wait for their answers, a quarter leaves early, a quarter has a short deadline. */
+function drawPatience(random: RandomSource): Patience {
+  const kind = random.nextBelow(4);
+  const waitMs =
+    SHORTEST_WAIT_MS + random.nextBelow(LONGEST_WAIT_MS - SHORTEST_WAIT_MS);
+  const deadlineMs =
+    SHORTEST_DEADLINE_MS + random.nextBelow(DEADLINE_MS - SHORTEST_DEADLINE_MS);
+  switch (kind) {
+    case 0:
+      return {deadlineMs: DEADLINE_MS, waitMs};
+    case 1:
+      return {deadlineMs, waitMs: DEADLINE_MS};
+    default:
+      return {deadlineMs: DEADLINE_MS, waitMs: DEADLINE_MS};
+  }
+}
+
 /** Sends it past the link of the entry for callers: the faults of that link are none of its own. */
-function send(record: CallRecord, address: string): Promise<void> {
+function send(
+  record: CallRecord,
+  address: string,
+  {deadlineMs, waitMs}: Patience,
+): Promise<void> {
   const [host, port] = address.split(':');
   const method = record.kind === 'safe' ? 'GET' : 'POST';
   return new Promise(resolve => {
     const headers = {
       host: HOST,
       'wasabidyke-attempt-id': record.id,
-      'wasabidyke-request-deadline-ms': String(DEADLINE_MS),
+      'wasabidyke-request-deadline-ms': String(deadlineMs),
     };
     const request = sendRequest(
       {host, port, path: record.path, method, headers, agent: false},
@@ -60,14 +101,18 @@
         response.on('end', () => resolve());
       },
     );
-    request.setTimeout(DEADLINE_MS, () => {
+    const timer = setTimeout(() => {
       record.leftAtMs = nowMs();
       request.destroy();
-    });
+    }, waitMs);
     request.on('error', error => {
       record.error = error.message;
       resolve();
     });
+    request.on('close', () => {
+      clearTimeout(timer);
+      resolve();
+    });
     request.end();
   });
 }
--- a/packages-private/soak/src/worker-stand-in.ts
+++ b/packages-private/soak/src/worker-stand-in.ts
@@ -16,6 +16,7 @@
   type NamedLimit,
 } from './history.js';
 import {readBody} from './store-stand-in.js';
+import {readEnding, writeFirst, type WorkerEnding} from './worker-ending.js';
 
 /** How a worker misbehaves. */
 export type WorkerFault =
@@ -39,9 +40,6 @@
 const REPEAT_MS = 40;
 const REFUSED_ONE_IN = 3;
 
-/** Part of the paths of requests that crash each worker that begins to run them. */
-export const CRASHING_PATH = 'crashing-';
-
 /** One worker. Its identity changes with each start, its address doesn't. */
 export class WorkerStandIn {
   fault: WorkerFault = 'none';
@@ -64,6 +62,8 @@
   #server: Server;
   #port = 0;
   #running = 0;
+  /** Whether a request that crashes it has silenced it. */
+  #isSilent = false;
 
   constructor(id: string, service: string, history: History) {
     this.id = id;
@@ -96,6 +96,7 @@
     this.nameLimit(undefined);
     this.restSeconds = undefined;
     this.isLeaving = false;
+    this.#isSilent = false;
     this.#server = this.#create();
     await this.listen();
   }
@@ -177,6 +178,9 @@
     response: ServerResponse,
   ): Promise<void> {
     const {headers, url = '/'} = request;
+    if (this.#isSilent) {
+      return;
+    }
     response.setHeader('Wasabidyke-Server-Load', this.#load);
     if (this.isLeaving) {
       response.setHeader('Server-Leaving', '1');
@@ -232,9 +236,9 @@
     }
     this.#running += 1;
     arrival.hasRun = true;
-    if (arrival.path.includes(CRASHING_PATH)) {
-      arrival.endedAtMs = nowMs();
-      this.onCrash();
+    const ending = readEnding(arrival.path);
+    if (ending !== undefined) {
+      await this.#runCrashing(arrival, response, ending);
       return;
     }
     const onClose = () => (arrival.brokenOffAtMs = nowMs());
@@ -243,7 +247,7 @@
     await new Promise(resolve => setTimeout(resolve, workMs));
     if (this.fault === 'hangs') {
       await once(response, 'close');
-    } else if (!response.destroyed) {
+    } else if (!response.destroyed && !this.#isSilent) {
       response.off('close', onClose);
       this.#answer(arrival, response);
     }
@@ -252,6 +256,26 @@
     this.#queue.shift()?.();
   }
 
+  /** Runs a request that crashes it, unless it ends for another reason before. */
+  async #runCrashing(
+    arrival: ArrivalRecord,
+    response: ServerResponse,
+    ending: WorkerEnding,
+  ): Promise<void> {
+    const {worker, id, body} = arrival;
+    const server = this.#server;
+    this.#isSilent ||= ending.firstAct === 'silence';
+    response.setHeader('Wasabidyke-Server-Seal', `seal-${worker}`);
+    writeFirst(ending, response, toAnswer(worker, id, body));
+    if (ending.endsAfterMs > 0) {
+      await new Promise(resolve => setTimeout(resolve, ending.endsAfterMs));
+    }
+    arrival.endedAtMs = nowMs();
+    if (server === this.#server && server.listening) {
+      this.onCrash();
+    }
+  }
+
   #answer(arrival: ArrivalRecord, response: ServerResponse): void {
     const text = toAnswer(arrival.worker, arrival.id, arrival.body);
     response.setHeader('Wasabidyke-Server-Seal', `seal-${arrival.worker}`);
