fix(entry): a request is suspected of ending its upstreams whoever still waits, and not for answers that were cut

The end of an upstream was read from the result of an attempt: only from one that broke, and from each one that broke.

An error (5xx) no longer clears a suspect, as on the platform's path.

--- a/packages/entry/src/data-path/dispatch.ts
+++ b/packages/entry/src/data-path/dispatch.ts
@@ -9,6 +9,7 @@
   AcquireResult,
   ServicePool,
 } from '../upstreams/service-pool.js';
+import type {ProcessWatch} from '../upstreams/process-watch.js';
 import type {UpstreamHandle} from '../upstreams/upstream-handle.js';
 import {toAttemptEnd, type AttemptResult} from './attempt.js';
 import {AttemptRace, type EndedAttempt} from './attempt-race.js';
@@ -35,7 +36,6 @@
   readonly #suspectLock: SuspectLock;
   readonly #suspectTracker: SuspectTracker;
   readonly #excluded = new Set<UpstreamHandle>();
-  readonly #suspectNotifications: Array<Promise<void>> = [];
   #race: AttemptRace | undefined;
   #cancelWait: (() => void) | undefined;
   #isCancelled = false;
@@ -47,11 +47,12 @@
     job: DispatchJob,
     options: DispatcherOptions,
     suspectLock: SuspectLock,
+    processWatch: ProcessWatch,
   ) {
     this.#job = job;
     this.#options = options;
     this.#suspectLock = suspectLock;
-    this.#suspectTracker = new SuspectTracker(job, options);
+    this.#suspectTracker = new SuspectTracker(job, options, processWatch);
   }
 
   /** Makes attempts until the request has a result; never rejects. */
@@ -67,6 +68,7 @@
       return await this.#runAttempts();
     } finally {
       clearTimeout(timer);
+      this.#suspectTracker.onEnd();
     }
   }
 
@@ -166,6 +168,7 @@
       onAttemptEnd: ended => this.#onAttemptEnd(pool, ended),
     });
     this.#race = race;
+    this.#suspectTracker.onSend(handle);
     race.start(handle, startedAtMs);
     if (this.#isCancelledOrExpired()) {
       race.giveUp();
@@ -220,6 +223,7 @@
     }
     const startedAtMs = this.#options.clock.now();
     second.onStart(startedAtMs);
+    this.#suspectTracker.onSend(second);
     race.start(second, startedAtMs);
   }
 
@@ -237,11 +241,7 @@
     if (result.kind === 'broken' || result.kind === 'given-up') {
       this.#mayHaveRun = true;
     }
-    if (result.kind === 'broken' && result.isConnectionLost) {
-      this.#suspectNotifications.push(
-        this.#suspectTracker.onConnectionLost(handle, startedAtMs),
-      );
-    }
+    this.#suspectTracker.onResult(handle, result);
     this.#excluded.add(handle);
     pool.onEnd(durationMs);
   }
@@ -265,7 +265,7 @@
   ): Promise<DispatchResult | undefined> {
     switch (result.kind) {
       case 'answered':
-        this.#suspectTracker.onAnswer();
+        this.#suspectTracker.onAnswer(result.status);
         return {kind: 'answered'};
       case 'not-sent':
         return this.#handleUnsent(result.message);
@@ -315,7 +315,7 @@
   async #handleBroken(
     result: Extract<AttemptResult, {kind: 'broken'}>,
   ): Promise<DispatchResult | undefined> {
-    await Promise.all(this.#suspectNotifications);
+    await this.#suspectTracker.settled();
     if (this.#job.sink.isCommitted) {
       return {kind: 'broken-off'};
     }
--- a/packages/entry/src/upstreams/upstream-handle.ts
+++ b/packages/entry/src/upstreams/upstream-handle.ts
@@ -64,18 +64,25 @@
   #consecutiveFailures = 0;
   #backOffMs = MINIMUM_BACK_OFF_MS;
   #backOffTimer: NodeJS.Timeout | undefined;
+  #answeredAtMs = -Infinity;
+  #onConnectionLost: () => void = () => {};
 
   constructor(options: UpstreamHandleOptions) {
     this.#options = options;
     this.service = options.service;
     this.load = new UpstreamLoad(options.upstream, options.distance);
     this.#connectionLimit = options.connectionLimit;
-    this.#pool = createPool(options.upstream, options.connectionLimit);
+    this.#pool = this.#createPool(options.upstream);
     this.#lifeCycle = new LifeCycle(UPSTREAM_CHART, (from, to) =>
       options.onStateChange(this, from, to),
     );
   }
 
+  /** When the upstream last answered a request, on the monotonic clock in milliseconds. */
+  get answeredAtMs(): number {
+    return this.#answeredAtMs;
+  }
+
   get name(): string {
     return this.load.upstream.name;
   }
@@ -101,6 +108,11 @@
     return this.#connectionLimit;
   }
 
+  /** Sets what is called when a connection to the upstream ends, whoever closed it. */
+  listenToConnections(onLost: () => void): void {
+    this.#onConnectionLost = onLost;
+  }
+
   /** Whether a new request may be sent to the upstream now. On probation, one request at a time may. */
   get isEligible(): boolean {
     const {state} = this.#lifeCycle;
@@ -116,7 +128,7 @@
     if (connectionLimit !== this.#connectionLimit) {
       this.#connectionLimit = connectionLimit;
       const previousPool = this.#pool;
-      this.#pool = createPool(upstream, connectionLimit);
+      this.#pool = this.#createPool(upstream);
       void previousPool.close();
     }
   }
@@ -166,7 +178,20 @@
     await this.#pool.close();
   }
 
+  #createPool({address}: Upstream): Pool {
+    const pool = new Pool(`http://${address}`, {
+      connections: this.#connectionLimit,
+      pipelining: 1,
+      connectTimeout: CONNECT_TIMEOUT_MS,
+      keepAliveTimeout: IDLE_CONNECTION_TIMEOUT_MS,
+      keepAliveMaxTimeout: IDLE_CONNECTION_TIMEOUT_MS,
+    });
+    pool.on('disconnect', () => this.#onConnectionLost());
+    return pool;
+  }
+
   #onSuccess(): void {
+    this.#answeredAtMs = this.#options.clock.now();
     this.#consecutiveFailures = 0;
     this.#backOffMs = MINIMUM_BACK_OFF_MS;
     if (this.#lifeCycle.trigger('SUCCEED')) {
@@ -196,13 +221,3 @@
     this.#backOffTimer.unref();
   }
 }
-
-function createPool(upstream: Upstream, connections: number): Pool {
-  return new Pool(`http://${upstream.address}`, {
-    connections,
-    pipelining: 1,
-    connectTimeout: CONNECT_TIMEOUT_MS,
-    keepAliveTimeout: IDLE_CONNECTION_TIMEOUT_MS,
-    keepAliveMaxTimeout: IDLE_CONNECTION_TIMEOUT_MS,
-  });
-}
