fix(entry): an upstream that a request takes down again and again counts each time

What callers saw: a service with one upstream lost it with each send of a look-up (7 of 10 sends, while it was up), and the look-up was never refused.

Cause: crashes were told apart by the address of the upstream, which stays the same when it starts again, as a manifest doesn't tell its starts.

Now an end is named by the address and its second: entries see it within milliseconds, and an upstream isn't back within one.

--- a/features/path/ended-upstreams.feature
+++ b/features/path/ended-upstreams.feature
@@ -18,6 +18,18 @@
       | after its caller left      |
       | after its deadline         |
 
+  # Guards against ends of one upstream that count only once, since its address stays the same.
+  Scenario Outline: A look-up that ends the only upstream <ending> takes it down at most twice
+    Given an entry with a manifest of its own and 1 upstream
+    And upstreams that end "<ending>"
+    When a look-up that ends them is sent 10 times, 1100 ms apart
+    Then at most 2 upstreams have ended
+
+    Examples:
+      | ending                |
+      | before its answer     |
+      | after its caller left |
+
   # Guards against a look-up that is refused for ten minutes because upstreams that live on cut its answers.
   Scenario: A look-up whose answers are cut by upstreams that live on is not refused
     Given an entry with a manifest of its own and 4 upstreams
--- a/features/steps/ended-upstreams.steps.ts
+++ b/features/steps/ended-upstreams.steps.ts
@@ -109,6 +109,13 @@
   },
 );
 
+When(
+  'a look-up that ends them is sent {int} times, {int} ms apart',
+  function (this: EndedUpstreamsWorld, count: number, pauseMs: number) {
+    return sendOften(this, '/shop/crash', count, pauseMs);
+  },
+);
+
 When(
   'a look-up is sent {int} times',
   function (this: EndedUpstreamsWorld, count: number) {
--- a/packages/entry/src/data-path/suspect-tracker.ts
+++ b/packages/entry/src/data-path/suspect-tracker.ts
@@ -5,6 +5,7 @@
   type CrashStatus,
   type RequestIdentity,
 } from '@wasabidyke/policy';
+import {SECOND_MS} from '@wasabidyke/shared';
 import type {
   ProcessWatch,
   WatchedRequest,
@@ -109,7 +110,8 @@
     const {crashGuard, suspectNotifier, clock} = this.#options;
     const toMs = clock.wallTime();
     const fromMs = toMs - (clock.now() - sentAtMs);
-    const crash = {upstream: handle.address, span: {fromMs, toMs}};
+    const upstream = toEndName(handle, toMs);
+    const crash = {upstream, span: {fromMs, toMs}};
     const record = crashGuard.onCrash(this.#identity, crash, clock.now());
     this.#track(suspectNotifier.notify(this.#service, record));
   }
@@ -134,6 +136,11 @@
   }
 }
 
+/** Names one end of an upstream: the manifest tells its address, not its starts. Entries see an end within milliseconds. */
+function toEndName({address}: UpstreamHandle, endedAtMs: number): string {
+  return `${address}@${Math.round(endedAtMs / SECOND_MS)}`;
+}
+
 /** Whether the upstream has answered without an error, or has not taken the request. */
 function isFinal(result: AttemptResult): boolean {
   switch (result.kind) {
