test(prove): poisonous requests draw when they end a worker, and how long their callers wait

Before, each ended its worker before a byte of an answer, and its caller waited. Now the end comes up to 0.3 s after the begin of the run, within an answer or before one; the caller waits, leaves early or has a short deadline, and pauses for a second, since no entry can know of an end before it comes.

--- a/packages-private/prove/src/schedule/draw.ts
+++ b/packages-private/prove/src/schedule/draw.ts
@@ -13,6 +13,10 @@
 const SHORTEST_FAULT_MS = 300;
 const LONGEST_FAULT_MS = 4_000;
 const POISON_ATTEMPTS = 8;
+
+/** Pause between the sends of a poisonous request: no entry can know of an end before it comes, and other entries are told of it within a second. */
+const POISON_PAUSE_MS = 1_000;
+const LONGEST_POISON_RUN_MS = 300;
 const MILLISECONDS_PER_SECOND = 1_000;
 
 /** Workers that leave keep away from other faults that would bring them back. */
@@ -211,8 +215,17 @@
       rule: fc.constant('idempotent'),
       attempts: fc.constant(POISON_ATTEMPTS),
       isSameAgain: fc.constant(true),
+      pauseMs: fc.constant(POISON_PAUSE_MS),
+      ending: fc.record({
+        afterMs: fc.integer({min: 0, max: LONGEST_POISON_RUN_MS}),
+        isWithinAnswer: fc.boolean(),
+      }),
+      // It waits for its answer, leaves early, or has a short deadline.
+      patience: fc.constantFrom({}, {}, {cancelAfterMs: 60}, {timeoutMs: 150}),
     })
-    .map(planned => plannedRequestSchema.parse(planned));
+    .map(({patience, ...planned}) =>
+      plannedRequestSchema.parse({...planned, ...patience}),
+    );
 }
 
 function drawRarely<Value>(
--- a/packages-private/stand-ins/src/caller/caller.ts
+++ b/packages-private/stand-ins/src/caller/caller.ts
@@ -59,7 +59,7 @@
       const result = await this.#attempt(planned, errand, entry, list);
       isDone = isFinal(result, planned) && !this.#isToResend(planned, errand);
       if (!isDone) {
-        await this.#backOff(result, sent);
+        await this.#backOff(result, sent, planned.pauseMs);
         errand = isToBeginAnew(result, planned) ? undefined : errand;
       }
     }
@@ -107,10 +107,15 @@
     return list.entries[position];
   }
 
-  async #backOff(result: AttemptResult, sent: number): Promise<void> {
+  async #backOff(
+    result: AttemptResult,
+    sent: number,
+    pauseMs: number,
+  ): Promise<void> {
     const askedMs = (result.retryAfterSeconds ?? 0) * SECOND_MS;
     const ownMs = BACK_OFF_MS * 2 ** sent;
-    await sleep(Math.min(Math.max(askedMs, ownMs), MAXIMUM_BACK_OFF_MS));
+    const delayMs = Math.min(Math.max(askedMs, ownMs), MAXIMUM_BACK_OFF_MS);
+    await sleep(Math.max(delayMs, pauseMs));
   }
 }
 
@@ -145,6 +150,10 @@
   if (planned.workMs !== undefined) {
     query.set('workMs', String(planned.workMs));
   }
+  if (planned.ending !== undefined) {
+    query.set('endsAfterMs', String(planned.ending.afterMs));
+    query.set('endsWithinAnswer', String(planned.ending.isWithinAnswer));
+  }
   const path = `${planned.service}${planned.path}`;
   return `http://${entry.address}/${path}?${query.toString()}`;
 }
@@ -164,7 +173,9 @@
 }
 
 function toPatienceMs(planned: PlannedRequest, attempt: number): number {
-  const isGivenUp = planned.cancelAfterMs !== undefined && attempt === 1;
+  const isGivenUp =
+    planned.cancelAfterMs !== undefined &&
+    (attempt === 1 || planned.isSameAgain);
   return isGivenUp
     ? (planned.cancelAfterMs ?? 0)
     : planned.timeoutMs + planned.uploadMs + PATIENCE_MS;
--- a/packages-private/stand-ins/src/caller/plan.ts
+++ b/packages-private/stand-ins/src/caller/plan.ts
@@ -5,6 +5,14 @@
 /** Rules of requests, as the manifest names them. */
 export const ruleSchema = z.enum(['idempotent', 'at-most-once', 'bulk']);
 
+/** How a request ends the worker that runs it. */
+export const endingSchema = z.strictObject({
+  /** Time from the begin of the run to the end, in milliseconds. */
+  afterMs: z.int().min(0),
+  /** Whether the worker writes the head and a part of its answer first. */
+  isWithinAnswer: z.boolean(),
+});
+
 /** One request of a plan. */
 export const plannedRequestSchema = z.strictObject({
   /** Identity; further ones are derived from it where the caller begins anew. */
@@ -28,8 +36,12 @@
   timeoutMs: z.int().min(1).default(5_000),
   /** Attempts at most. */
   attempts: z.int().min(1).default(4),
-  /** The caller gives its first attempt up after this time. */
+  /** The caller gives its first attempt up after this time, or each one that is the very same request. */
   cancelAfterMs: z.number().min(0).optional(),
+  /** Shortest pause between attempts. */
+  pauseMs: z.number().min(0).default(0),
+  /** How the request ends a worker that crashes under it. */
+  ending: endingSchema.optional(),
   /** Sends the second attempt to another entry while the first is under way. */
   isDuplicated: z.boolean().default(false),
   /** Sends another attempt after the answer, as if the answer had been lost. */
--- a/packages-private/stand-ins/src/upstream/listener.ts
+++ b/packages-private/stand-ins/src/upstream/listener.ts
@@ -125,6 +125,7 @@
     const worker = this.#choose(this.#worker);
     const run = randomUUID();
     const arrivedAtMs = performance.now();
+    let isEnding = false;
     const item: WorkItem = {
       askedMs: work.askedMs,
       onBegin: () => {
@@ -133,10 +134,14 @@
           return false;
         }
         this.#recordBegin(worker, work, run, body);
-        this.#crashIfMarked(work, url);
+        isEnding = this.#crashIfMarked(work, url, response);
         return true;
       },
-      onEnd: () => void this.#answer(worker, work, run, body, response),
+      onEnd: () => {
+        if (!isEnding) {
+          void this.#answer(worker, work, run, body, response);
+        }
+      },
     };
     response.on('close', () => {
       if (!response.writableFinished && worker.cancel(item)) {
@@ -216,11 +221,27 @@
     response.writeHead(status);
   }
 
-  #crashIfMarked(work: Work, url: string): void {
+  /** Ends the process, at once or later, if the request is marked to do so; returns whether it is. */
+  #crashIfMarked(work: Work, url: string, response: ServerResponse): boolean {
     const {crashMarker} = this.#worker.faults;
     if (crashMarker === null || !url.includes(crashMarker)) {
-      return;
+      return false;
+    }
+    const query = new URLSearchParams(url.split('?')[1]);
+    const afterMs = Number(query.get('endsAfterMs') ?? 0);
+    if (query.get('endsWithinAnswer') === 'true') {
+      this.#writeHead(response, 200, work.payloadBytes);
+      response.write(Buffer.alloc(Math.floor(work.payloadBytes / 2)));
     }
+    if (afterMs === 0) {
+      this.#crash(work);
+    } else {
+      setTimeout(() => this.#crash(work), afterMs);
+    }
+    return true;
+  }
+
+  #crash(work: Work): void {
     const {name, service} = this.#worker.settings;
     this.#history.record({
       kind: 'crashed',
