--- a/features/steps/ended-upstreams.steps.ts
+++ b/features/steps/ended-upstreams.steps.ts
@@ -51,7 +51,7 @@
 interface EndedUpstreamsWorld {
   entryParts: EntryCradle;
   service: Service;
-  upstreams: ScriptedWorker[];
+  scriptedUpstreams: ScriptedWorker[];
   callerHabit: CallerHabit;
   ends: number;
 }
@@ -59,13 +59,13 @@
 Given(
   /^an entry with a manifest of its own and (\d+) upstreams?$/,
   async function (this: EndedUpstreamsWorld, count: string) {
-    this.upstreams = Array.from(
+    this.scriptedUpstreams = Array.from(
       {length: Number(count)},
       (_, index) => new ScriptedWorker(`shop-${index + 1}`),
     );
     this.callerHabit = {};
     this.ends = 0;
-    for (const upstream of this.upstreams) {
+    for (const upstream of this.scriptedUpstreams) {
       await upstream.listen();
       upstream.onRestart = () => (this.ends += 1);
     }
@@ -73,7 +73,7 @@
     this.entryParts = createEntryContainer(settings.unwrap(), undefined).cradle;
     const manifest = parseManifest(
       'manifest',
-      JSON.stringify(toManifest(this.upstreams)),
+      JSON.stringify(toManifest(this.scriptedUpstreams)),
     );
     const snapshot = new Snapshot(1, manifest.unwrap());
     this.entryParts.registry.apply(snapshot);
@@ -84,7 +84,7 @@
 Given(
   'upstreams that end {string}',
   function (this: EndedUpstreamsWorld, ending: WorkerEnding) {
-    this.upstreams.forEach(upstream => (upstream.ending = ending));
+    this.scriptedUpstreams.forEach(upstream => (upstream.ending = ending));
     this.callerHabit = habitOf(ending);
   },
 );
@@ -92,7 +92,7 @@
 Given(
   'every upstream {string}',
   function (this: EndedUpstreamsWorld, script: WorkerScript) {
-    this.upstreams.forEach(upstream => (upstream.script = script));
+    this.scriptedUpstreams.forEach(upstream => (upstream.script = script));
   },
 );
 
@@ -148,7 +148,7 @@
 );
 
 After(async function (this: Partial<EndedUpstreamsWorld>) {
-  this.upstreams?.forEach(upstream => upstream.close());
+  this.scriptedUpstreams?.forEach(upstream => upstream.close());
   await this.entryParts?.registry.close();
 });
 
