--- a/features/steps/soak.steps.ts
+++ b/features/steps/soak.steps.ts
@@ -114,12 +114,12 @@
   'a request crashed workers on and on': history => {
     for (let count = 0; count < 12; count++) {
       const sentAtMs = LONG_MS + 1_000 * count;
-      const {call} = addServed(history, {
+      const call = {
         path: '/read/crashing',
         sentAtMs,
         isCrashing: true,
-      });
-      call.status = 502;
+      } as const;
+      addServed(history, call, {endedAtMs: sentAtMs}).call.status = 502;
     }
   },
   'a look-up was refused for ten minutes': history => {
@@ -129,8 +129,12 @@
   },
   'a request crashed workers, and three more much later': history => {
     for (const sentAtMs of [0, 1, 2, 9_000, 9_001, 9_002]) {
-      const path = '/read/crashing';
-      addServed(history, {path, sentAtMs, isCrashing: true}).call.status = 502;
+      const call = {
+        path: '/read/crashing',
+        sentAtMs,
+        isCrashing: true,
+      } as const;
+      addServed(history, call, {endedAtMs: sentAtMs}).call.status = 502;
     }
   },
   'requests reached workers long after their callers left': history => {
