fix(policy): an upstream had ended when its check began, not when that was over

Cause: that an upstream is silent is known 1.5 s after a check begins, and the check's end was taken for the upstream's. Ends of sends that followed each other seemed to overlap, as in the loss of a rack, so that three were no evidence and the fourth had to be waited for.

What doesn't answer a check had ended when that began. So spans end there, and what was sent later is not blamed: it can't have ended the upstream. The new scenario guards the latter. 59 scenarios of ended workers, crashes, policies and the soak's checks pass.

--- a/features/policy/unsettled-sends.feature
+++ b/features/policy/unsettled-sends.feature
@@ -33,3 +33,11 @@
   Scenario: Requests that were given up are bounded, and the latest are kept
     When 1000 requests are sent to an upstream and given up at once
     Then 32 of them may be under way, the latest among them
+
+  # Guards against requests that are blamed for the end of an upstream which had ended when they were sent.
+  Scenario: What was sent after an upstream had ended is not under way there
+    Given "waits" and "left" are sent to an upstream at 100 ms
+    When the upstream had ended by 50 ms
+    Then "waits, left" may be under way
+    When the upstream had ended by 100 ms
+    Then nothing may be under way
--- a/features/steps/unsettled-sends.steps.ts
+++ b/features/steps/unsettled-sends.steps.ts
@@ -49,6 +49,17 @@
   },
 );
 
+When(
+  'the upstream had ended by {int} ms',
+  function (this: UnsettledWorld, atMs: number) {
+    this.sends.takeSentUntil(atMs);
+  },
+);
+
+Then('nothing may be under way', function (this: UnsettledWorld) {
+  assert.equal(this.sends.isEmpty, true);
+});
+
 Then(
   '{string} may be under way',
   function (this: UnsettledWorld, names: string) {
--- a/packages/balancer/src/suspects/crash-monitor.ts
+++ b/packages/balancer/src/suspects/crash-monitor.ts
@@ -70,12 +70,14 @@
     return guard.remainingMs(fingerprint, clock.now());
   }
 
-  /** The time since `startedAtMs` on the monotonic clock as a span on the wall clock, which entries can compare. */
-  spanSince(startedAtMs: number): Crash['span'] {
+  /** A span of the monotonic clock on the wall clock, which entries can compare. */
+  spanOf(startedAtMs: number, endedAtMs: number): Crash['span'] {
     const {clock} = this.#options;
-    const toMs = clock.wallTime();
-    const fromMs = toMs - (clock.now() - startedAtMs);
-    return {fromMs: Math.round(fromMs), toMs: Math.round(toMs)};
+    const offsetMs = clock.wallTime() - clock.now();
+    return {
+      fromMs: Math.round(startedAtMs + offsetMs),
+      toMs: Math.round(endedAtMs + offsetMs),
+    };
   }
 
   /** Called when an upstream crashed under a request. */
--- a/packages/balancer/src/suspects/process-watch.ts
+++ b/packages/balancer/src/suspects/process-watch.ts
@@ -127,8 +127,9 @@
   protected override onEnded(
     handle: UpstreamHandle,
     sends: readonly WatchedSend[],
+    endedByMs: number,
   ): void {
-    this.#onEnded(handle, sends, 'checked');
+    this.#onEnded(handle, sends, 'checked', endedByMs);
   }
 
   /** Sends a load query on an open connection, which costs less than a check on a new one. */
@@ -146,11 +147,12 @@
     {record}: UpstreamHandle,
     sends: readonly WatchedSend[],
     cause: EndCause,
+    endedByMs = this.#options.clock.now(),
   ): void {
     const {log, monitor, clock} = this.#options;
     const ended = sends.map(({request, sentAtMs}) => ({
       request,
-      span: monitor.spanSince(sentAtMs),
+      span: monitor.spanOf(sentAtMs, endedByMs),
     }));
     const isNew = this.#ended.add(record, ended, clock.now());
     if (isNew || ended.length > 0) {
--- a/packages/policy/src/send-watch.ts
+++ b/packages/policy/src/send-watch.ts
@@ -69,7 +69,7 @@
     const hasEnded = await this.check(upstream);
     this.#checks -= 1;
     if (hasEnded) {
-      this.reportAll(upstream);
+      this.#reportSentUntil(upstream, startedAtMs);
     } else {
       const watched = this.#watched.get(upstream);
       watched?.sends.onSeen(startedAtMs);
@@ -95,18 +95,23 @@
   /** Whether a check would tell something. */
   protected abstract isCheckable(upstream: Upstream): boolean;
 
-  /** Called with the sends that an upstream was running when it ended; there may be none. */
+  /**
+   * Called with the sends that an upstream was running when it ended; there may
+   * be none.
+   * @param endedByMs When it had ended at the latest, on the monotonic clock in milliseconds.
+   */
   protected abstract onEnded(
     upstream: Upstream,
     sends: readonly UnsettledSend<Request>[],
+    endedByMs: number,
   ): void;
 
-  /** Reports all sends to an upstream that has ended. */
-  protected reportAll(upstream: Upstream): void {
+  /** An upstream that doesn't answer a check had ended when that began; what was sent later can't have ended it. */
+  #reportSentUntil(upstream: Upstream, endedByMs: number): void {
     const watched = this.#watched.get(upstream);
-    const sends = watched?.sends.takeAll() ?? [];
+    const sends = watched?.sends.takeSentUntil(endedByMs) ?? [];
     this.#schedule(upstream, watched);
-    this.onEnded(upstream, sends);
+    this.onEnded(upstream, sends, endedByMs);
   }
 
   /** Removes and returns the sends to an upstream that were given up: the others have lost their own connections if it has ended. */
--- a/packages/policy/src/unsettled-sends.ts
+++ b/packages/policy/src/unsettled-sends.ts
@@ -101,11 +101,10 @@
     return sends;
   }
 
-  /** Removes and returns all sends. */
-  takeAll(): readonly UnsettledSend<Request>[] {
-    const sends = this.list();
-    this.#pending.clear();
-    this.#abandoned.clear();
+  /** Removes and returns the sends up to a time. */
+  takeSentUntil(atMs: number): readonly UnsettledSend<Request>[] {
+    const sends = this.list().filter(({sentAtMs}) => sentAtMs <= atMs);
+    sends.forEach(send => this.settle(send));
     return sends;
   }
 }
