--- a/features/support/scripted-worker.ts
+++ b/features/support/scripted-worker.ts
@@ -9,18 +9,11 @@
 } from 'node:net';
 import {writeEndlessly} from './endless-writer.js';
 import {planEnding, type WorkerEnding} from './worker-ending.js';
+import {parseHead, type WorkerRequest} from './worker-request.js';
 import type {WorkerScript} from './worker-script.js';
 
 export type {WorkerScript} from './worker-script.js';
 
-/** A request as the worker read it. */
-export interface WorkerRequest {
-  readonly method: string;
-  readonly path: string;
-  readonly headers: ReadonlyMap<string, string>;
-  readonly body: string;
-}
-
 /** Value of a header, a character a byte: UTF-8 of a euro sign, and a byte that is no UTF-8. */
 export const ODD_HEADER_BYTES = '\u00e2\u0082\u00ac 5 \u00ff';
 
@@ -385,18 +378,3 @@
     done();
   }
 }
-
-function parseHead(head: string): Omit<WorkerRequest, 'body'> {
-  const [line, ...fields] = head.split('\r\n');
-  const [method, path] = line.split(' ');
-  const headers = new Map(
-    fields.map(field => {
-      const at = field.indexOf(':');
-      return [
-        field.slice(0, at).toLowerCase(),
-        field.slice(at + 1).trim(),
-      ] as const;
-    }),
-  );
-  return {method, path, headers};
-}
