--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -11,7 +11,7 @@
 const AWAY_MS = 500;
 
 /** Time between what is written again. */
-const WRITE_PAUSE_MS = 100;
+const WRITE_PAUSE_MS = 20;
 
 /** Time from the new configuration to the first request that is judged: `stable_window` and `config_apply`, and some. */
 const JUDGED_AFTER_MS = 6_000;
@@ -25,7 +25,7 @@
 await runCase(import.meta.url, site, async recorder => {
   const {store} = site;
   await site.start({
-    entries: 3,
+    entries: 4,
     workers: [
       {id: 'w-1', service: 'first', zone: 'home-a'},
       {id: 'w-2', service: 'first', zone: 'home-b'},
