Choose the ports of the review's entries so that nothing else takes them

Cause: in one of 35 runs of five cases at the same time, case 1 couldn't run, since a port that was free when it was chosen was taken meanwhile. Change: ports below those of outgoing connections; an entry that ends at its start is started again. Unused parts of the stand-ins are gone.

--- a/review/lib/site.mjs
+++ b/review/lib/site.mjs
@@ -1,6 +1,7 @@
 /** A small deployment: entries as processes of the deploy file, a store and workers as stand-ins. */
 
 import {spawn} from 'node:child_process';
+import {randomInt} from 'node:crypto';
 import {once} from 'node:events';
 import {
   createWriteStream,
@@ -18,13 +19,18 @@
 import {Store} from './store.mjs';
 import {Worker} from './worker.mjs';
 
-export const ROOT = fileURLToPath(new URL('../..', import.meta.url));
+const ROOT = fileURLToPath(new URL('../..', import.meta.url));
 
+/** Host of all routes. */
 export const HOST = 'shop.example';
 
 const ZONES = {'home-a': 'home', 'home-b': 'home'};
 const READY_MS = 15_000;
 
+/** Ports of the entries. */
+const FIRST_PORT = 12_000;
+const LAST_PORT = 31_000;
+
 /** Time after which a site has settled: entries follow each other and know all workers, in milliseconds. */
 const SETTLE_MS = 4_000;
 
@@ -82,11 +88,15 @@
       await this.addWorker(options);
     }
     for (let index = 0; index < entries; index++) {
-      await this.#startEntry(index);
+      this.entries.push(await this.#startEntry(index));
     }
     const untilMs = Date.now() + READY_MS;
-    for (const entry of this.entries) {
-      while (!(await isReady(entry))) {
+    for (const [index, entry] of this.entries.entries()) {
+      while (!(await isReady(this.entries[index]))) {
+        if (this.entries[index].child.exitCode !== null) {
+          // Another process has taken one of its ports meanwhile.
+          this.entries[index] = await this.#startEntry(index);
+        }
         if (Date.now() > untilMs) {
           throw new Error(`${entry.name} isn't ready`);
         }
@@ -110,11 +120,7 @@
     return this.workers.flatMap(({arrivals}) => arrivals);
   }
 
-  /** Lines of the log of an entry. */
-  readLog({name}) {
-    return readFileSync(join(this.#directory, `${name}.log`), 'utf8');
-  }
-
+  /** Ends all processes and stand-ins, and removes the temporary folder. */
   end() {
     this.#kill();
     this.workers.forEach(worker => worker.close());
@@ -172,8 +178,8 @@
       },
     });
     const entry = {name, zone, child, front, readiness, directory};
-    entry.exited = once(child, 'exit').then(() => (entry.endedAtMs = now()));
-    this.entries.push(entry);
+    entry.exited = once(child, 'exit');
+    return entry;
   }
 }
 
@@ -225,10 +231,6 @@
   process.exit(status);
 }
 
-function now() {
-  return Date.now();
-}
-
 function readDeploy(name) {
   return readFileSync(join(ROOT, 'deploy', name), 'utf8');
 }
@@ -250,16 +252,20 @@
   }
 }
 
+/** Finds ports below those that the kernel gives to outgoing connections. */
 async function findFreePorts(count) {
-  const servers = [];
-  for (let index = 0; index < count; index++) {
-    const server = createServer().listen(0, '127.0.0.1');
-    await once(server, 'listening');
-    servers.push(server);
+  const ports = new Set();
+  while (ports.size < count) {
+    const port = randomInt(FIRST_PORT, LAST_PORT);
+    const server = createServer().listen(port, '127.0.0.1');
+    try {
+      await once(server, 'listening');
+      ports.add(port);
+    } catch {
+      // Another process has it.
+      continue;
+    }
+    await new Promise(resolve => server.close(resolve));
   }
-  const ports = servers.map(server => server.address().port);
-  await Promise.all(
-    servers.map(server => new Promise(resolve => server.close(resolve))),
-  );
-  return ports;
+  return [...ports];
 }
--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -6,7 +6,7 @@
 const PAGE_ITEMS = 500;
 const LEASE_CHECK_MS = 100;
 
-/** The store. Operators and workers write by `set` and `remove`. */
+/** The store. Operators and workers write by `set`. */
 export class Store {
   /** Age of reads that may be old, in milliseconds. */
   staleMs = 0;
@@ -65,11 +65,6 @@
     return true;
   }
 
-  remove(key) {
-    this.#delete(key);
-    this.#wake(false);
-  }
-
   /** Takes a copy, from which the store may come back. */
   copy() {
     return {
--- a/review/lib/worker.mjs
+++ b/review/lib/worker.mjs
@@ -11,8 +11,6 @@
 
 /** One worker. The query of a request may name the time of its work (`work`) and the size of its answer (`bytes`). */
 export class Worker {
-  /** Called with each request that arrives: its id, path, whether it runs, and when. */
-  onArrival = () => {};
   #running = 0;
   #queue = [];
   #server;
@@ -74,7 +72,6 @@
     const arrival = {id, method, url, worker: this.id, service: this.service};
     Object.assign(arrival, {atMs: Date.now(), hasRun: false});
     this.arrivals.push(arrival);
-    this.onArrival(arrival);
     response.setHeader('Wasabidyke-Attempt-Id', String(id));
     if (headers['wasabidyke-expected-instance'] !== this.id) {
       response.writeHead(421).end();
