--- a/features/balancer/crashes.feature
+++ b/features/balancer/crashes.feature
@@ -79,6 +79,19 @@
     And the store loses its records of suspects
     Then the store soon has records of suspects again
 
+  # Guards against a quarantine that is forgotten by all entries that start after the store came back from an older copy.
+  Scenario: Records that the store lost with its latest writes are written again, those of an ended entry too
+    Given the store takes a copy
+    And "POST /write/crash" is sent to the entries in turn until it has crashed 3 workers
+    When 3000 ms pass at the site
+    And the last balancer stops
+    And the store comes back from that copy
+    Then the store soon has as many records of suspects as before
+    And the log has one "store.era" line of each balancer, with both eras and revisions
+    When all balancers are replaced
+    And it is sent 12 times more
+    Then it reached workers at most 3 times more
+
   # Guards against an innocent request that stays a suspect for all entries but the one that got its answer.
   Scenario: A request that crashed a worker by chance is cleared for all by an answer
     Given "POST /write/crash" is sent to the entries in turn until it has crashed 1 worker
--- a/features/balancer/feed-order.feature
+++ b/features/balancer/feed-order.feature
@@ -26,6 +26,20 @@
     Then "b3" in "home-b" may follow "b1, b2"
     And "d1" in "home-d" may follow ""
 
+  # Guards against entries that compare revisions of two eras of the store by way of an older build.
+  Scenario: Entries that tell no era are followed only where the store names none
+    Given the store names its era, and "a1" and "b1" are of a build that tells none
+    Then "a3" in "home-a" may follow "a2"
+    And "a2" in "home-a" may follow ""
+    And "b2" in "home-b" may follow "a2, a3"
+
+  # Guards against announcements whose order is that of a history that is gone.
+  Scenario: Announcements of an earlier era order no entries
+    Given the store has begun another era, in which "a3" and then "a2" announced themselves
+    Then "a2" in "home-a" may follow "a3"
+    And "a3" in "home-a" may follow ""
+    And "a1" in "home-a" may follow "a3, a2"
+
   Scenario: An entry that announces itself anew feeds only those that came later
     When "a1" announces itself anew
     Then "a1" in "home-a" may follow "a2, a3"
--- a/features/steps/feed-order.steps.ts
+++ b/features/steps/feed-order.steps.ts
@@ -2,11 +2,17 @@
 
 import assert from 'node:assert/strict';
 import {Given, Then, When, type DataTable} from '@cucumber/cucumber';
-import {EntryRoster, type EntryRecord} from '@wasabidyke/balancer';
+import {EntryRoster, UNNAMED_ERA, type EntryRecord} from '@wasabidyke/balancer';
 import {LivenessTracker, SeededRandom} from '@wasabidyke/policy';
 
 interface FeedOrderWorld {
-  announced: Array<{readonly record: EntryRecord; readonly revision: number}>;
+  announced: Announced[];
+}
+
+interface Announced {
+  readonly record: EntryRecord;
+  readonly revision: number;
+  readonly era?: number;
 }
 
 Given(
@@ -27,6 +33,34 @@
   this.announced.push({record: known.record, revision});
 });
 
+Given(
+  'the store names its era, and {string} and {string} are of a build that tells none',
+  function (this: FeedOrderWorld, first: string, second: string) {
+    this.announced = this.announced.map(({record, revision}) => {
+      const isOlder = [first, second].includes(record.name);
+      const told = isOlder ? record : {...record, tellsEra: true};
+      return {record: told, revision, era: 1};
+    });
+  },
+);
+
+Given(
+  'the store has begun another era, in which {string} and then {string} announced themselves',
+  function (this: FeedOrderWorld, first: string, second: string) {
+    const known = this.announced.map(({record, revision}) => ({
+      record: {...record, tellsEra: true},
+      revision,
+      era: 1,
+    }));
+    const anew = [first, second].map((name, index) => {
+      const record = known.find(other => other.record.name === name)?.record;
+      assert.ok(record !== undefined);
+      return {record, revision: index + 1, era: 2};
+    });
+    this.announced = [...known, ...anew];
+  },
+);
+
 Then(
   '{string} in {string} may follow {string}',
   function (this: FeedOrderWorld, name: string, zone: string, names: string) {
@@ -36,8 +70,9 @@
       new SeededRandom(1),
     );
     const roster = new EntryRoster(own, liveness);
-    for (const {record, revision} of this.announced) {
-      roster.onRecord(record, revision);
+    for (const {record, revision, era = UNNAMED_ERA} of this.announced) {
+      roster.onEra(era);
+      roster.onRecord(record, {era, revision});
     }
     const feeders = roster.listFeeders().map(feeder => feeder.name);
     assert.equal(feeders.join(', '), names);
--- a/features/steps/feed.steps.ts
+++ b/features/steps/feed.steps.ts
@@ -10,38 +10,20 @@
   feedSchema,
   FollowerRecordStore,
   FeedServer,
-  RecordHistory,
   StoreWatcher,
-  type RecordChanges,
   type StoreWatcherListener,
 } from '@wasabidyke/balancer';
 import {SeededRandom} from '@wasabidyke/policy';
 import {SystemClock} from '@wasabidyke/shared';
 import {findFreePorts} from '@wasabidyke/stand-ins';
 import {MemoryLog} from '../support/balancer-site.js';
+import {Believer} from '../support/believer.js';
 import {eventually} from '../support/eventually.js';
 import {MemoryRecordStore} from '../support/memory-record-store.js';
 
 const KEY = 'servers/w1';
 const SEED = 5;
 
-/** What one entry believes of the record. */
-class Believer implements StoreWatcherListener {
-  readonly history = new RecordHistory();
-  value: string | undefined;
-
-  onRead(read: RecordChanges, isWhole: boolean): void {
-    this.history.apply(read, isWhole);
-    const change = read.changes.findLast(({key}) => key === KEY);
-    this.value = change?.value?.toString('utf8') ?? this.value;
-  }
-
-  onChange(): void {}
-  onCompleteRead(): void {}
-  onLost(): void {}
-  onRegained(): void {}
-}
-
 interface Follower {
   readonly believer: Believer;
   readonly fed: FollowerRecordStore;
@@ -90,7 +72,7 @@
 Given(
   'entry {string} that reads the store, and another one that follows it',
   async function (this: FeedWorld, first: string) {
-    this.feeder = new Believer();
+    this.feeder = new Believer(KEY);
     this.isFresh = true;
     this.feederView = createView(this.stores.feeder, this.feeder);
     this.feederView.start();
@@ -361,7 +343,7 @@
   feedAddresses: readonly string[],
 ): Follower {
   const place = {address: '127.0.0.1:1', region: 'home', zone: 'home-a'};
-  const believer = new Believer();
+  const believer = new Believer(KEY);
   const fed = new FollowerRecordStore({
     store,
     feeders: () =>
--- a/features/steps/odd-items.steps.ts
+++ b/features/steps/odd-items.steps.ts
@@ -2,7 +2,7 @@
 
 import assert from 'node:assert/strict';
 import {After, Given, Then, When} from '@cucumber/cucumber';
-import type {RecordChanges} from '@wasabidyke/balancer';
+import {UNNAMED_ERA, type RecordChanges} from '@wasabidyke/balancer';
 import {PlatformDecoder, PlatformStore} from '@wasabidyke/platform';
 import {RawServer} from '../support/raw-server.js';
 
@@ -13,6 +13,7 @@
 }
 
 const ODD_KEY = 'servers/odd';
+const START = {era: UNNAMED_ERA, revision: 0};
 
 /** Odd items, by what is odd in them. */
 const ODD_ITEMS: Readonly<Record<string, unknown>> = {
@@ -55,7 +56,7 @@
     const {signal} = new AbortController();
     const read =
       answer === 'watch'
-        ? await this.platformStore.watch(0, 0, signal)
+        ? await this.platformStore.watch(START, 0, signal)
         : await this.platformStore.readAll(false);
     this.read = read.unwrap();
   },
--- a/features/support/memory-record-store.ts
+++ b/features/support/memory-record-store.ts
@@ -7,6 +7,7 @@
   type RecordChanges,
   type RecordLease,
   type RecordStoreError,
+  type StorePosition,
 } from '@wasabidyke/balancer';
 import {Err, Ok, type Result} from '@wasabidyke/shared';
 
@@ -30,6 +31,14 @@
 
 const UNAVAILABLE = {kind: 'unavailable', message: 'down'} as const;
 
+/** What a store held when a copy was taken. */
+export interface RecordCopy {
+  readonly records: ReadonlyMap<string, Buffer>;
+  readonly leases: ReadonlyMap<number, readonly string[]>;
+  readonly revision: number;
+  readonly lastLease: number;
+}
+
 /** A change, and when it was made. */
 interface StoredChange extends RecordChange {
   readonly atMs: number;
@@ -43,11 +52,14 @@
   /** Calls that were made, by name. */
   readonly calls = new Map<string, number>();
   readonly #records = new Map<string, Buffer>();
-  readonly #events: StoredChange[] = [];
+  #events: StoredChange[] = [];
   readonly #leases = new Map<number, string[]>();
   readonly #waiting = new Set<() => void>();
   #revision = 1;
   #lastLease = 0;
+  /** Undefined while the store names no era. */
+  #era: number | undefined;
+  #keptAfter = 0;
 
   /** Writes a record, or deletes it. */
   set(key: string, value: object | string | undefined): void {
@@ -66,6 +78,32 @@
     }
   }
 
+  /** Takes a copy to come back from. */
+  copy(): RecordCopy {
+    return {
+      records: new Map(this.#records),
+      leases: new Map([...this.#leases].map(([id, keys]) => [id, [...keys]])),
+      revision: this.#revision,
+      lastLease: this.#lastLease,
+    };
+  }
+
+  /** Comes back from a copy, in another era. */
+  comeBackFrom({records, leases, revision, lastLease}: RecordCopy): void {
+    this.#records.clear();
+    records.forEach((value, key) => this.#records.set(key, value));
+    this.#leases.clear();
+    leases.forEach((keys, id) => this.#leases.set(id, [...keys]));
+    this.#revision = revision;
+    this.#lastLease = lastLease;
+    this.#events = [];
+    this.#keptAfter = revision;
+    this.#era = (this.#era ?? 0) + 1;
+    for (const wake of [...this.#waiting]) {
+      wake();
+    }
+  }
+
   /** The text of a record that stands now; empty if there is none. */
   read(key: string): string {
     return this.#records.get(key)?.toString('utf8') ?? '';
@@ -98,11 +136,11 @@
       value,
       revision: this.#revision,
     }));
-    return Ok({changes, revision: this.#revision});
+    return Ok({changes, ...this.#position});
   }
 
   override async watch(
-    afterRevision: number,
+    {revision: afterRevision, era}: StorePosition,
     waitMs: number,
     signal: AbortSignal,
   ): Promise<Result<RecordChanges, RecordStoreError>> {
@@ -134,20 +172,24 @@
     if (this.#isHistoryLost) {
       return Err({kind: 'history-lost', message: 'compacted'});
     }
+    if (afterRevision < this.#keptAfter || era !== this.#position.era) {
+      return Err({kind: 'history-lost', message: 'compacted'});
+    }
     const changes = this.#events.filter(
       ({revision}) => revision > afterRevision,
     );
-    return Ok({changes, revision: this.#revision});
+    return Ok({changes, ...this.#position});
   }
 
   override async readRevision(
     mayBeOld = true,
-  ): Promise<Result<number, RecordStoreError>> {
+  ): Promise<Result<StorePosition, RecordStoreError>> {
     this.#count('read-revision');
     if (this.fault === 'down' || this.fault === 'swallowing') {
       return Err(UNAVAILABLE);
     }
-    return Ok(mayBeOld ? this.#readOld().revision : this.#revision);
+    const {era, revision} = mayBeOld ? this.#readOld() : this.#position;
+    return Ok({era, revision});
   }
 
   override async put(
@@ -177,7 +219,7 @@
     }
     this.#lastLease += 1;
     this.#leases.set(this.#lastLease, []);
-    return Ok({id: this.#lastLease, lifetimeMs});
+    return Ok({id: this.#lastLease, lifetimeMs, era: this.eras.current});
   }
 
   override async keepLease(
@@ -212,7 +254,13 @@
     const known = this.#events.filter(({atMs}) => atMs <= latestMs);
     const records = new Map(known.map(change => [change.key, change]));
     const changes = [...records.values()].filter(({value}) => value);
-    return {changes, revision: known.at(-1)?.revision ?? 1};
+    const revision = known.at(-1)?.revision ?? 1;
+    return {changes, revision, era: this.eras.current};
+  }
+
+  get #position(): StorePosition {
+    const era = this.eras.onAnswer(this.#era ?? 'none', this.eras.current);
+    return {era, revision: this.#revision};
   }
 
   #hasNews(afterRevision: number): boolean {
--- a/features/support/recorded-messages.ts
+++ b/features/support/recorded-messages.ts
@@ -120,7 +120,7 @@
   feed: () => {
     const value = Buffer.from('{}');
     const changes = [{...change, value}];
-    return serializeFeed({changes, revision: 7}, 12, [departed]);
+    return serializeFeed({changes, revision: 7, era: 3}, 12, [departed]);
   },
   'entry record': () => JSON.stringify({...entry, sequence: 5}),
   'suspect record': () => serializeSuspect(suspect).toString(),
--- a/packages-private/soak/src/acts.ts
+++ b/packages-private/soak/src/acts.ts
@@ -9,6 +9,7 @@
   changeBesideKills,
   leaveOddRecords,
 } from './acts-on-records.js';
+import {drillStore} from './acts-on-store.js';
 import {cutEntries} from './entry-cut.js';
 import {sendCrashing} from './crashing-request.js';
 import type {Operator} from './operator.js';
@@ -101,6 +102,8 @@
     await announceLate(site, step);
   } else if (step.act === 'configurations-and-kills') {
     await changeBesideKills(site, step);
+  } else if (step.act === 'store-drill') {
+    await drillStore(site, step);
   } else if (step.act === 'entries-upgrade') {
     await replaceOlder(site);
   } else if (step.act.startsWith('reader-')) {
--- a/packages-private/soak/src/checks.ts
+++ b/packages-private/soak/src/checks.ts
@@ -178,7 +178,12 @@
       .filter(({version}) => version >= (settled?.version ?? 0))
       .map(({movedTo}) => movedTo);
     const isOld = settled !== undefined && !allowed.includes(run.service);
-    if (isOld && isInTouch(history, entry, settled.atMs, run.atMs)) {
+    // Whatever was disturbed, a change is in force once all has been calm for both bounds.
+    const sinceMs = Math.max(
+      settled?.atMs ?? 0,
+      sentAtMs - BOUNDS.configApplyMs,
+    );
+    if (isOld && isInTouch(history, entry, sinceMs, run.atMs)) {
       const late = Math.round(sentAtMs - settled.atMs);
       found.push(`${run.id} ran at ${run.service}, ${late} ms after the move`);
     }
--- a/packages-private/soak/src/index.ts
+++ b/packages-private/soak/src/index.ts
@@ -5,4 +5,6 @@
 export * from './odd-records.js';
 export * from './schedule.js';
 export * from './soak.js';
+export * from './store-stand-in.js';
+export * from './store-past.js';
 export * from './worker-stand-in.js';
--- a/packages-private/soak/src/schedule.ts
+++ b/packages-private/soak/src/schedule.ts
@@ -30,7 +30,7 @@
   'move-route',
 ] as const;
 
-/** One kind of act. The others are no part of a series: a request that crashes workers, the loss of all entries at once, an entry that joins, one that stands still for long, workers that name a limit, entries that lose their links to workers, workers that ask for rest, one that says only in its answers that it leaves, bursts of configurations, the loss or a pause of an entry that reads the store, the replacement of an older build, odd records of other writers, announcements that are written after a departure, and configurations beside kills of the entry that reads the store. */
+/** One kind of act. The others are no part of a series: a request that crashes workers, the loss of all entries at once, an entry that joins, one that stands still for long, workers that name a limit, entries that lose their links to workers, workers that ask for rest, one that says only in its answers that it leaves, bursts of configurations, the loss or a pause of an entry that reads the store, the replacement of an older build, odd records of other writers, announcements that are written after a departure, configurations beside kills of the entry that reads the store, and a store that comes back from an older copy. */
 export type Act =
   | (typeof ACTS)[number]
   | 'crashing-request'
@@ -49,7 +49,8 @@
   | 'entries-upgrade'
   | 'odd-records'
   | 'late-announcement'
-  | 'configurations-and-kills';
+  | 'configurations-and-kills'
+  | 'store-drill';
 
 /** One act of a run. */
 export interface Step {
@@ -95,6 +96,7 @@
   'odd-records': 11_000,
   'late-announcement': 6_000,
   'configurations-and-kills': 5_000,
+  'store-drill': 3_500,
 };
 
 /** Draws the steps of one run. @param acts Those to draw from. */
@@ -158,6 +160,10 @@
     'late-announcement',
     'late-announcement',
     'configurations-and-kills',
+    'store-drill',
   ];
-  return [...acts, ...others].map(draw);
+  const drawn = [...acts, ...others].map(draw);
+  // What entries have missed in the last one, nothing that follows tells them.
+  const last = draw('store-drill');
+  return [...drawn, {...last, atMs: Math.max(1, endMs - last.forMs)}];
 }
--- a/packages/balancer/src/balancer.ts
+++ b/packages/balancer/src/balancer.ts
@@ -108,6 +108,7 @@
     this.#random = new SeededRandom(randomInt(SEED_BOUND));
     const ownRecord = {
       feedAddress: settings.listen.feed.text,
+      tellsEra: true,
       name: settings.name,
       address: settings.listen.callers.text,
       region: settings.region,
@@ -194,6 +195,7 @@
       store: this.#store,
       record: () => ({...ownRecord, sequence: this.#liveness.own.sequence}),
       clock,
+      random: this.#random,
       log,
     });
     this.#loadQueryBudget = new TokenBucket({
--- a/packages/balancer/src/cluster-state.ts
+++ b/packages/balancer/src/cluster-state.ts
@@ -16,9 +16,10 @@
   RecordChanges,
   RecordStoreError,
 } from './store/record-store.js';
+import {UNNAMED_ERA} from './store/store-eras.js';
 import type {CrashMonitor} from './suspects/crash-monitor.js';
 import {SUSPECT_KEY_PREFIX} from './suspects/suspect-record.js';
-import type {StoreWatcherListener} from './store/store-watcher.js';
+import type {EraChange, StoreWatcherListener} from './store/store-watcher.js';
 
 /** Options of `ClusterState`. */
 export interface ClusterStateOptions {
@@ -42,6 +43,10 @@
   readonly #options: ClusterStateOptions;
   readonly #upstreams: UpstreamRoster;
   #table: RoutingTable | undefined;
+  /** Position of the read that is applied. */
+  #read = {era: UNNAMED_ERA, revision: 0};
+  /** The change of era whose complete read is due. */
+  #eraChange: EraChange | undefined;
 
   constructor(options: ClusterStateOptions) {
     this.#options = options;
@@ -88,7 +93,11 @@
   }
 
   onRead(read: RecordChanges, isComplete: boolean): void {
-    this.#options.history.apply(read, isComplete);
+    const {history, entries} = this.#options;
+    history.apply(read, isComplete);
+    const {era, revision} = read;
+    this.#read = {era, revision};
+    entries.onEra(era);
   }
 
   /** Applies a record. One that fails names no upstream, and hides none of those behind it. */
@@ -142,6 +151,30 @@
     }
     this.#upstreams.onCompleteRead(ids, nowMs, mayReappear);
     this.#options.entries.onCompleteRead(names, nowMs, mayReappear);
+    this.#completeEra(keys);
+  }
+
+  onEra(change: EraChange): void {
+    this.#eraChange = change;
+  }
+
+  /** Has written again what the store has lost, after the first read of a new era. */
+  #completeEra(keys: ReadonlySet<string>): void {
+    const change = this.#eraChange;
+    if (change === undefined || change.era !== this.#read.era) {
+      return;
+    }
+    this.#eraChange = undefined;
+    const {log, crashMonitor, entries} = this.#options;
+    const suspects = crashMonitor.restore(keys, entries.listRestorers());
+    log.record('store.era', {
+      ...change,
+      ...this.#read,
+      records: keys.size,
+      // The announcement is written anew in each era.
+      writtenAgain: suspects + 1,
+      version: this.#table?.version,
+    });
   }
 
   onLost(error: RecordStoreError): void {
@@ -245,7 +278,7 @@
       parseJson(value.toString('utf8')),
     );
     if (parsed.success && parsed.data.name === name) {
-      entries.onRecord(parsed.data, revision);
+      entries.onRecord(parsed.data, {era: this.#read.era, revision});
     } else {
       this.#options.log.record('entry.unreadable', {
         subject: name,
--- a/packages/balancer/src/feed/feed-messages.ts
+++ b/packages/balancer/src/feed/feed-messages.ts
@@ -7,6 +7,7 @@
   type DepartedStart,
 } from '../members/upstream-record.js';
 import type {RecordChanges} from '../store/record-store.js';
+import {UNNAMED_ERA} from '../store/store-eras.js';
 
 /** Maximum age of the records that a feeder serves, in milliseconds. Source: together with the pause of the entry that reads the store, and a direct read by the follower, it stays within the shortest bound on draining, 2.5 seconds. */
 export const MAXIMUM_FEED_AGE_MS = 1_600;
@@ -14,6 +15,9 @@
 /** Query with which a follower asks for departures, once for each feeder. */
 export const DEPARTURES_QUERY = 'departures';
 
+/** Query with which a follower names the era of its position. Builds up to d49f6ce name none. */
+export const ERA_QUERY = 'era';
+
 /** Path at which a feeder serves records. */
 export const FEED_PATH = '/v1/records';
 
@@ -23,6 +27,8 @@
 /** Schema of a response with all records or with changes. */
 export const feedSchema = z.object({
   revision: z.int(),
+  /** Era of the store that the revisions belong to. Builds up to d49f6ce name none. */
+  era: z._default(z.int().check(z.minimum(UNNAMED_ERA)), UNNAMED_ERA),
   /** Time since the store itself last confirmed that no record is missing, including delays at the entries in between, in milliseconds. Builds up to f514c4b name none; what they feed is not fed on. */
   ageMs: z.optional(durationMsSchema),
   /** Upstreams that have left, if they were asked for. Builds up to 60659c7 name none. */
@@ -39,7 +45,7 @@
 
 /** Serializes records or changes. @param ageMs Age of the records, in milliseconds. */
 export function serializeFeed(
-  {changes, revision}: RecordChanges,
+  {changes, revision, era}: RecordChanges,
   ageMs: number,
   departures?: readonly DepartedStart[],
 ): string {
@@ -50,6 +56,7 @@
   }));
   return JSON.stringify({
     revision,
+    era,
     ageMs: Math.ceil(ageMs),
     departures: departures?.slice(-MAXIMUM_DEPARTURES).map(toDepartureRow),
     changes: rows,
@@ -72,5 +79,5 @@
     value: value === undefined ? undefined : Buffer.from(value, 'base64'),
     revision,
   }));
-  return {changes, revision: feed.revision};
+  return {changes, revision: feed.revision, era: feed.era};
 }
--- a/packages/balancer/src/feed/feed-server.ts
+++ b/packages/balancer/src/feed/feed-server.ts
@@ -15,9 +15,11 @@
 import type {SuspectRecord} from '@wasabidyke/policy';
 import {parseJson, parseRequestTarget} from '@wasabidyke/shared';
 import type {ListenAddress} from '../serving/discovery-server.js';
+import {UNNAMED_ERA, type StorePosition} from '../store/store-eras.js';
 import type {DepartedStart} from '../members/upstream-record.js';
 import {
   DEPARTURES_QUERY,
+  ERA_QUERY,
   MAXIMUM_FEED_AGE_MS,
   FEED_PATH,
   serializeFeed,
@@ -140,16 +142,24 @@
       sendJson(response, 404, '{}');
       return;
     }
-    const afterRevision = readNumberParameter(url, 'after');
-    if (afterRevision !== undefined) {
+    const namedEra = readNumberParameter(url, ERA_QUERY);
+    const era = namedEra ?? UNNAMED_ERA;
+    const revision = readNumberParameter(url, 'after');
+    const after = revision === undefined ? undefined : {era, revision};
+    if (after !== undefined) {
       const waitMs = Math.min(
         readNumberParameter(url, 'waitMs') ?? 0,
         MAXIMUM_WAIT_MS,
       );
-      await this.#options.history.waitForChange(afterRevision, waitMs);
+      await this.#options.history.waitForChange(after, waitMs);
+    }
+    if (namedEra === undefined && this.#options.history.era !== UNNAMED_ERA) {
+      // Its revisions may be of any era, and it can't tell these from them.
+      sendJson(response, 503, '{}');
+      return;
     }
     const isAsked = url.searchParams.has(DEPARTURES_QUERY);
-    this.#sendRecords(response, afterRevision, isAsked);
+    this.#sendRecords(response, after, isAsked);
   }
 
   async #takeMessage(
@@ -201,7 +211,7 @@
 
   #sendRecords(
     response: ServerResponse,
-    afterRevision: number | undefined,
+    after: StorePosition | undefined,
     areDeparturesAsked: boolean,
   ): void {
     const {history, departures} = this.#options;
@@ -211,9 +221,7 @@
       return;
     }
     const read =
-      afterRevision === undefined
-        ? history.readAll()
-        : history.readChangesAfter(afterRevision);
+      after === undefined ? history.readAll() : history.readChangesAfter(after);
     if (read === undefined) {
       sendJson(response, 410, '{}');
     } else {
@@ -225,7 +233,7 @@
 
 function readNumberParameter(url: URL, name: string): number | undefined {
   const text = url.searchParams.get(name);
-  return text !== null && /^\d+$/.test(text) ? Number(text) : undefined;
+  return text !== null && /^-?\d+$/.test(text) ? Number(text) : undefined;
 }
 
 function sendJson(
--- a/packages/balancer/src/feed/feeder-connection.ts
+++ b/packages/balancer/src/feed/feeder-connection.ts
@@ -3,9 +3,11 @@
 import {Err, Ok, type Clock, type Result} from '@wasabidyke/shared';
 import {Pool} from 'undici';
 import type {RecordChanges, RecordStoreError} from '../store/record-store.js';
+import type {StorePosition} from '../store/store-eras.js';
 import type {DepartedStart} from '../members/upstream-record.js';
 import {
   DEPARTURES_QUERY,
+  ERA_QUERY,
   FEED_PATH,
   feedSchema,
   toRecordChanges,
@@ -49,17 +51,23 @@
     });
   }
 
-  /** Reads all records that the feeder has. */
-  readAll(): Promise<Result<FedChanges, RecordStoreError>> {
-    return this.#fetch({}, RESPONSE_MARGIN_MS);
+  /** Reads all records that the feeder has. @param era Era of the store that this entry knows. */
+  readAll(era: number): Promise<Result<FedChanges, RecordStoreError>> {
+    return this.#fetch(toEraQuery(era), RESPONSE_MARGIN_MS);
   }
 
-  /** Waits for changes after a revision. */
-  watch(afterRevision: number): Promise<Result<FedChanges, RecordStoreError>> {
+  /** Waits for changes after a position. */
+  watch({
+    era,
+    revision,
+  }: StorePosition): Promise<Result<FedChanges, RecordStoreError>> {
     // The first answer isn't waited for: it tells of departures.
     const waitMs = this.#hasDepartures ? FEED_WAIT_MS : 0;
-    const query = {after: String(afterRevision), waitMs: String(waitMs)};
-    return this.#fetch(query, waitMs + RESPONSE_MARGIN_MS);
+    const query = {after: String(revision), waitMs: String(waitMs)};
+    return this.#fetch(
+      {...query, ...toEraQuery(era)},
+      waitMs + RESPONSE_MARGIN_MS,
+    );
   }
 
   /** Closes the connection; requests in flight fail. */
@@ -104,6 +112,10 @@
   }
 }
 
+function toEraQuery(era: number): Record<string, string> {
+  return {[ERA_QUERY]: String(era)};
+}
+
 function unavailable(message: string): Result<never, RecordStoreError> {
   return Err({kind: 'unavailable', message});
 }
--- a/packages/balancer/src/feed/follower-record-store.ts
+++ b/packages/balancer/src/feed/follower-record-store.ts
@@ -18,8 +18,10 @@
   type RecordLease,
   type RecordStoreError,
 } from '../store/record-store.js';
+import {LeaseGuard} from '../store/lease-guard.js';
+import {isBefore, type StorePosition} from '../store/store-eras.js';
 import {MAXIMUM_FEED_AGE_MS} from './feed-messages.js';
-import {FeederConnection} from './feeder-connection.js';
+import {FeederConnection, type FedChanges} from './feeder-connection.js';
 import {RecordFreshness} from './record-freshness.js';
 
 /** Constructor options. */
@@ -52,6 +54,10 @@
 /** Time between polls, in milliseconds. Ten polls cost as much as one watch. */
 const POLL_INTERVAL_MS = 700;
 
+/** Time for which an entry that learned of a new era first waits for its feeder to read it, and the pause between its tries, in milliseconds. Source: an entry that reads the store asks it several times within it. */
+const FEEDER_ERA_WAIT_MS = 900;
+const FEEDER_ERA_PAUSE_MS = 100;
+
 /** Maximum number of feeders tried in one `watch` call. */
 const MAXIMUM_FEEDER_TRIES = 2;
 
@@ -70,10 +76,14 @@
   /** Name of the feeder that was found to be behind this entry. */
   #feederBehind: string | undefined;
   readonly #createdAtMs: number;
+  readonly #leases: LeaseGuard;
 
   constructor(options: FollowerRecordStoreOptions) {
-    super();
+    super(options.store.eras);
     this.#options = options;
+    this.#leases = new LeaseGuard(options.store);
+    this.eras.onOdd = ({named, era}) =>
+      options.log.record('store.era-odd', {named, era});
     this.#createdAtMs = options.clock.now();
   }
 
@@ -98,15 +108,15 @@
   ): Promise<Result<RecordChanges, RecordStoreError>> {
     const feeder = this.#selectFeeder();
     if (feeder !== undefined) {
-      const fed = await feeder.readAll();
+      const fed = await this.#readAllFromFeeder(feeder);
       if (fed.isErr()) {
         this.#onFeederFailure(feeder, fed.error);
-      } else if (this.#freshness.isBehind(fed.value.revision)) {
-        this.#onFeederBehind(feeder, fed.value.revision);
+      } else if (this.#isFeederBehind(fed.value)) {
+        this.#onFeederBehind(feeder, fed.value);
       } else {
-        const {revision, confirmedAtMs, departures} = fed.value;
+        const {confirmedAtMs, departures} = fed.value;
         this.#options.onDepartures(departures);
-        this.#freshness.onCompleteRead(revision, confirmedAtMs);
+        this.#freshness.onCompleteRead(fed.value, confirmedAtMs);
         return fed;
       }
     }
@@ -114,6 +124,29 @@
     return mayBeOld ? this.#readAllCheaply() : this.#readAllFromStore();
   }
 
+  /** Reads all records of a feeder; waits for one that has not read the era yet that this entry knows of. */
+  async #readAllFromFeeder(
+    feeder: FeederConnection,
+  ): Promise<Result<FedChanges, RecordStoreError>> {
+    const {clock} = this.#options;
+    const waitsUntilMs = clock.now() + FEEDER_ERA_WAIT_MS;
+    for (;;) {
+      const fed = await feeder.readAll(this.eras.current);
+      if (fed.isOk()) {
+        this.eras.onNamed(fed.value.era);
+      }
+      const isEarlier = fed.isOk() && fed.value.era < this.eras.current;
+      if (!isEarlier || clock.now() > waitsUntilMs) {
+        return fed;
+      }
+      await sleep(FEEDER_ERA_PAUSE_MS);
+    }
+  }
+
+  #isFeederBehind(fed: StorePosition): boolean {
+    return fed.era < this.eras.current || this.#freshness.isBehind(fed);
+  }
+
   /** Reads records that may be old, and the revision beside it. Reads all again if a record is missing. */
   async #readAllCheaply(): Promise<Result<RecordChanges, RecordStoreError>> {
     const {store, clock, log} = this.#options;
@@ -125,31 +158,31 @@
     if (read.isErr()) {
       return read;
     }
-    const {revision} = read.value;
+    const {revision, era} = read.value;
     if (current.isErr()) {
       // Callers are better served by records that may be old than by none.
-      this.#freshness.onCompleteRead(revision, -Infinity);
+      this.#freshness.onCompleteRead(read.value, -Infinity);
       return read;
     }
-    if (revision < current.value) {
-      log.record('records.old', {revision, storeRevision: current.value});
+    const storeRevision = current.value.revision;
+    if (era !== current.value.era || revision < storeRevision) {
+      log.record('records.old', {revision, storeRevision});
       return this.#readAllFromStore();
     }
-    this.#freshness.onCompleteRead(revision, askedAtMs);
+    this.#freshness.onCompleteRead(read.value, askedAtMs);
     return read;
   }
 
   async #readAllFromStore(): Promise<Result<RecordChanges, RecordStoreError>> {
     const read = await this.#options.store.readAll(false);
     if (read.isOk()) {
-      const {revision} = read.value;
-      this.#freshness.onCompleteRead(revision, this.#options.clock.now());
+      this.#freshness.onCompleteRead(read.value, this.#options.clock.now());
     }
     return read;
   }
 
   override async watch(
-    afterRevision: number,
+    after: StorePosition,
     waitMs: number,
     signal: AbortSignal,
   ): Promise<Result<RecordChanges, RecordStoreError>> {
@@ -159,7 +192,7 @@
         break;
       }
       const startedAtMs = this.#options.clock.now();
-      const fed = await this.#watchFeeder(feeder, afterRevision);
+      const fed = await this.#watchFeeder(feeder, after);
       if (fed.isOk() || fed.error.kind === 'history-lost') {
         this.#setSource(feeder.name);
         return fed;
@@ -174,21 +207,14 @@
       this.#bypassFeeders();
     }
     this.#setSource(undefined);
-    const polled = this.#isStarting
-      ? await this.#poll(afterRevision)
-      : undefined;
+    const polled = this.#isStarting ? await this.#poll(after) : undefined;
     if (polled !== undefined) {
       return polled;
     }
     const limitMs = Math.min(waitMs, this.#remainingDirectMs());
-    const watched = await this.#options.store.watch(
-      afterRevision,
-      limitMs,
-      signal,
-    );
-    if (watched.isOk()) {
-      const {revision} = watched.value;
-      this.#freshness.onChanges(revision, this.#options.clock.now());
+    const watched = await this.#options.store.watch(after, limitMs, signal);
+    if (watched.isOk() && watched.value.revision >= after.revision) {
+      this.#freshness.onChanges(watched.value, this.#options.clock.now());
     }
     return watched;
   }
@@ -218,16 +244,16 @@
    * deletions.
    */
   async #poll(
-    afterRevision: number,
+    after: StorePosition,
   ): Promise<Result<RecordChanges, RecordStoreError> | undefined> {
     await sleep(POLL_INTERVAL_MS);
     const read = await this.#options.store.readAll(true);
-    if (read.isOk() && read.value.revision < afterRevision) {
+    if (read.isOk() && isBefore(read.value, after)) {
       return undefined;
     }
     return read.map(({changes}) => ({
-      changes: changes.filter(({revision}) => revision > afterRevision),
-      revision: afterRevision,
+      changes: changes.filter(({revision}) => revision > after.revision),
+      ...after,
     }));
   }
 
@@ -239,7 +265,7 @@
   /** Confirms the records if none is missing. A read that is older than they are is repeated with one that isn't. */
   override async readRevision(
     mayBeOld: boolean,
-  ): Promise<Result<number, RecordStoreError>> {
+  ): Promise<Result<StorePosition, RecordStoreError>> {
     const {clock, store} = this.#options;
     const askedAtMs = clock.now();
     const read = await store.readRevision(mayBeOld);
@@ -255,7 +281,7 @@
     value: Buffer,
     lease: RecordLease,
   ): Promise<Result<void, RecordStoreError>> {
-    return this.#options.store.put(key, value, lease);
+    return this.#leases.put(key, value, lease);
   }
 
   override grantLease(
@@ -267,13 +293,13 @@
   override keepLease(
     lease: RecordLease,
   ): Promise<Result<void, RecordStoreError>> {
-    return this.#options.store.keepLease(lease);
+    return this.#leases.keep(lease);
   }
 
   override endLease(
     lease: RecordLease,
   ): Promise<Result<void, RecordStoreError>> {
-    return this.#options.store.endLease(lease);
+    return this.#leases.end(lease);
   }
 
   override async close(): Promise<void> {
@@ -313,34 +339,43 @@
   /** Returns no changes while the feeder is behind this entry, and fails once the records are too old to wait for it. */
   async #watchFeeder(
     feeder: FeederConnection,
-    afterRevision: number,
+    after: StorePosition,
   ): Promise<Result<RecordChanges, RecordStoreError>> {
-    const fed = await feeder.watch(afterRevision);
+    const fed = await feeder.watch(after);
     if (fed.isErr()) {
       return fed;
     }
-    const {revision, confirmedAtMs, departures} = fed.value;
+    const {era, revision, confirmedAtMs, departures} = fed.value;
     this.#options.onDepartures(departures);
-    if (revision >= afterRevision) {
+    this.eras.onNamed(era);
+    if (after.era !== this.eras.current) {
+      return Err({kind: 'history-lost', message: `the store is in era ${era}`});
+    }
+    if (!isBefore(fed.value, after)) {
       this.#feederBehind = undefined;
-      this.#freshness.onChanges(revision, confirmedAtMs);
+      this.#freshness.onChanges(fed.value, confirmedAtMs);
       return fed;
     }
-    this.#onFeederBehind(feeder, revision);
+    this.#onFeederBehind(feeder, fed.value);
     return this.ageMs > MAXIMUM_FEED_AGE_MS
       ? Err({
           kind: 'unavailable',
-          message: `feeder is at revision ${revision}, behind ${afterRevision}`,
+          message: `feeder is at revision ${revision} of era ${era}, behind ${after.revision} of era ${after.era}`,
         })
-      : Ok({changes: [], revision: afterRevision});
+      : Ok({changes: [], ...after});
   }
 
-  #onFeederBehind({name}: FeederConnection, revision: number): void {
+  #onFeederBehind(
+    {name}: FeederConnection,
+    {era, revision}: StorePosition,
+  ): void {
     if (this.#feederBehind !== name) {
       this.#feederBehind = name;
       this.#options.log.record('feeder.behind', {
         feeder: name,
+        feederEra: era,
         feederRevision: revision,
+        era: this.eras.current,
         revision: this.#freshness.revision,
         ageMs: Math.round(this.ageMs),
       });
--- a/packages/balancer/src/feed/record-freshness.ts
+++ b/packages/balancer/src/feed/record-freshness.ts
@@ -4,6 +4,12 @@
  * that it has seen, not by the time at which it answered.
  */
 
+import {
+  isBefore,
+  UNNAMED_ERA,
+  type StorePosition,
+} from '../store/store-eras.js';
+
 /** What a read of the store's revision says of the records. */
 export type RevisionComparison =
   /** No record is missing. */
@@ -16,6 +22,7 @@
 /** Tracks the revision of the records and their age. */
 export class RecordFreshness {
   #revision = 0;
+  #era = UNNAMED_ERA;
   #confirmedAtMs = -Infinity;
 
   /** Store revision up to which all records were read; 0 before the first read. */
@@ -28,29 +35,35 @@
     return nowMs - this.#confirmedAtMs;
   }
 
-  /** Whether a source that answers with this revision knows less than this entry. */
-  isBehind(revision: number): boolean {
-    return revision < this.#revision;
+  /** Whether a source that answers with this position knows less than this entry. */
+  isBehind(position: StorePosition): boolean {
+    return isBefore(position, {era: this.#era, revision: this.#revision});
   }
 
   /** Records a complete read, which replaces what was known. */
-  onCompleteRead(revision: number, confirmedAtMs: number): void {
+  onCompleteRead({era, revision}: StorePosition, confirmedAtMs: number): void {
+    if (era !== this.#era) {
+      this.#era = era;
+      this.#confirmedAtMs = -Infinity;
+    }
     this.#revision = revision;
     this.#confirm(confirmedAtMs);
   }
 
-  /** Records changes up to a revision. */
-  onChanges(revision: number, confirmedAtMs: number): void {
-    this.#revision = Math.max(this.#revision, revision);
-    this.#confirm(confirmedAtMs);
+  /** Records changes up to a position. */
+  onChanges({era, revision}: StorePosition, confirmedAtMs: number): void {
+    if (era === this.#era) {
+      this.#revision = Math.max(this.#revision, revision);
+      this.#confirm(confirmedAtMs);
+    }
   }
 
   /** Compares the records with a read of the store's revision. @param askedAtMs When the read was sent. */
-  onRevision(revision: number, askedAtMs: number): RevisionComparison {
-    if (revision < this.#revision) {
+  onRevision(read: StorePosition, askedAtMs: number): RevisionComparison {
+    if (this.isBehind(read)) {
       return 'old';
     }
-    if (revision > this.#revision) {
+    if (read.era > this.#era || read.revision > this.#revision) {
       return 'missing';
     }
     this.#confirm(askedAtMs);
--- a/packages/balancer/src/feed/record-history.ts
+++ b/packages/balancer/src/feed/record-history.ts
@@ -5,6 +5,7 @@
   type RecordChange,
   type RecordChanges,
 } from '../store/record-store.js';
+import {UNNAMED_ERA, type StorePosition} from '../store/store-eras.js';
 
 /** Maximum number of changes kept. A follower that missed more reads all records. */
 const MAXIMUM_CHANGES = 512;
@@ -17,6 +18,12 @@
   /** Changes up to this revision may be missing from `#changes`. */
   #completeAfterRevision = 0;
   #revision = 0;
+  #era = UNNAMED_ERA;
+
+  /** Era of the store in which the records were read. */
+  get era(): number {
+    return this.#era;
+  }
 
   /** Store revision up to which all changes were read; 0 before the first read. */
   get revision(): number {
@@ -30,6 +37,7 @@
       this.#changes = [];
       this.#completeAfterRevision = read.revision;
       this.#revision = read.revision;
+      this.#era = read.era;
     }
     read.changes.forEach(change => this.#applyChange(change));
     if (!isComplete) {
@@ -64,21 +72,35 @@
 
   /** All current records. */
   readAll(): RecordChanges {
-    return {changes: [...this.#records.values()], revision: this.#revision};
+    return {changes: [...this.#records.values()], ...this.#position};
   }
 
-  /** Changes after a revision, or undefined when some are no longer kept. */
-  readChangesAfter(revision: number): RecordChanges | undefined {
+  /**
+   * Changes after a position, or undefined when some are no longer kept. There
+   * are none after a position of another era, as the answer's position tells.
+   */
+  readChangesAfter({era, revision}: StorePosition): RecordChanges | undefined {
+    if (era !== this.#era) {
+      return {changes: [], ...this.#position};
+    }
     if (revision < this.#completeAfterRevision) {
       return undefined;
     }
     const changes = this.#changes.filter(change => change.revision > revision);
-    return {changes, revision: this.#revision};
+    return {changes, ...this.#position};
+  }
+
+  get #position(): StorePosition {
+    return {era: this.#era, revision: this.#revision};
   }
 
-  /** Resolves when there are changes after a revision, after `waitMs` milliseconds, or on `wakeWaiting`. */
-  async waitForChange(revision: number, waitMs: number): Promise<void> {
-    if (this.#revision > revision) {
+  /** Resolves when there are changes after a position, after `waitMs` milliseconds, or on `wakeWaiting`. */
+  async waitForChange(after: StorePosition, waitMs: number): Promise<void> {
+    const isPassed =
+      this.#era === after.era
+        ? this.#revision > after.revision
+        : this.#era > after.era;
+    if (isPassed) {
       return;
     }
     await new Promise<void>(resolve => {
--- a/packages/balancer/src/members/entry-record.ts
+++ b/packages/balancer/src/members/entry-record.ts
@@ -14,6 +14,8 @@
   zone: z.string(),
   /** Orders what is said of the entry: higher in each process, and raised when the entry takes back a wrong statement. */
   sequence: z.optional(startTimeSchema),
+  /** Whether the entry tells its followers the era of the store. Builds up to d49f6ce don't. */
+  tellsEra: z.catch(z.optional(z.boolean()), undefined),
 });
 
 /** Announcement of an entry. */
--- a/packages/balancer/src/members/entry-roster.ts
+++ b/packages/balancer/src/members/entry-roster.ts
@@ -1,6 +1,11 @@
 /** Announced entries, for callers and for choosing feeders. */
 
 import type {LivenessTracker} from '@wasabidyke/policy';
+import {
+  isBefore,
+  UNNAMED_ERA,
+  type StorePosition,
+} from '../store/store-eras.js';
 import type {EntryRecord} from './entry-record.js';
 
 /** Region and availability zone of a caller; undefined when not known. */
@@ -20,8 +25,8 @@
 
 interface Member {
   readonly record: EntryRecord;
-  /** Store revision of the announcement; an older entry has a lower one. */
-  readonly revision: number;
+  /** Position of the announcement in the store; an older entry has an earlier one. */
+  readonly position: StorePosition;
   /** Set while the announcement is missing: time at which the entry is removed. */
   removeAtMs: number | undefined;
 }
@@ -32,6 +37,7 @@
   readonly #ownRecord: EntryRecord;
   readonly #liveness: LivenessTracker;
   #isSelfListed = true;
+  #era = UNNAMED_ERA;
 
   constructor(ownRecord: EntryRecord, liveness: LivenessTracker) {
     this.#ownRecord = ownRecord;
@@ -64,17 +70,45 @@
    */
   listFeeders(): readonly EntryRecord[] {
     const {name, zone} = this.#ownRecord;
-    const ownRevision = this.#members.get(name)?.revision ?? Infinity;
-    const older = [...this.#members.values()]
-      .filter(({revision}) => revision < ownRevision)
-      .filter(({record}) => record.feedAddress !== undefined)
-      .sort((left, right) => left.revision - right.revision)
+    const current = [...this.#members.values()].filter(
+      ({position}) => position.era === this.#era,
+    );
+    const own = current.find(({record}) => record.name === name);
+    const ownRevision = own?.position.revision ?? Infinity;
+    const older = current
+      .filter(({position}) => position.revision < ownRevision)
+      .filter(({record}) => this.#isFeeder(record))
+      .sort((left, right) => left.position.revision - right.position.revision)
       .map(({record}) => record);
     const sameZone = older.filter(record => record.zone === zone);
-    const isOldestInZone = sameZone.length === 0 && ownRevision < Infinity;
+    const isOldestInZone = sameZone.length === 0 && own !== undefined;
     return isOldestInZone ? older : sameZone;
   }
 
+  /** Where the store names its era, what an entry feeds without one may be of any. */
+  #isFeeder({feedAddress, tellsEra}: EntryRecord): boolean {
+    return (
+      feedAddress !== undefined &&
+      (tellsEra === true || this.#era === UNNAMED_ERA)
+    );
+  }
+
+  /** Called with the era of what is read next: announcements of earlier ones order no entries. */
+  onEra(era: number): void {
+    if (era !== this.#era) {
+      this.#era = era;
+      this.#liveness.forgetUnnumbered();
+    }
+  }
+
+  /** Names of the entries that write again what the store has lost of an entry that is down, in a stable order. */
+  listRestorers(): readonly string[] {
+    return this.#listedRecords()
+      .filter(({tellsEra}) => tellsEra === true)
+      .map(({name}) => name)
+      .sort();
+  }
+
   /** Names of the entries that are up, this one included unless it is stopping, in a stable order. */
   listUp(): readonly string[] {
     return this.#listedRecords()
@@ -104,13 +138,13 @@
     );
   }
 
-  /** Adds or updates an entry. @param revision Store revision of its announcement. */
-  onRecord(record: EntryRecord, revision: number): void {
+  /** Adds or updates an entry. @param position Position of its announcement in the store. */
+  onRecord(record: EntryRecord, position: StorePosition): void {
     const known = this.#members.get(record.name);
-    if (known !== undefined && known.revision > revision) {
+    if (known !== undefined && isBefore(position, known.position)) {
       return;
     }
-    const {name, sequence = revision} = record;
+    const {name, sequence = position.revision} = record;
     if (record.sequence === undefined) {
       this.#liveness.onAnnouncedUnnumbered(name, sequence);
     } else {
@@ -119,7 +153,7 @@
     const numbered = {...record, sequence};
     this.#members.set(name, {
       record: numbered,
-      revision,
+      position,
       removeAtMs: undefined,
     });
   }
--- a/packages/balancer/src/store/entry-announcer.ts
+++ b/packages/balancer/src/store/entry-announcer.ts
@@ -1,6 +1,7 @@
 /** Announces this entry under a lease while it accepts callers. */
 
 import {setTimeout as sleep} from 'node:timers/promises';
+import type {RandomSource} from '@wasabidyke/policy';
 import {Backoff, type Clock} from '@wasabidyke/shared';
 import type {EntryRecord} from '../members/entry-record.js';
 import type {DecisionLog} from '../reporting/decision-log.js';
@@ -21,12 +22,17 @@
 /** Time between tries to withdraw the announcement, in milliseconds: an entry that stops has a few seconds for it. */
 const WITHDRAWAL_RETRY_DELAY_MS = 250;
 
+/** Minimum time after which an entry announces itself in a new era of the store, and the jitter added to it, in milliseconds. Source: by the minimum, all entries have learned of the era and renew no lease of an earlier one; with the jitter, it stays within the time after which a missing entry is removed. */
+const MINIMUM_REANNOUNCEMENT_MS = 700;
+const REANNOUNCEMENT_JITTER_MS = 1_500;
+
 /** Options of `EntryAnnouncer`. */
 export interface EntryAnnouncerOptions {
   readonly store: RecordStore;
   /** Called for each announcement. */
   readonly record: () => EntryRecord;
   readonly clock: Clock;
+  readonly random: RandomSource;
   readonly log: DecisionLog;
 }
 
@@ -40,6 +46,7 @@
   #isStopped = false;
   /** The write that is under way. */
   #writing: Promise<boolean> | undefined;
+  #wake: () => void = () => {};
 
   constructor(options: EntryAnnouncerOptions) {
     this.#options = options;
@@ -47,6 +54,7 @@
       minimumMs: MINIMUM_RETRY_DELAY_MS,
       maximumMs: MAXIMUM_RETRY_DELAY_MS,
     });
+    options.store.eras.onChange(() => this.#wake());
   }
 
   /** Announces this entry and renews the lease until `stop`. */
@@ -57,12 +65,34 @@
       if (isAnnounced) {
         this.#backoff.reset();
       }
-      await sleep(
+      await this.#pause(
         isAnnounced ? RENEWAL_INTERVAL_MS : this.#backoff.nextDelayMs(),
       );
+      if (this.#hasLeaseOfEarlierEra) {
+        const jitterMs = this.#options.random.nextBelow(
+          REANNOUNCEMENT_JITTER_MS,
+        );
+        await sleep(MINIMUM_REANNOUNCEMENT_MS + jitterMs);
+      }
     }
   }
 
+  get #hasLeaseOfEarlierEra(): boolean {
+    const {eras} = this.#options.store;
+    return this.#lease !== undefined && this.#lease.era !== eras.current;
+  }
+
+  /** Ends after a time, or when the store begins another era. */
+  #pause(milliseconds: number): Promise<void> {
+    return new Promise(resolve => {
+      const timer = setTimeout(resolve, milliseconds);
+      this.#wake = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+    });
+  }
+
   /** Withdraws the announcement; tries for `withinMs` milliseconds while the store fails. */
   async stop(withinMs: number): Promise<void> {
     const {store, clock, log} = this.#options;
@@ -96,7 +126,8 @@
 
   /** Returns whether the entry is announced. Failures are logged by the watcher of the same store. */
   async #renewOrAnnounce(): Promise<boolean> {
-    if (this.#lease === undefined || !this.#isWritten) {
+    const isUnusable = !this.#isWritten || this.#hasLeaseOfEarlierEra;
+    if (this.#lease === undefined || isUnusable) {
       return this.#announce();
     }
     const kept = await this.#options.store.keepLease(this.#lease);
--- a/packages/balancer/src/store/record-store.ts
+++ b/packages/balancer/src/store/record-store.ts
@@ -1,6 +1,7 @@
 /** Interface to the store that holds the records of operators, upstreams and entries. */
 
 import type {Result} from '@wasabidyke/shared';
+import {StoreEras, type StorePosition} from './store-eras.js';
 
 /** Failure of a store call. */
 export interface RecordStoreError {
@@ -48,36 +49,47 @@
   return kept.reverse();
 }
 
-/** Changes up to a store revision. */
-export interface RecordChanges {
+/** Changes up to a position of the store. */
+export interface RecordChanges extends StorePosition {
   readonly changes: readonly RecordChange[];
-  readonly revision: number;
 }
 
 /** A lease. Its records are deleted when it ends. */
 export interface RecordLease {
   readonly id: number;
   readonly lifetimeMs: number;
+  /** Era in which it was granted: another entry may hold its id in a later one. */
+  readonly era: number;
 }
 
 /** A store with range reads, watches and leases. Every call has its own timeout. */
 export abstract class RecordStore {
+  /** Era of the store, as far as its answers have told. */
+  readonly eras: StoreEras;
+
+  constructor(eras = new StoreEras()) {
+    this.eras = eras;
+  }
+
   /** Whether each watch is billed, so that several changes should be batched into one. */
   get isWatchBilled(): boolean {
     return true;
   }
 
   /**
-   * Reads all records. A watch from the returned `revision` misses no change.
+   * Reads all records. A watch from the returned position misses no change.
    * @param mayBeOld Whether records may be seconds old, which costs a fraction.
    */
   abstract readAll(
     mayBeOld: boolean,
   ): Promise<Result<RecordChanges, RecordStoreError>>;
 
-  /** Waits for changes after a revision; returns none after `waitMs` milliseconds. */
+  /**
+   * Waits for changes after a position; returns none after `waitMs`
+   * milliseconds. Changes of another era than that of the position say nothing.
+   */
   abstract watch(
-    afterRevision: number,
+    after: StorePosition,
     waitMs: number,
     signal: AbortSignal,
   ): Promise<Result<RecordChanges, RecordStoreError>>;
@@ -88,7 +100,7 @@
    */
   abstract readRevision(
     mayBeOld: boolean,
-  ): Promise<Result<number, RecordStoreError>>;
+  ): Promise<Result<StorePosition, RecordStoreError>>;
 
   /** Writes a record; overwrites an existing one. */
   abstract put(
--- a/packages/balancer/src/store/store-watcher.ts
+++ b/packages/balancer/src/store/store-watcher.ts
@@ -6,7 +6,8 @@
  */
 
 import {setTimeout as sleep} from 'node:timers/promises';
-import {Backoff, type Clock, type Result} from '@wasabidyke/shared';
+import {Backoff, Err, type Clock, type Result} from '@wasabidyke/shared';
+import type {StorePosition} from './store-eras.js';
 import {
   withoutReplaced,
   type RecordChange,
@@ -23,10 +24,20 @@
   onChange(change: RecordChange, mayReappear: boolean): void;
   /** Called after a complete read: records that are not among `keys` have vanished. */
   onCompleteRead(keys: ReadonlySet<string>, mayReappear: boolean): void;
+  /** Called when the store has begun another era: the complete read of it follows. */
+  onEra(change: EraChange): void;
   onLost(error: RecordStoreError): void;
   onRegained(): void;
 }
 
+/** The store has come back from an older copy. */
+export interface EraChange {
+  readonly era: number;
+  readonly formerEra: number;
+  /** Revision that was known in the former era. */
+  readonly formerRevision: number;
+}
+
 /** Constructor options. */
 export interface StoreWatcherOptions {
   readonly store: RecordStore;
@@ -53,6 +64,10 @@
 const MINIMUM_RETRY_DELAY_MS = 150;
 const MAXIMUM_RETRY_DELAY_MS = 250;
 
+/** Minimum and maximum delay between complete reads that a store without history asks for again and again, in milliseconds. */
+const MINIMUM_REREAD_DELAY_MS = 200;
+const MAXIMUM_REREAD_DELAY_MS = 5_000;
+
 /** Time after an outage in which vanished records may be written again, in milliseconds. Source: the platform's guarantee of two seconds, and one second to detect the outage. */
 const GRACE_PERIOD_MS = 3_000;
 
@@ -60,7 +75,13 @@
 export class StoreWatcher {
   readonly #options: StoreWatcherOptions;
   readonly #backoff: Backoff;
-  #revision: number | undefined;
+  /** Delays of complete reads that follow each other with no change in between. */
+  readonly #rereads: Backoff;
+  #hasJustRead = false;
+  /** Position up to which all records were read; undefined when all must be read again. */
+  #position: StorePosition | undefined;
+  /** Position of the last read, whether or not it still holds. */
+  #lastPosition: StorePosition | undefined;
   #isStopped = false;
   #hasRead = false;
   #isLost = false;
@@ -75,6 +96,11 @@
       minimumMs: MINIMUM_RETRY_DELAY_MS,
       maximumMs: MAXIMUM_RETRY_DELAY_MS,
     });
+    this.#rereads = new Backoff({
+      minimumMs: MINIMUM_REREAD_DELAY_MS,
+      maximumMs: MAXIMUM_REREAD_DELAY_MS,
+    });
+    options.store.eras.onChange(era => this.#onEra(era));
   }
 
   /** Time since the store last answered, in milliseconds. */
@@ -110,8 +136,8 @@
   /** Reads or watches once; returns the pause until the next call, in milliseconds. */
   async #readOrWatch(): Promise<number> {
     const {store} = this.#options;
-    const revision = this.#revision;
-    if (revision === undefined) {
+    const position = this.#position;
+    if (position === undefined) {
       // Stale records suffice at first: the watch returns later changes.
       const read = await store.readAll(!this.#hasRead);
       return this.#handleResult(read, changes =>
@@ -120,11 +146,17 @@
     }
     const abort = new AbortController();
     this.#watchAbort = abort;
-    const watched = await store.watch(revision, WATCH_WAIT_MS, abort.signal);
+    const watched = await store.watch(position, WATCH_WAIT_MS, abort.signal);
     if (abort.signal.aborted) {
       // The watch restarts at once; the code that aborted it has handled the cause.
       return 0;
     }
+    if (watched.isOk() && watched.value.revision < position.revision) {
+      return this.#handleResult(
+        toHistoryLost(watched.value, position),
+        () => {},
+      );
+    }
     return this.#handleResult(watched, changes => this.#applyChanges(changes));
   }
 
@@ -140,10 +172,16 @@
     }
     this.#onAnswer();
     this.#failedWatches = 0;
-    this.#hasRead = true;
     this.#backoff.reset();
+    const {era, revision} = result.value;
+    if (era !== this.#options.store.eras.current) {
+      // It was on its way when another era began, of which all is read.
+      return 0;
+    }
+    this.#hasRead = true;
     apply(result.value);
-    this.#revision = Math.max(this.#revision ?? 0, result.value.revision);
+    this.#position = {era, revision};
+    this.#lastPosition = this.#position;
     const shouldPause =
       this.#options.store.isWatchBilled && result.value.changes.length > 0;
     return shouldPause ? BATCHING_PAUSE_MS : 0;
@@ -151,6 +189,7 @@
 
   #applyCompleteRead(read: RecordChanges): void {
     const {changes} = read;
+    this.#hasJustRead = true;
     this.#options.listener.onRead(read, true);
     const mayReappear = this.#mayReappear();
     const keys = new Set(changes.map(({key}) => key));
@@ -161,6 +200,8 @@
   }
 
   #applyChanges(read: RecordChanges): void {
+    this.#hasJustRead = false;
+    this.#rereads.reset();
     const changes = withoutReplaced(read.changes);
     this.#options.listener.onRead({...read, changes}, false);
     const mayReappear = this.#mayReappear();
@@ -172,8 +213,8 @@
   #onReadError(error: RecordStoreError): number {
     if (error.kind === 'history-lost') {
       // Changes were missed: all records are read again.
-      this.#revision = undefined;
-      return 0;
+      this.#position = undefined;
+      return this.#hasJustRead ? this.#rereads.nextDelayMs() : 0;
     }
     this.#failedWatches += 1;
     if (this.#failedWatches >= FAILED_WATCHES_UNTIL_LOST) {
@@ -182,13 +223,23 @@
     return this.#backoff.nextDelayMs();
   }
 
+  /** What was read of an earlier era says nothing of this one. */
+  #onEra(era: number): void {
+    this.#position = undefined;
+    this.#watchAbort.abort();
+    if (this.#lastPosition !== undefined) {
+      this.#lastFailureAtMs = this.#options.clock.now();
+      const {era: formerEra, revision: formerRevision} = this.#lastPosition;
+      this.#options.listener.onEra({era, formerEra, formerRevision});
+    }
+  }
+
   /** Reads the revision periodically and restarts a watch that is behind it. */
   async #checkRevisions(): Promise<void> {
     while (!this.#isStopped) {
       await sleep(REVISION_INTERVAL_MS);
-      const knownRevision = this.#revision;
       const {isWatchBilled} = this.#options.store;
-      if (knownRevision === undefined || this.#isStopped || !isWatchBilled) {
+      if (this.#position === undefined || this.#isStopped || !isWatchBilled) {
         continue;
       }
       const read = await this.#options.store.readRevision(true);
@@ -202,16 +253,21 @@
     }
   }
 
-  async #waitForRevision(revision: number): Promise<void> {
-    if ((this.#revision ?? revision) >= revision) {
+  async #waitForRevision(read: StorePosition): Promise<void> {
+    if (!this.#isBehind(read)) {
       return;
     }
     await sleep(CATCH_UP_MS);
-    if (this.#revision !== undefined && this.#revision < revision) {
+    if (this.#isBehind(read)) {
       this.#watchAbort.abort();
     }
   }
 
+  #isBehind({era, revision}: StorePosition): boolean {
+    const position = this.#position;
+    return position?.era === era && position.revision < revision;
+  }
+
   #mayReappear(): boolean {
     return this.#options.clock.now() - this.#lastFailureAtMs < GRACE_PERIOD_MS;
   }
@@ -234,3 +290,12 @@
     }
   }
 }
+
+/** A revision that went back without a new era shows another history as well. */
+function toHistoryLost(
+  {revision}: StorePosition,
+  known: StorePosition,
+): Result<never, RecordStoreError> {
+  const message = `revision ${revision} after ${known.revision}`;
+  return Err({kind: 'history-lost', message});
+}
--- a/packages/balancer/src/suspects/crash-monitor.ts
+++ b/packages/balancer/src/suspects/crash-monitor.ts
@@ -1,11 +1,12 @@
 /** Knows which requests crash upstreams, from this entry's own attempts and from the records of other entries. */
 
-import type {
-  Crash,
-  CrashGuard,
-  CrashStatus,
-  RequestIdentity,
-  SuspectRecord,
+import {
+  rendezvousHash,
+  type Crash,
+  type CrashGuard,
+  type CrashStatus,
+  type RequestIdentity,
+  type SuspectRecord,
 } from '@wasabidyke/policy';
 import type {Clock} from '@wasabidyke/shared';
 import type {UpstreamRecord} from '../members/upstream-record.js';
@@ -179,6 +180,28 @@
     }
   }
 
+  /**
+   * Announces what the store has lost: the records of this entry and, with one
+   * entry for each, those of entries that don't do so themselves. Returns their
+   * number.
+   * @param keys Keys of the records that the store holds.
+   * @param restorers Names of the entries that announce again what was lost.
+   */
+  restore(keys: ReadonlySet<string>, restorers: readonly string[]): number {
+    const {entry, guard, announcer, clock} = this.#options;
+    const lost = guard
+      .listRecords(clock.now())
+      .filter(record => !keys.has(toSuspectKey(record)))
+      .filter(record => {
+        const key = toSuspectKey(record);
+        return restorers.includes(record.reporter)
+          ? record.reporter === entry
+          : findNearest(key, restorers) === entry;
+      });
+    announcer.restore(lost);
+    return lost.length;
+  }
+
   /** Announces the latest record of this entry if the store holds an older one: it may have changed while that was being written. */
   #announceLatest({fingerprint, reporter, sequence}: SuspectRecord): void {
     const {entry, guard, announcer} = this.#options;
@@ -199,3 +222,16 @@
     }
   }
 }
+
+/** The entry that a key is assigned to. */
+function findNearest(
+  key: string,
+  entries: readonly string[],
+): string | undefined {
+  const hashes = new Map(
+    entries.map(entry => [entry, rendezvousHash(entry, key)]),
+  );
+  return [...entries].sort(
+    (left, right) => (hashes.get(left) ?? 0) - (hashes.get(right) ?? 0),
+  )[0];
+}
--- a/packages/balancer/src/suspects/suspect-announcer.ts
+++ b/packages/balancer/src/suspects/suspect-announcer.ts
@@ -40,6 +40,10 @@
 /** Minimum delay until an entry corrects a record of another one, and the jitter added to it, in milliseconds: the correction of its reporter is known everywhere within it. */
 const CORRECTION_DELAY_MS = 2_000;
 
+/** Minimum time after which records that the store has lost are written again, and the jitter added to it, in milliseconds. Source: by the minimum, no entry uses a lease of an earlier era of the store; entries spread their writes over the jitter. */
+const MINIMUM_RESTORE_MS = 700;
+const RESTORE_JITTER_MS = 1_500;
+
 /** Maximum number of records of this entry in the store. Beyond it only requests under which several upstreams crashed are announced. */
 const MAXIMUM_ANNOUNCED = 128;
 
@@ -113,6 +117,21 @@
     timer.unref();
   }
 
+  /** Writes records again that the store has lost, unless another entry does so first. */
+  restore(records: readonly SuspectRecord[]): void {
+    const {random, readStored} = this.#options;
+    const restore = () => {
+      const missing = records.filter(
+        record => readStored(toSuspectKey(record)) === undefined,
+      );
+      missing.forEach(record => this.announce(record));
+    };
+    if (records.length > 0) {
+      const jitterMs = random.nextBelow(RESTORE_JITTER_MS);
+      setTimeout(restore, MINIMUM_RESTORE_MS + jitterMs).unref();
+    }
+  }
+
   /** Gives up what is not written yet. */
   stop(): void {
     this.#isStopped = true;
@@ -194,7 +213,10 @@
   async #findLease(): Promise<RecordLease | RecordStoreError> {
     const {store, clock} = this.#options;
     const nowMs = clock.now();
-    if (this.#lease !== undefined && nowMs < this.#lease.usableUntilMs) {
+    const isUsable =
+      this.#lease?.lease.era === store.eras.current &&
+      nowMs < this.#lease.usableUntilMs;
+    if (isUsable && this.#lease !== undefined) {
       return this.#lease.lease;
     }
     const granted = await store.grantLease(SUSPECT_LIFETIME_MS);
--- a/packages/policy/src/crash-guard.ts
+++ b/packages/policy/src/crash-guard.ts
@@ -126,6 +126,14 @@
     return this.#suspects.get(fingerprint)?.records.get(reporter);
   }
 
+  /** Latest records of all entries that blame a request. */
+  listRecords(nowMs: number): readonly SuspectRecord[] {
+    return [...this.#suspects.values()]
+      .filter(({expiresAtMs}) => expiresAtMs > nowMs)
+      .flatMap(({records}) => [...records.values()])
+      .filter(({crashes}) => crashes.length > 0);
+  }
+
   /** Called when an upstream crashed while it ran the request. Returns the record to send to other entries. */
   onCrash(
     {fingerprint, caller}: RequestIdentity,
--- a/packages/policy/src/liveness.ts
+++ b/packages/policy/src/liveness.ts
@@ -159,6 +159,11 @@
     }
   }
 
+  /** Forgets the numbers of announcements without a sequence: they may be given out again. */
+  forgetUnnumbered(): void {
+    this.#unnumbered.clear();
+  }
+
   #forgetEntry(name: string): void {
     this.#beliefs.delete(name);
     this.#silences.delete(name);
