fix(balancer): a stopping entry passes on only requests that end before it does

Cause: for half of its time a stopping entry took what its estimate of the work said would be done in time. An estimate can be short, and half of a long grace leaves less than some work takes.

Change: from the signal on, a request is passed on only if its own deadline is before the end of the process. All others are refused at once as not run, with when to come back: requests that come, uploads that end later, requests that waited for their upstream, and requests that other entries relay.

Why it works: a request ends by its own deadline whatever its work takes, so that none that is taken outlasts the stop.

Replaced test: "A request that can be answered before the end is served" had a request with 3 s left served within a stop of 1.1 s. Whether it can be finished is not known. The scenario that replaces it requires that a request whose time is over before the end is served, and the new ones that all others are refused within 200 ms.

--- a/features/balancer/planned-stop.feature
+++ b/features/balancer/planned-stop.feature
@@ -28,6 +28,26 @@
     When an order is sent with 5000 ms and the balancer is told to stop meanwhile
     Then the order was answered 504
 
-  Scenario: A request that can be answered before the end is served
-    When the balancer is told to stop, and an order comes 500 ms later
+  Scenario: A request whose time is over before the end is served
+    When the balancer is told to stop, and an order with 500 ms comes 500 ms later
     Then the order was answered 200
+
+  # Guards against an order that is taken in a stop because its work is estimated to be short, and is cut at work.
+  Scenario Outline: A request that may outlast the stop is refused at once, and has not run
+    Given 6 orders were answered
+    When the balancer is told to stop, and <what> with <own> ms comes <delay> ms later
+    Then the order was refused as not run, with when to come back
+    And the refusal took less than 200 ms
+    And the workers got 6 requests in all
+
+    Examples:
+      | what      | own  | delay |
+      | an order  | 3000 | 100   |
+      | an order  | 900  | 400   |
+      | a look-up | 3000 | 100   |
+
+  Scenario: A request of another entry that may outlast the stop is refused at once, and has not run
+    Given another balancer that may relay requests to the first
+    When the first balancer is told to stop, and an order is relayed to it with 3000 ms 100 ms later
+    Then the relay was answered "not-run" because of "stopping"
+    And the workers got 0 requests in all
--- a/features/steps/soak.steps.ts
+++ b/features/steps/soak.steps.ts
@@ -192,6 +192,11 @@
     const sentAtMs = LONG_MS + 3_000;
     addServed(history, {sentAtMs}, {worker: left.worker, sender: ENTRY});
   },
+  'an order that a stopping entry took was broken off': history => {
+    const order = {path: '/long/1', kind: 'unsafe', isLong: true} as const;
+    const {call} = addServed(history, order, {service: 'writes'});
+    call.status = 504;
+  },
   'nothing was served after the last fault': history => {
     for (const call of history.calls) {
       call.status = call.sentAtMs > CALM_FROM_MS ? 502 : call.status;
--- a/packages-private/soak/src/acts.ts
+++ b/packages-private/soak/src/acts.ts
@@ -10,6 +10,7 @@
   leaveOddRecords,
 } from './acts-on-records.js';
 import {drillStore} from './acts-on-store.js';
+import {stopBesideLongOrders} from './acts-on-stops.js';
 import {cutEntries} from './entry-cut.js';
 import {sendCrashing} from './crashing-request.js';
 import type {Operator} from './operator.js';
@@ -102,6 +103,8 @@
     await announceLate(site, step);
   } else if (step.act === 'configurations-and-kills') {
     await changeBesideKills(site, step);
+  } else if (step.act === 'stop-beside-orders') {
+    await stopBesideLongOrders(site, step);
   } else if (step.act === 'store-drill') {
     await drillStore(site, step);
   } else if (step.act === 'entries-upgrade') {
--- a/packages-private/soak/src/checks.ts
+++ b/packages-private/soak/src/checks.ts
@@ -9,6 +9,7 @@
 import {checkLimit} from './checks-limit.js';
 import {checkListed} from './checks-listed.js';
 import {checkReach} from './checks-reach.js';
+import {checkUnfinished} from './checks-stop.js';
 import {checkLeft, checkRest} from './checks-rest.js';
 import {toAnswer} from './worker-stand-in.js';
 
@@ -50,6 +51,7 @@
   '/read/': ['reads'],
   '/write/': ['writes'],
   '/moving/': ['reads', 'writes'],
+  '/long/': ['writes'],
 };
 
 const NOT_RUN_STATUSES = [408, 421, 429, 503];
@@ -75,6 +77,7 @@
     reach: checkReach,
     rest: checkRest,
     left: checkLeft,
+    unfinished: checkUnfinished,
     recover: checkRecover,
     exits: ({exits}) =>
       exits.map(({entry, status}) => `${entry} ended with status ${status}`),
--- a/packages-private/soak/src/history.ts
+++ b/packages-private/soak/src/history.ts
@@ -18,6 +18,8 @@
   error?: string;
   /** Whether it crashes each worker that begins to run it. */
   readonly isCrashing?: true;
+  /** Whether its work may outlast the stop of its entry. */
+  readonly isLong?: true;
   /** When the caller gave up. */
   leftAtMs?: number;
 }
--- a/packages-private/soak/src/operator.ts
+++ b/packages-private/soak/src/operator.ts
@@ -3,6 +3,7 @@
 import {HOST} from './caller.js';
 import {nowMs, type History} from './history.js';
 import type {StoreStandIn} from './store-stand-in.js';
+import {LONG_PREFIX} from './worker-stand-in.js';
 
 const ROUTE = {
   host: HOST,
@@ -41,6 +42,13 @@
       routes: {
         read: {...ROUTE, prefix: '/read/', kind: 'safe', service: 'reads'},
         write: {...ROUTE, prefix: '/write/', kind: 'unsafe', service: 'writes'},
+        long: {
+          ...ROUTE,
+          timeout: '20s',
+          prefix: LONG_PREFIX,
+          kind: 'unsafe',
+          service: 'writes',
+        },
         moving: {...ROUTE, prefix: '/moving/', kind: 'safe', service: movedTo},
       },
       services: {reads: service, writes: service},
--- a/packages-private/soak/src/schedule.ts
+++ b/packages-private/soak/src/schedule.ts
@@ -30,7 +30,7 @@
   'move-route',
 ] as const;
 
-/** One kind of act. The others are no part of a series: a request that crashes workers, the loss of all entries at once, an entry that joins, one that stands still for long, workers that name a limit, entries that lose their links to workers, workers that ask for rest, one that says only in its answers that it leaves, bursts of configurations, the loss or a pause of an entry that reads the store, the replacement of an older build, odd records of other writers, announcements that are written after a departure, configurations beside kills of the entry that reads the store, and a store that comes back from an older copy. */
+/** One kind of act. The others are no part of a series: a request that crashes workers, the loss of all entries at once, an entry that joins, one that stands still for long, workers that name a limit, entries that lose their links to workers, workers that ask for rest, one that says only in its answers that it leaves, bursts of configurations, the loss or a pause of an entry that reads the store, the replacement of an older build, odd records of other writers, announcements that are written after a departure, configurations beside kills of the entry that reads the store, a store that comes back from an older copy, and a stop with two signals beside long orders. */
 export type Act =
   | (typeof ACTS)[number]
   | 'crashing-request'
@@ -50,7 +50,8 @@
   | 'odd-records'
   | 'late-announcement'
   | 'configurations-and-kills'
-  | 'store-drill';
+  | 'store-drill'
+  | 'stop-beside-orders';
 
 /** One act of a run. */
 export interface Step {
@@ -97,6 +98,7 @@
   'late-announcement': 6_000,
   'configurations-and-kills': 5_000,
   'store-drill': 3_500,
+  'stop-beside-orders': 7_000,
 };
 
 /** Draws the steps of one run. @param acts Those to draw from. */
@@ -161,6 +163,7 @@
     'late-announcement',
     'configurations-and-kills',
     'store-drill',
+    'stop-beside-orders',
   ];
   const drawn = [...acts, ...others].map(draw);
   // What entries have missed in the last one, nothing that follows tells them.
--- a/packages-private/soak/src/worker-stand-in.ts
+++ b/packages-private/soak/src/worker-stand-in.ts
@@ -36,6 +36,10 @@
 const WORK_MS = 30;
 const SLOW_WORK_MS = 400;
 
+/** Prefix of the paths of orders whose work takes long, and its time in milliseconds. */
+export const LONG_PREFIX = '/long/';
+const LONG_WORK_MS = 5_000;
+
 /** Time after a refusal until it is written once more, in milliseconds, and how many requests come for each that is refused. */
 const REPEAT_MS = 40;
 const REFUSED_ONE_IN = 3;
@@ -243,7 +247,9 @@
     }
     const onClose = () => (arrival.brokenOffAtMs = nowMs());
     response.once('close', onClose);
-    const workMs = this.fault === 'slow' ? SLOW_WORK_MS : WORK_MS;
+    const usualMs = this.fault === 'slow' ? SLOW_WORK_MS : WORK_MS;
+    const isLong = arrival.path.startsWith(LONG_PREFIX);
+    const workMs = isLong ? LONG_WORK_MS : usualMs;
     await new Promise(resolve => setTimeout(resolve, workMs));
     if (this.fault === 'hangs') {
       await once(response, 'close');
--- a/packages/balancer/src/balancer.ts
+++ b/packages/balancer/src/balancer.ts
@@ -29,6 +29,7 @@
 import {RelayReceiver} from './relay/relay-receiver.js';
 import {RelaySender} from './relay/relay-sender.js';
 import type {DecisionLog} from './reporting/decision-log.js';
+import {createUpstreamReports} from './reporting/upstream-reports.js';
 import type {SiteAdapters} from './site-adapters.js';
 import {CallerServer} from './serving/caller-server.js';
 import {UpstreamSelector} from './serving/upstream-selector.js';
@@ -333,26 +334,11 @@
       random: this.#random,
       onLimit: (handle, source) => this.#limitNotifier.onChange(handle, source),
       connectionLimit: service => this.#entryShare.connectionLimit(service),
-      onUnresponsive: ({id, service, address}, cause) =>
-        this.#log.record('upstream.silent', {
-          upstream: id,
-          service,
-          address,
-          cause,
-        }),
       onHeard: handle => this.#suspects.processWatch.onHeard(handle),
       onConnectionLost: handle =>
         this.#suspects.processWatch.onConnectionLost(handle),
       onLeaving: record => this.#clusterState.onUpstreamLeaving(record),
-      onRest: ({id, service}, restMs) =>
-        this.#log.record('upstream.resting', {upstream: id, service, restMs}),
-      onReach: (service, isDoubtful) => {
-        if (isDoubtful) {
-          this.#log.record('service.unreached', {service});
-        } else {
-          this.#log.record('service.reached', {service});
-        }
-      },
+      ...createUpstreamReports(this.#log),
     });
   }
 
--- a/packages/balancer/src/relay/relay-receiver.ts
+++ b/packages/balancer/src/relay/relay-receiver.ts
@@ -3,6 +3,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Clock} from '@wasabidyke/shared';
 import type {RoutingTable} from '../routing/routing-table.js';
+import {canBeFinished} from '../serving/attempt-timing.js';
 import {readBody} from '../serving/body-reader.js';
 import type {DispatchResult} from '../serving/dispatch-result.js';
 import type {RequestDispatcherOptions} from '../serving/dispatcher-options.js';
@@ -110,6 +111,10 @@
       this.#refuse(response, 'not-run', 'other-configuration', 0);
       return;
     }
+    if (!canBeFinished(routed, this.#options.endsAtMs())) {
+      this.#refuse(response, 'not-run', 'stopping', 0);
+      return;
+    }
     await this.#dispatch(routed, response);
   }
 
@@ -129,7 +134,7 @@
     const nowMs = this.#options.clock.now();
     const {endsAtMs} = this.#options;
     const arrivedAtMs = nowMs - elapsedMs;
-    const deadlineMs = Math.min(
+    const ownDeadlineMs = Math.min(
       nowMs + remainingMs,
       arrivedAtMs + route.timeoutMs,
     );
@@ -146,8 +151,9 @@
       loadPath: table.findService(service)?.loadPath ?? '/',
       configurationVersion: table.version,
       arrivedAtMs,
+      ownDeadlineMs,
       get deadlineMs() {
-        return Math.min(deadlineMs, endsAtMs());
+        return Math.min(ownDeadlineMs, endsAtMs());
       },
       relayed: {excluded: request.excluded},
     };
--- a/packages/balancer/src/serving/attempt-admission.ts
+++ b/packages/balancer/src/serving/attempt-admission.ts
@@ -4,7 +4,7 @@
 import type {AdmissionDecision, RandomSource} from '@wasabidyke/policy';
 import type {Clock} from '@wasabidyke/shared';
 import type {UpstreamHandle} from '../members/upstream-handle.js';
-import {isAttemptInTime} from './attempt-timing.js';
+import {canBeFinished, isAttemptInTime} from './attempt-timing.js';
 import type {LimitGate} from './limit-gate.js';
 import type {RefusalReason, RoutedRequest} from './routed-request.js';
 import type {RouteState} from './route-state.js';
@@ -63,6 +63,11 @@
     });
   }
 
+  /** Whether this process ends too early for a request that has not run. */
+  get isStoppedTooEarly(): boolean {
+    return !canBeFinished(this.#request, this.#options.endsAtMs());
+  }
+
   /**
    * Decides on an attempt at the best upstream. A request that may have run
    * can't be refused as not run, so it is sent as long as its deadline allows.
--- a/packages/balancer/src/serving/attempt-timing.ts
+++ b/packages/balancer/src/serving/attempt-timing.ts
@@ -32,6 +32,17 @@
   return isTrialUseful && trials?.takeTrial(nowMs) === true;
 }
 
+/**
+ * Whether a request that has not run can be waited for until this process ends,
+ * however long its work takes.
+ */
+export function canBeFinished(
+  {ownDeadlineMs}: Pick<RoutedRequest, 'ownDeadlineMs'>,
+  endsAtMs: number,
+): boolean {
+  return ownDeadlineMs <= endsAtMs;
+}
+
 /** Time after the first attempt until its hedge, in milliseconds. */
 export function hedgeDelayMs(firstEstimateMs: number): number {
   return Math.max(MINIMUM_HEDGE_DELAY_MS, firstEstimateMs * HEDGE_DELAY_FACTOR);
--- a/packages/balancer/src/serving/caller-server.ts
+++ b/packages/balancer/src/serving/caller-server.ts
@@ -20,7 +20,9 @@
 import type {DecisionLog} from '../reporting/decision-log.js';
 import type {CallerLimits} from '../routing/routing-configuration.js';
 import type {RoutingTable} from '../routing/routing-table.js';
+import {canBeFinished} from './attempt-timing.js';
 import {readBody} from './body-reader.js';
+import {refuseMalformed} from './malformed-request.js';
 import type {RequestDispatcherOptions} from './dispatcher-options.js';
 import {STOPPING_RETRY_AFTER_MS} from './refusals.js';
 import {RequestDispatcher} from './request-dispatcher.js';
@@ -184,10 +186,6 @@
       });
       return;
     }
-    if (this.#isStopping) {
-      this.#refuseStopping(response, requestId);
-      return;
-    }
     const url = request.url ?? '/';
     const route = table.findRoute(request.headers.host, url);
     const service = route && this.#options.routeState.nextService(route);
@@ -205,18 +203,23 @@
       this.#send(response, 431, {});
       return;
     }
+    const timeoutMs = Math.min(route.timeoutMs, remainingMs ?? Infinity);
+    const ownDeadlineMs = arrivedAtMs + timeoutMs;
+    if (this.#isStoppedTooEarly(ownDeadlineMs)) {
+      this.#refuseStopping(response, requestId);
+      return;
+    }
     const bodyResult = await readBody(request, table.limits.bodyBytes);
     if (bodyResult.kind !== 'body') {
       this.#refuseBody(response, bodyResult.kind);
       return;
     }
     // A long upload may have ended after the stop began.
-    if (this.#isStopping) {
+    if (this.#isStoppedTooEarly(ownDeadlineMs)) {
       this.#refuseStopping(response, requestId);
       return;
     }
     const {endsAtMs} = this.#options;
-    const timeoutMs = Math.min(route.timeoutMs, remainingMs ?? Infinity);
     await this.#dispatch(response, {
       requestId,
       method: request.method ?? 'GET',
@@ -230,12 +233,19 @@
       loadPath: table.findService(service)?.loadPath ?? '/',
       configurationVersion: table.version,
       arrivedAtMs,
+      ownDeadlineMs,
       get deadlineMs() {
-        return Math.min(arrivedAtMs + timeoutMs, endsAtMs());
+        return Math.min(ownDeadlineMs, endsAtMs());
       },
     });
   }
 
+  /** Whether a request that has not been passed on is refused because of the stop of this process. */
+  #isStoppedTooEarly(ownDeadlineMs: number): boolean {
+    const endsAtMs = this.#options.endsAtMs();
+    return this.#isStopping || !canBeFinished({ownDeadlineMs}, endsAtMs);
+  }
+
   async #dispatch(
     response: ServerResponse,
     request: RoutedRequest,
@@ -379,21 +389,3 @@
   }
   return bytes;
 }
-
-/** Answers a malformed or oversized request, or one that took too long to arrive. */
-function refuseMalformed(error: Error, socket: Socket): void {
-  const {code} = error as NodeJS.ErrnoException;
-  if (!socket.writable || code === 'ECONNRESET') {
-    socket.destroy();
-    return;
-  }
-  const status =
-    code === 'ERR_HTTP_REQUEST_TIMEOUT'
-      ? '408 Request Timeout'
-      : code === 'HPE_HEADER_OVERFLOW'
-        ? '431 Request Header Fields Too Large'
-        : '400 Bad Request';
-  socket.end(
-    `HTTP/1.1 ${status}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`,
-  );
-}
--- a/packages/balancer/src/serving/request-dispatcher.ts
+++ b/packages/balancer/src/serving/request-dispatcher.ts
@@ -111,6 +111,10 @@
     if (this.#isFinished) {
       return;
     }
+    if (!this.#mayHaveRun && this.#admission.isStoppedTooEarly) {
+      this.#endWithoutSuccess('stopping');
+      return;
+    }
     if (this.#relay.isUnreached(selected, this.#tried)) {
       if (this.#sendThroughEntry()) {
         return;
--- a/packages/balancer/src/serving/routed-request.ts
+++ b/packages/balancer/src/serving/routed-request.ts
@@ -25,6 +25,8 @@
   readonly configurationVersion: number;
   /** On the monotonic clock, in milliseconds. */
   readonly arrivedAtMs: number;
+  /** Earliest of the caller's deadline and the route's timeout, on the monotonic clock in milliseconds. */
+  readonly ownDeadlineMs: number;
   /** Earliest of the caller's deadline, the route's timeout and the end of this process, on the monotonic clock in milliseconds. */
   readonly deadlineMs: number;
   /** Set if another entry relays the request, which is then not relayed again. */
