fix(balancer): a second signal to stop waits for the same end as the first

What callers saw: a second SIGTERM ended the process at once, and all requests at work were lost (found by the review, without a case).

Cause: Balancer.stop returned at once when a stop was under way, and the program exits when a call has returned.

Change: all calls return the promise of the first stop.

--- a/features/balancer/planned-stop.feature
+++ b/features/balancer/planned-stop.feature
@@ -51,3 +51,9 @@
     When the first balancer is told to stop, and an order is relayed to it with 3000 ms 100 ms later
     Then the relay was answered "not-run" because of "stopping"
     And the workers got 0 requests in all
+
+  # Guards against a second signal that ends the process under the requests that it waits for.
+  Scenario: A second stop waits for the same requests as the first
+    Given every worker "slow"
+    When an order is sent, and the balancer is told to stop twice meanwhile
+    Then both stops ended after the order was answered 200
--- a/packages/balancer/src/balancer.ts
+++ b/packages/balancer/src/balancer.ts
@@ -93,6 +93,7 @@
   readonly #discoveryServer: DiscoveryServer;
   #state: BalancerState = 'starting';
   #endsAtMs = Infinity;
+  #stopping: Promise<void> | undefined;
   #tickTimer: NodeJS.Timeout | undefined;
 
   constructor(
@@ -257,11 +258,16 @@
     this.#discoveryServer.applyMaximumAge(settings.entryListAge);
   }
 
-  /** Shuts down gracefully: callers move to other entries first, so that no request is cut off. */
-  async stop(): Promise<void> {
-    if (this.#state === 'stopping' || this.#state === 'stopped') {
-      return;
-    }
+  /**
+   * Shuts down gracefully: callers move to other entries first, so that no
+   * request is cut off. Further calls wait for the end of the first.
+   */
+  stop(): Promise<void> {
+    this.#stopping ??= this.#stop();
+    return this.#stopping;
+  }
+
+  async #stop(): Promise<void> {
     const withinMs = this.#settings.stopWithin - EXIT_MARGIN_MS;
     this.#endsAtMs = this.#clock.now() + withinMs;
     this.#state = 'stopping';
