fix(balancer): only answers that can't be old confirm that no change of the store is missing

Cause: a read of the revision that may be seconds old counted as proof that nothing is missing when it equalled the known revision. It hid the silent watch, and kept the feed fresh for all entries.

Change: a watch waits for 0.8 s at most, so that its own answer is the proof and a missing one shows 0.7 s later; the next watch after a failure doesn't wait. Reads of the revision beside the watch are gone. An entry that polls while it starts watches once its last proof is older than what may be fed on.

Why it works: the store answers a watch by its current state, and a connection without an answer is given up before any bound on configurations or departures is over.

--- a/features/steps/store-eras.steps.ts
+++ b/features/steps/store-eras.steps.ts
@@ -22,6 +22,7 @@
 const SETTLE_MS = 700;
 const FIRST = 'first';
 const OTHER = 'other';
+const SILENCE_GAP_MS = 3_000;
 const LEASE_TIME = '10000ms';
 
 interface EraWorld {
@@ -143,6 +144,52 @@
   },
 );
 
+Given(
+  'reads of that store that may be old are {int} ms old',
+  function (this: EraWorld, staleMs: number) {
+    this.eraStore.staleMs = staleMs;
+  },
+);
+
+When(
+  'the connections on which a watch waits fall silent {int} times',
+  async function (this: EraWorld, times: number) {
+    await sleep(SETTLE_MS);
+    for (let time = 1; time <= times; time++) {
+      await eventually('a watch waits', () => {
+        return this.eraStore.silenceWatches() > 0;
+      });
+      if (time < times) {
+        await sleep(SILENCE_GAP_MS);
+      }
+    }
+  },
+);
+
+When(
+  'the record changes {int} ms later',
+  async function (this: EraWorld, delayMs: number) {
+    await sleep(delayMs);
+    write(this);
+  },
+);
+
+When(
+  '{int} ms pass, and the store is quiet',
+  async function (this: EraWorld, waitMs: number) {
+    await sleep(waitMs);
+  },
+);
+
+Then(
+  'the store was asked at most {int} times in all',
+  function (this: EraWorld, times: number) {
+    const calls = [...this.eraStore.calls];
+    const count = calls.reduce((sum, [, made]) => sum + made, 0);
+    assert.ok(count <= times, `${count}: ${JSON.stringify(calls)}`);
+  },
+);
+
 Then(
   'both entries know of it within {int} ms',
   async function (this: EraWorld, limitMs: number) {
--- a/features/support/memory-record-store.ts
+++ b/features/support/memory-record-store.ts
@@ -26,6 +26,9 @@
   | 'slow-writes'
   | 'history-lost';
 
+/** Time after which a call is given up that isn't answered, in milliseconds, beyond the wait that it asks for. */
+const TIMEOUT_MS = 700;
+
 /** How late a slow write is done, in milliseconds. */
 const SLOW_WRITE_MS = 300;
 
@@ -164,7 +167,11 @@
       this.fault = 'none';
     }
     if (isSilent || !this.#hasNews(afterRevision)) {
-      await this.#wait(waitMs, signal, isSilent);
+      const limitMs = waitMs + (isSilent ? TIMEOUT_MS : 0);
+      await this.#wait(limitMs, signal, isSilent);
+    }
+    if (isSilent) {
+      return Err({kind: 'unavailable', message: 'timeout'});
     }
     if (signal.aborted) {
       return Err({kind: 'unavailable', message: 'aborted'});
--- a/packages-private/soak/src/acts-on-store.ts
+++ b/packages-private/soak/src/acts-on-store.ts
@@ -1,4 +1,4 @@
-/** Acts in which the store comes back from an older copy. */
+/** Acts in which the store comes back from an older copy, or its connections fall silent. */
 
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Site} from './acts.js';
@@ -8,6 +8,21 @@
 /** Time for which the store is away, in milliseconds. */
 const AWAY_MS = 500;
 
+/** Has the connections fall silent on which watches wait. */
+export function silenceWatches({entries, store, history}: Site): void {
+  const fromMs = nowMs();
+  store.silenceWatches();
+  for (const {address} of entries) {
+    history.disturbances.push({
+      subject: address,
+      what: 'watches-silent',
+      fromMs,
+      toMs: fromMs,
+      isPlanned: false,
+    });
+  }
+}
+
 /** Takes a copy, lets changes come, and has the store come back from it; what operators and workers wrote is written again. */
 export async function drillStore(site: Site, {forMs}: Step): Promise<void> {
   const {store, history, operator, entries, program} = site;
--- a/packages-private/soak/src/acts.ts
+++ b/packages-private/soak/src/acts.ts
@@ -9,7 +9,7 @@
   changeBesideKills,
   leaveOddRecords,
 } from './acts-on-records.js';
-import {drillStore} from './acts-on-store.js';
+import {drillStore, silenceWatches} from './acts-on-store.js';
 import {stopBesideLongOrders} from './acts-on-stops.js';
 import {cutEntries} from './entry-cut.js';
 import {sendCrashing} from './crashing-request.js';
@@ -105,6 +105,8 @@
     await changeBesideKills(site, step);
   } else if (step.act === 'stop-beside-orders') {
     await stopBesideLongOrders(site, step);
+  } else if (step.act === 'watches-silent') {
+    silenceWatches(site);
   } else if (step.act === 'store-drill') {
     await drillStore(site, step);
   } else if (step.act === 'entries-upgrade') {
--- a/packages-private/soak/src/schedule.ts
+++ b/packages-private/soak/src/schedule.ts
@@ -30,7 +30,7 @@
   'move-route',
 ] as const;
 
-/** One kind of act. The others are no part of a series: a request that crashes workers, the loss of all entries at once, an entry that joins, one that stands still for long, workers that name a limit, entries that lose their links to workers, workers that ask for rest, one that says only in its answers that it leaves, bursts of configurations, the loss or a pause of an entry that reads the store, the replacement of an older build, odd records of other writers, announcements that are written after a departure, configurations beside kills of the entry that reads the store, a store that comes back from an older copy, and a stop with two signals beside long orders. */
+/** One kind of act. The others are no part of a series: a request that crashes workers, the loss of all entries at once, an entry that joins, one that stands still for long, workers that name a limit, entries that lose their links to workers, workers that ask for rest, one that says only in its answers that it leaves, bursts of configurations, the loss or a pause of an entry that reads the store, the replacement of an older build, odd records of other writers, announcements that are written after a departure, configurations beside kills of the entry that reads the store, a store that comes back from an older copy, a stop with two signals beside long orders, and watches of the store that fall silent. */
 export type Act =
   | (typeof ACTS)[number]
   | 'crashing-request'
@@ -51,7 +51,8 @@
   | 'late-announcement'
   | 'configurations-and-kills'
   | 'store-drill'
-  | 'stop-beside-orders';
+  | 'stop-beside-orders'
+  | 'watches-silent';
 
 /** One act of a run. */
 export interface Step {
@@ -164,6 +165,8 @@
     'configurations-and-kills',
     'store-drill',
     'stop-beside-orders',
+    'watches-silent',
+    'watches-silent',
   ];
   const drawn = [...acts, ...others].map(draw);
   // What entries have missed in the last one, nothing that follows tells them.
--- a/packages-private/soak/src/soak.ts
+++ b/packages-private/soak/src/soak.ts
@@ -16,6 +16,9 @@
 import {StoreStandIn} from './store-stand-in.js';
 import {WorkerSlot} from './worker-slot.js';
 
+/** Age of reads that may be old, in milliseconds: the pages say seconds. */
+const STALE_MS = 3_000;
+
 /** What to run. */
 export interface SoakOptions {
   readonly schedule: Schedule;
@@ -79,6 +82,7 @@
 async function createSite(options: SoakOptions): Promise<Site> {
   const history = new History();
   const store = new StoreStandIn();
+  store.staleMs = STALE_MS;
   const operator = new Operator(store, history);
   const storeAddress = await store.listen();
   operator.moveRoute();
--- a/packages/balancer/src/feed/follower-record-store.ts
+++ b/packages/balancer/src/feed/follower-record-store.ts
@@ -230,6 +230,10 @@
 
   /** Whether to poll instead of watch: when all entries start together, all would watch the store until their feeders respond. */
   get #isStarting(): boolean {
+    if (this.ageMs > MAXIMUM_FEED_AGE_MS) {
+      // Polls may be old; a watch confirms that no record is missing.
+      return false;
+    }
     const {clock, feeders, isNoEntryAnnounced} = this.#options;
     const ageMs = clock.now() - this.#createdAtMs;
     if (isNoEntryAnnounced()) {
@@ -262,18 +266,10 @@
     return this.#isDirect && !this.#isStarting;
   }
 
-  /** Confirms the records if none is missing. A read that is older than they are is repeated with one that isn't. */
-  override async readRevision(
+  override readRevision(
     mayBeOld: boolean,
   ): Promise<Result<StorePosition, RecordStoreError>> {
-    const {clock, store} = this.#options;
-    const askedAtMs = clock.now();
-    const read = await store.readRevision(mayBeOld);
-    if (read.isErr()) {
-      return read;
-    }
-    const comparison = this.#freshness.onRevision(read.value, askedAtMs);
-    return comparison === 'old' && mayBeOld ? this.readRevision(false) : read;
+    return this.#options.store.readRevision(mayBeOld);
   }
 
   override put(
--- a/packages/balancer/src/feed/record-freshness.ts
+++ b/packages/balancer/src/feed/record-freshness.ts
@@ -10,15 +10,6 @@
   type StorePosition,
 } from '../store/store-eras.js';
 
-/** What a read of the store's revision says of the records. */
-export type RevisionComparison =
-  /** No record is missing. */
-  | 'current'
-  /** The store holds later records. */
-  | 'missing'
-  /** The read is older than the records. */
-  | 'old';
-
 /** Tracks the revision of the records and their age. */
 export class RecordFreshness {
   #revision = 0;
@@ -58,18 +49,6 @@
     }
   }
 
-  /** Compares the records with a read of the store's revision. @param askedAtMs When the read was sent. */
-  onRevision(read: StorePosition, askedAtMs: number): RevisionComparison {
-    if (this.isBehind(read)) {
-      return 'old';
-    }
-    if (read.era > this.#era || read.revision > this.#revision) {
-      return 'missing';
-    }
-    this.#confirm(askedAtMs);
-    return 'current';
-  }
-
   #confirm(atMs: number): void {
     this.#confirmedAtMs = Math.max(this.#confirmedAtMs, atMs);
   }
--- a/packages/balancer/src/store/store-watcher.ts
+++ b/packages/balancer/src/store/store-watcher.ts
@@ -1,8 +1,8 @@
 /**
  * Follows the store: reads all records once, then watches for changes. A pause
- * follows each change, so that changes in quick succession cost one call. A
- * cheap periodic read of the store revision beside the watch detects an
- * unresponsive watch or an outage within about a second.
+ * follows each change, so that changes in quick succession cost one call. Each
+ * watch waits for less than a second: its answer is what proves that no change
+ * is missing, and its absence that the connection has fallen silent.
  */
 
 import {setTimeout as sleep} from 'node:timers/promises';
@@ -45,18 +45,12 @@
   readonly clock: Clock;
 }
 
-/** Maximum wait of one watch, in milliseconds. Source: the store limits waits to 30 seconds. */
-const WATCH_WAIT_MS = 29_000;
+/** Time from one answer of the store to the next, in milliseconds. Source: together with the time that two entries between the store and a follower add, it stays within `MAXIMUM_FEED_AGE_MS`. */
+const CONFIRMATION_INTERVAL_MS = 800;
 
 /** Pause after a change, in milliseconds. Source: together with the time to detect an unresponsive feeder, and a read, it stays within half of the shortest bound on draining, 2.5 seconds. */
 const BATCHING_PAUSE_MS = 600;
 
-/** Time between reads of the revision, in milliseconds. Source: together with the age that entries between the store and a follower add, it stays within `MAXIMUM_FEED_AGE_MS`. */
-const REVISION_INTERVAL_MS = 400;
-
-/** Time for the watch to reach a revision that was read beside it, in milliseconds: a slow store answers within it. */
-const CATCH_UP_MS = 400;
-
 /** Consecutive failed watches after which the store counts as lost: a single waiting watch may be cut at any time. */
 const FAILED_WATCHES_UNTIL_LOST = 2;
 
@@ -116,7 +110,6 @@
   /** Follows the store until `stop`. */
   start(): void {
     void this.#follow();
-    void this.#checkRevisions();
   }
 
   stop(): void {
@@ -146,7 +139,8 @@
     }
     const abort = new AbortController();
     this.#watchAbort = abort;
-    const watched = await store.watch(position, WATCH_WAIT_MS, abort.signal);
+    const waitMs = this.#nextWaitMs();
+    const watched = await store.watch(position, waitMs, abort.signal);
     if (abort.signal.aborted) {
       // The watch restarts at once; the code that aborted it has handled the cause.
       return 0;
@@ -234,38 +228,10 @@
     }
   }
 
-  /** Reads the revision periodically and restarts a watch that is behind it. */
-  async #checkRevisions(): Promise<void> {
-    while (!this.#isStopped) {
-      await sleep(REVISION_INTERVAL_MS);
-      const {isWatchBilled} = this.#options.store;
-      if (this.#position === undefined || this.#isStopped || !isWatchBilled) {
-        continue;
-      }
-      const read = await this.#options.store.readRevision(true);
-      if (read.isErr()) {
-        this.#onStoreFailure(read.error);
-        this.#watchAbort.abort();
-        continue;
-      }
-      this.#onAnswer();
-      await this.#waitForRevision(read.value);
-    }
-  }
-
-  async #waitForRevision(read: StorePosition): Promise<void> {
-    if (!this.#isBehind(read)) {
-      return;
-    }
-    await sleep(CATCH_UP_MS);
-    if (this.#isBehind(read)) {
-      this.#watchAbort.abort();
-    }
-  }
-
-  #isBehind({era, revision}: StorePosition): boolean {
-    const position = this.#position;
-    return position?.era === era && position.revision < revision;
+  /** How long the next watch may wait, in milliseconds; it doesn't after a failure. */
+  #nextWaitMs(): number {
+    const remainingMs = CONFIRMATION_INTERVAL_MS - this.ageMs;
+    return Math.round(Math.max(0, remainingMs));
   }
 
   #mayReappear(): boolean {
@@ -284,8 +250,6 @@
     this.#lastAnswerAtMs = this.#options.clock.now();
     if (this.#isLost) {
       this.#isLost = false;
-      // A watch that was started in the outage may never be answered.
-      this.#watchAbort.abort();
       this.#options.listener.onRegained();
     }
   }
