fix(balancer): what peers send takes memory by its bytes and time by turns

What callers saw: a worker that answered 60 look-ups with 50,000 chunks of one byte each, and then nothing, ended the entry (SIGABRT, V8's heap), and all 8 orders of other callers at work were lost.

Cause: what was received was kept as the buffers that the parser hands over, an object on the heap for each chunk, and counted by the bytes on the wire. The time spent on chunks had no bound, the bodies of all requests together neither.

Change: ByteCollector copies into blocks, and budgets count these: answers, load queries, relayed answers, bodies, messages of entries, feeds, the store, and the kept bodies of packages/entry. The number of chunks is bounded by the bytes that they bring, and all answers together hand over 1,024 chunks in a turn of the event loop. Bodies share 96 MiB; one of known length takes its memory first, one that finds none is refused at once as not run, one that isn't complete by its deadline is given up. Beside it, entries that no other follows confirm their records each 1.8 s, others each 0.9 s: a direct time after a feeder failed costs one call.

Why it works: memory follows from bytes that are counted before they are kept, and no peer gets more than a slice of a turn.

--- a/features/balancer/endless-answers.feature
+++ b/features/balancer/endless-answers.feature
@@ -21,6 +21,40 @@
       | body without one            | endless-unsigned      |
       | chunk extension             | endless-extension     |
 
+  # Guards against an answer that takes little on the wire and fills the heap, as each chunk is a buffer of its own, and
+  # against the time that the entry spends on its chunks while other callers wait.
+  Scenario Outline: Answers in <chunks> from one upstream take bounded heap, and other callers don't wait for them
+    Given worker "w1" "<script>" and is the least busy
+    When 60 look-ups are sent at the same time, and the entry is asked whether it is ready meanwhile
+    Then the heap of the entry grew by at most 64 MiB
+    And it said so within 250 ms each time
+
+    Examples:
+      | chunks                      | script              |
+      | 50,000 chunks of one byte   | tiny-chunks         |
+      | 40,000 chunks of 16 bytes   | small-chunks        |
+      | endless chunks of one byte  | endless-chunks      |
+      | endless chunks of load      | endless-load-chunks |
+
+  # Guards against a caller whose body takes little on the wire and fills the heap.
+  Scenario: Uploads in chunks of one byte take bounded heap
+    When 40 uploads in 16000 chunks of one byte are begun and not ended
+    Then the heap of the entry grew by at most 64 MiB
+    And it said so within 250 ms each time
+
+  # Guards against uploads within the limit that together exceed the memory of the VM (LOST).
+  Scenario: Uploads that find no memory are refused as not run, and the first ones are served
+    Given a configuration that allows bodies of 40000000 bytes
+    When 6 uploads of 40000000 bytes are sent at the same time
+    Then 2 of them are answered 200 and the others are refused as not run, with when to come back
+
+  # Guards against memory that uploads hold which never end.
+  Scenario: The memory of an upload that is broken off is given back
+    Given a configuration that allows bodies of 40000000 bytes
+    When 6 uploads that declare 40000000 bytes are broken off one after the other
+    And 2 uploads of 40000000 bytes are sent at the same time
+    Then 2 of them are answered 200 and the others are refused as not run, with when to come back
+
   # Guards against a request that may not be repeated and holds its memory until its time is over.
   Scenario: Orders at an upstream whose body never ends are given up with bounded memory
     Given worker "w1" "endless-body" and is the least busy
--- a/features/steps/feed.steps.ts
+++ b/features/steps/feed.steps.ts
@@ -353,6 +353,7 @@
         feedAddress,
       })),
     onDepartures: () => {},
+    isFeeding: () => true,
     isNoEntryAnnounced: () => false,
     clock: new SystemClock(),
     random: new SeededRandom(SEED),
--- a/features/steps/store-eras.steps.ts
+++ b/features/steps/store-eras.steps.ts
@@ -174,11 +174,8 @@
   },
 );
 
-When(
-  '{int} ms pass, and the store is quiet',
-  async function (this: EraWorld, waitMs: number) {
-    await sleep(waitMs);
-  },
+When('{int} ms pass, and the store is quiet', (waitMs: number) =>
+  sleep(waitMs),
 );
 
 Then(
@@ -266,6 +263,7 @@
       store: new PlatformStore(this.storeAddress),
       feeders: () => [],
       onDepartures: () => {},
+      isFeeding: () => false,
       isNoEntryAnnounced: () => false,
       clock,
       random,
--- a/features/support/balancer-site.ts
+++ b/features/support/balancer-site.ts
@@ -95,6 +95,8 @@
   readonly workers: ScriptedWorker[] = [];
   /** Whether a worker that was crashed is back under its former id. */
   keepsIds = true;
+  /** Limit of the bodies of requests, in bytes. */
+  maximumBodyBytes = 100_000;
   readonly #hasLinks: boolean;
   #entries: SiteEntry[] = [];
   #started = 0;
@@ -230,7 +232,7 @@
       services: {shop: {health_path: '/load', max_connections: 200}},
       limits: {
         max_header_bytes: 8192,
-        max_body_bytes: 100_000,
+        max_body_bytes: this.maximumBodyBytes,
         header_timeout: '3000ms',
         idle_timeout: '15000ms',
       },
--- a/features/support/reading-entry.ts
+++ b/features/support/reading-entry.ts
@@ -40,6 +40,7 @@
           zone: 'home-a',
         })),
       onDepartures: () => {},
+      isFeeding: () => this.#feed.isFeeding,
       isNoEntryAnnounced: () => false,
       clock,
       random: new SeededRandom(SEED),
--- a/features/support/scripted-worker.ts
+++ b/features/support/scripted-worker.ts
@@ -24,6 +24,9 @@
 const CRASHING = '/crash';
 const RESTART_MS = 300;
 
+/** A chunk of 16 bytes. */
+const SMALL_CHUNK = '10\r\n0123456789abcdef\r\n';
+
 const HEAD_END = '\r\n\r\n';
 
 /** Time after a refusal until it is written once more, in milliseconds. */
@@ -204,6 +207,12 @@
       writeEndlessly(socket, `${head}\r\nConnection: close${HEAD_END}`, 'body');
       return;
     }
+    if (this.script === 'endless-load-chunks') {
+      const head = `HTTP/1.1 200 OK\r\nWasabidyke-Instance-Id: ${this.id}`;
+      const framing = `Transfer-Encoding: chunked${HEAD_END}`;
+      writeEndlessly(socket, `${head}\r\n${framing}`, '1\r\nx\r\n');
+      return;
+    }
     if (this.script === 'repeats-load-refusal' && !this.#hasRefused) {
       this.#refuseTwice(socket, '');
       return;
@@ -233,6 +242,7 @@
     const leaving = this.isLeaving ? 'Server-Leaving: 1\r\n' : '';
     const signed = `Wasabidyke-Attempt-Id: ${requestId}\r\nWasabidyke-Server-Seal: seal-of-${this.id}\r\n${limit}${leaving}`;
     const length = `Content-Length: ${body.length}`;
+    const chunkedHead = `HTTP/1.1 200 OK\r\n${signed}Transfer-Encoding: chunked${HEAD_END}`;
     const whole = `HTTP/1.1 200 OK\r\n${signed}${length}${HEAD_END}${body}`;
     if (this.rest !== undefined) {
       socket.write(
@@ -355,6 +365,15 @@
           'body of bytes',
         );
         return;
+      case 'tiny-chunks':
+        socket.write(`${chunkedHead}${'1\r\nx\r\n'.repeat(50_000)}`);
+        return;
+      case 'small-chunks':
+        socket.write(`${chunkedHead}${SMALL_CHUNK.repeat(40_000)}`);
+        return;
+      case 'endless-chunks':
+        writeEndlessly(socket, chunkedHead, '1\r\nx\r\n');
+        return;
       case 'endless-extension':
         writeEndlessly(
           socket,
@@ -363,6 +382,7 @@
         );
         return;
       case 'endless-load':
+      case 'endless-load-chunks':
         socket.write(whole);
         break;
       case 'has-odd-headers':
--- a/features/support/worker-script.ts
+++ b/features/support/worker-script.ts
@@ -35,4 +35,10 @@
   | 'endless-body'
   | 'endless-unsigned'
   | 'endless-extension'
+  /** Bodies in tiny chunks: 50,000 of one byte and then nothing, 40,000 of 16 bytes and then nothing, one byte without end. */
+  | 'tiny-chunks'
+  | 'small-chunks'
+  | 'endless-chunks'
+  /** The answer to a load query is in tiny chunks without end. */
+  | 'endless-load-chunks'
   | 'endless-load';
--- a/packages-private/soak/src/acts.ts
+++ b/packages-private/soak/src/acts.ts
@@ -63,6 +63,7 @@
   'worker-hangs': 'hangs',
   'worker-repeats-refusal': 'repeats-refusal',
   'worker-cuts-head': 'cuts-head',
+  'worker-tiny-chunks': 'tiny-chunks',
 };
 
 const ENTRY_LINKS: Partial<
--- a/packages-private/soak/src/worker-stand-in.ts
+++ b/packages-private/soak/src/worker-stand-in.ts
@@ -28,7 +28,9 @@
   /** Each third request is refused, and the refusal written once more later. */
   | 'repeats-refusal'
   /** The connection ends within the head of the answer. */
-  | 'cuts-head';
+  | 'cuts-head'
+  /** Bodies in chunks of one byte, which don't end. */
+  | 'tiny-chunks';
 
 /** Slots, places in the queue, and the time of one run in milliseconds. */
 const SLOTS = 4;
@@ -36,6 +38,9 @@
 const WORK_MS = 30;
 const SLOW_WORK_MS = 400;
 
+/** The body of a worker that answers in tiny chunks. */
+const TINY_CHUNKS = '1\r\nx\r\n'.repeat(50_000);
+
 /** Prefix of the paths of orders whose work takes long, and its time in milliseconds. */
 export const LONG_PREFIX = '/long/';
 const LONG_WORK_MS = 5_000;
@@ -293,6 +298,10 @@
       response.setHeader('Content-Length', Buffer.byteLength(text));
       response.write(text.slice(0, text.length / 2));
       setImmediate(() => response.destroy());
+    } else if (this.fault === 'tiny-chunks') {
+      response.socket?.write(
+        `HTTP/1.1 200 OK\r\nWasabidyke-Attempt-Id: ${arrival.id}\r\nWasabidyke-Server-Seal: seal-${arrival.worker}\r\nTransfer-Encoding: chunked\r\n\r\n${TINY_CHUNKS}`,
+      );
     } else if (this.fault === 'cuts-head') {
       response.socket?.end(
         `HTTP/1.1 200 OK\r\nWasabidyke-Attempt-Id: ${arrival.id}\r\nWasabi`,
--- a/packages/balancer/src/balancer.ts
+++ b/packages/balancer/src/balancer.ts
@@ -31,6 +31,7 @@
 import type {DecisionLog} from './reporting/decision-log.js';
 import {createUpstreamReports} from './reporting/upstream-reports.js';
 import type {SiteAdapters} from './site-adapters.js';
+import {createBodyMemory} from './serving/body-reader.js';
 import {CallerServer} from './serving/caller-server.js';
 import {UpstreamSelector} from './serving/upstream-selector.js';
 import {DiscoveryServer} from './serving/discovery-server.js';
@@ -131,6 +132,7 @@
     this.#store = new FollowerRecordStore({
       store: site.store,
       feeders: () => this.#entries.listFeeders(),
+      isFeeding: () => this.#feedServer.isFeeding,
       isNoEntryAnnounced: () => this.#entries.isEmpty,
       onDepartures: departures => this.#clusterState.onDepartures(departures),
       clock,
@@ -386,6 +388,7 @@
       crashMonitor: this.#suspects.monitor,
       processWatch: this.#suspects.processWatch,
       relay: this.#relaySender,
+      bodyMemory: createBodyMemory(),
       endsAtMs: () => this.#endsAtMs,
       table: () => this.#clusterState.table,
     };
--- a/packages/balancer/src/exchange/answer-memory.ts
+++ b/packages/balancer/src/exchange/answer-memory.ts
@@ -1,23 +1,16 @@
-/** Bounds the memory of answers that are being received, over all upstreams. */
+/** What answers that are being received may take, over all upstreams. */
+
+import {AnswerPace} from './answer-pace.js';
+import {MemoryBudget} from './memory-budget.js';
 
 /** Memory for answers that are being received, in bytes: two of the largest size, a sixth of what an entry may take. */
 const CAPACITY_BYTES = 33_554_432;
 
-/** Counts the bytes of answers that are being received. */
-export class AnswerMemory {
-  #takenBytes = 0;
-
-  /** Takes memory. Returns false if there is not enough left. */
-  take(bytes: number): boolean {
-    if (this.#takenBytes + bytes > CAPACITY_BYTES) {
-      return false;
-    }
-    this.#takenBytes += bytes;
-    return true;
-  }
+/** Memory and pace of the answers that are being received. */
+export class AnswerMemory extends MemoryBudget {
+  readonly pace = new AnswerPace();
 
-  /** Returns memory. */
-  release(bytes: number): void {
-    this.#takenBytes -= bytes;
+  constructor() {
+    super(CAPACITY_BYTES);
   }
 }
--- a/packages/balancer/src/exchange/exchange.ts
+++ b/packages/balancer/src/exchange/exchange.ts
@@ -4,7 +4,7 @@
  */
 
 import type {IncomingHttpHeaders} from 'node:http';
-import type {HeaderFields} from '@wasabidyke/shared';
+import {ByteCollector, type HeaderFields} from '@wasabidyke/shared';
 import type {Dispatcher} from 'undici';
 import type {AnswerMemory} from './answer-memory.js';
 import type {UpstreamConnection} from './connection-pool.js';
@@ -61,6 +61,10 @@
 /** Limit of what an upstream sends beside the body of its answer, in bytes: heads, and the sizes of chunks, which for a large answer in small chunks are as many as its body. */
 const MAXIMUM_FRAMING_BYTES = 262_144;
 
+/** Chunks that an answer may have whatever its size, and the bytes that each further one must bring on average: an answer in smaller chunks costs more time than it is worth. */
+const MAXIMUM_SMALL_CHUNKS = 4_096;
+const MINIMUM_CHUNK_BYTES = 8;
+
 /** How an exchange reads its answer. */
 export interface AnswerOptions {
   readonly classifyAnswer: AnswerClassifier;
@@ -89,8 +93,8 @@
   #answerKind: AnswerKind | undefined;
   #status = 0;
   #headers: IncomingHttpHeaders = {};
-  #chunks: Buffer[] = [];
-  #receivedBytes = 0;
+  readonly #body = new ByteCollector();
+  #chunks = 0;
   #informationalAnswers = 0;
   /** What the connection had received before. */
   #initialBytes = 0;
@@ -210,22 +214,32 @@
       return;
     }
     const {memory, maximumBytes = MAXIMUM_ANSWER_BYTES} = this.#options;
-    if (this.#receivedBytes + chunk.length > maximumBytes) {
+    if (this.#body.bytes + chunk.length > maximumBytes) {
       this.#breakOff(controller, `the answer exceeds ${maximumBytes} bytes`);
       return;
     }
-    if (!memory.take(chunk.length)) {
+    this.#chunks += 1;
+    const allowedChunks =
+      MAXIMUM_SMALL_CHUNKS + this.#body.bytes / MINIMUM_CHUNK_BYTES;
+    if (this.#chunks > allowedChunks) {
+      this.#breakOff(controller, 'the answer is in too many chunks');
+      return;
+    }
+    if (!memory.take(this.#body.growthFor(chunk.length))) {
       this.#breakOff(controller, 'answers take too much memory');
       return;
     }
-    this.#receivedBytes += chunk.length;
-    this.#chunks.push(chunk);
+    this.#body.append(chunk);
+    if (!memory.pace.take()) {
+      controller.pause();
+      memory.pace.wait(() => controller.resume());
+    }
   }
 
   /** The parser skips the extensions of chunks and much else without end. */
   #checkFraming(): void {
     const bytes = this.#connection.receivedBytes - this.#initialBytes;
-    const framingBytes = bytes - 2 * this.#receivedBytes;
+    const framingBytes = bytes - 2 * this.#body.bytes;
     if (framingBytes > MAXIMUM_FRAMING_BYTES && this.#controller) {
       this.#breakOff(this.#controller, 'the answer is mostly framing');
     }
@@ -261,8 +275,9 @@
     if (this.#endIfRefused()) {
       return;
     }
-    const body =
-      this.#chunks.length === 1 ? this.#chunks[0] : Buffer.concat(this.#chunks);
+    const heldBytes = this.#body.heldBytes;
+    const body = this.#body.take();
+    this.#options.memory.release(heldBytes);
     const answer = {status: this.#status, headers: this.#headers, body};
     this.#end({kind: 'answered', answer});
   }
@@ -301,8 +316,8 @@
     if (!this.#isEnded) {
       this.#isEnded = true;
       clearInterval(this.#framingTimer);
-      this.#options.memory.release(this.#receivedBytes);
-      this.#chunks = [];
+      this.#options.memory.release(this.#body.heldBytes);
+      this.#body.clear();
       this.#settle(result);
     }
   }
--- a/packages/balancer/src/feed/entry-client.ts
+++ b/packages/balancer/src/feed/entry-client.ts
@@ -1,11 +1,14 @@
 /** Sends messages to other entries over HTTP. */
 
-import {parseJson} from '@wasabidyke/shared';
+import {parseJson, readLimitedBody} from '@wasabidyke/shared';
 import {Pool} from 'undici';
 
 /** Time to open a connection to another entry, in milliseconds: several round trips between regions. */
 const CONNECT_TIMEOUT_MS = 200;
 
+/** Maximum size of an answer, in bytes: that of the messages. */
+const MAXIMUM_ANSWER_BYTES = 1_048_576;
+
 /** A message to another entry. */
 export interface EntryMessage {
   /** IP address and port at which the entry takes messages. */
@@ -88,10 +91,10 @@
       body,
       signal: AbortSignal.timeout(timeoutMs),
     });
-    const text = await answer.body.text();
+    const read = await readLimitedBody(answer.body, MAXIMUM_ANSWER_BYTES);
     const {statusCode: status} = answer;
     return status === 200
-      ? {kind: 'answered', body: parseJson(text)}
+      ? {kind: 'answered', body: parseJson(read.toString('utf8'))}
       : {kind: 'rejected', status};
   } catch {
     // The caller logs what it concludes from a missing answer.
--- a/packages/balancer/src/feed/feed-server.ts
+++ b/packages/balancer/src/feed/feed-server.ts
@@ -24,6 +24,7 @@
   FEED_PATH,
   serializeFeed,
 } from './feed-messages.js';
+import {MemoryBudget} from '../exchange/memory-budget.js';
 import {RELAY_PATH} from '../relay/relay-messages.js';
 import {readBody} from '../serving/body-reader.js';
 import {LIMITS_PATH, MAXIMUM_LIMITS_BYTES} from '../limits/limit-messages.js';
@@ -43,12 +44,21 @@
 /** Maximum long-poll time of a request, in milliseconds. */
 const MAXIMUM_WAIT_MS = 5_000;
 
+/** Time for which an entry counts as followed after a request for records, in milliseconds: a few long polls. */
+const FEEDING_MS = 3_000;
+
 /** Time for which an idle connection is kept open, in milliseconds. */
 const KEEP_ALIVE_TIMEOUT_MS = 20_000;
 
 /** Maximum size of a message with suspects, in bytes: four times what 64 records with 16 upstreams each take. */
 const MAXIMUM_SUSPECTS_BYTES = 262_144;
 
+/** Memory for messages that are being received, in bytes: dozens of the largest. */
+const MESSAGE_MEMORY_BYTES = 16_777_216;
+
+/** Time in which a message must be complete, in milliseconds: its sender waits no longer. */
+const MESSAGE_TIMEOUT_MS = 5_000;
+
 /** Maximum size of the messages that are taken, by path. */
 const MAXIMUM_BYTES_BY_PATH: Readonly<Record<string, number | undefined>> = {
   [SUSPECTS_PATH]: MAXIMUM_SUSPECTS_BYTES,
@@ -94,6 +104,8 @@
 export class FeedServer {
   readonly #options: FeedServerOptions;
   readonly #server: Server;
+  readonly #messageMemory = new MemoryBudget(MESSAGE_MEMORY_BYTES);
+  #fedAtMs = -Infinity;
 
   constructor(options: FeedServerOptions) {
     this.#options = options;
@@ -108,6 +120,11 @@
     );
   }
 
+  /** Whether a follower has asked lately. */
+  get isFeeding(): boolean {
+    return performance.now() - this.#fedAtMs < FEEDING_MS;
+  }
+
   /** Starts to listen. @throws When it can't bind the address. */
   async listen({host, port}: ListenAddress): Promise<void> {
     this.#server.listen(port, host);
@@ -142,6 +159,7 @@
       sendJson(response, 404, '{}');
       return;
     }
+    this.#fedAtMs = performance.now();
     const namedEra = readNumberParameter(url, ERA_QUERY);
     const era = namedEra ?? UNNAMED_ERA;
     const revision = readNumberParameter(url, 'after');
@@ -172,9 +190,17 @@
       sendJson(response, 404, '{}');
       return;
     }
-    const read = await readBody(request, limitBytes);
-    const text =
-      read.kind === 'body' ? (read.body?.toString('utf8') ?? '') : '';
+    const read = await readBody(request, {
+      limitBytes,
+      memory: this.#messageMemory,
+      withinMs: MESSAGE_TIMEOUT_MS,
+    });
+    if (read.kind !== 'body') {
+      sendJson(response, 400, '{}');
+      return;
+    }
+    const text = read.body?.toString('utf8') ?? '';
+    read.release();
     const answer = await this.#answer(path, parseJson(text));
     if (answer === undefined) {
       sendJson(response, 400, '{}');
--- a/packages/balancer/src/feed/feeder-connection.ts
+++ b/packages/balancer/src/feed/feeder-connection.ts
@@ -1,6 +1,12 @@
 /** Reads records from the entry that feeds this one, over HTTP. */
 
-import {Err, Ok, type Clock, type Result} from '@wasabidyke/shared';
+import {
+  Err,
+  Ok,
+  readLimitedBody,
+  type Clock,
+  type Result,
+} from '@wasabidyke/shared';
 import {Pool} from 'undici';
 import type {RecordChanges, RecordStoreError} from '../store/record-store.js';
 import type {StorePosition} from '../store/store-eras.js';
@@ -30,6 +36,9 @@
 /** Time to open a connection to a feeder, in milliseconds: several round trips between regions. */
 const CONNECT_TIMEOUT_MS = 200;
 
+/** Maximum size of a response, in bytes: several times what all records take at the size aimed for. */
+const MAXIMUM_FEED_BYTES = 16_777_216;
+
 /** Status of a feeder that no longer keeps the changes after the requested revision. */
 const HISTORY_LOST_STATUS = 410;
 
@@ -86,7 +95,7 @@
     try {
       const signal = AbortSignal.timeout(timeoutMs);
       const response = await this.#pool.request({method: 'GET', path, signal});
-      const text = await response.body.text();
+      const read = await readLimitedBody(response.body, MAXIMUM_FEED_BYTES);
       if (response.statusCode === HISTORY_LOST_STATUS) {
         return Err({
           kind: 'history-lost',
@@ -98,7 +107,7 @@
           `feeder responded with status ${response.statusCode}`,
         );
       }
-      const parsed = feedSchema.safeParse(JSON.parse(text));
+      const parsed = feedSchema.safeParse(JSON.parse(read.toString('utf8')));
       if (!parsed.success) {
         return unavailable(parsed.error.message);
       }
--- a/packages/balancer/src/feed/follower-record-store.ts
+++ b/packages/balancer/src/feed/follower-record-store.ts
@@ -21,7 +21,8 @@
 import {LeaseGuard} from '../store/lease-guard.js';
 import {isBefore, type StorePosition} from '../store/store-eras.js';
 import {MAXIMUM_FEED_AGE_MS} from './feed-messages.js';
-import {FeederConnection, type FedChanges} from './feeder-connection.js';
+import type {FedChanges, FeederConnection} from './feeder-connection.js';
+import {FeederSelection} from './feeder-selection.js';
 import {RecordFreshness} from './record-freshness.js';
 
 /** Constructor options. */
@@ -29,6 +30,8 @@
   readonly store: RecordStore;
   /** Entries that may feed this one, best first; empty when this entry has to read the store itself. */
   readonly feeders: () => readonly EntryRecord[];
+  /** Whether other entries follow this one. */
+  readonly isFeeding: () => boolean;
   /** Whether no entry is announced yet. */
   readonly isNoEntryAnnounced: () => boolean;
   /** Called with the upstreams that have left, as a feeder tells of them. */
@@ -38,13 +41,6 @@
   readonly log: DecisionLog;
 }
 
-/** Minimum time for which the store is read directly after a feeder failed, and the jitter added to it, in milliseconds. */
-const MINIMUM_DIRECT_MS = 1_000;
-const DIRECT_JITTER_MS = 1_000;
-
-/** Time for which a feeder is not used after a failure, in milliseconds. */
-const FEEDER_COOLDOWN_MS = 8_000;
-
 /** Time after its start for which an entry polls the store while no entry is announced, in milliseconds. */
 const FIRST_ENTRY_POLLING_MS = 15_000;
 
@@ -58,6 +54,9 @@
 const FEEDER_ERA_WAIT_MS = 900;
 const FEEDER_ERA_PAUSE_MS = 100;
 
+/** Time within which the store must confirm the records of an entry that others follow, in milliseconds. Source: together with the time that two entries between the store and a follower add, it stays within `MAXIMUM_FEED_AGE_MS`. */
+const FEEDING_CONFIRMATION_MS = 900;
+
 /** Maximum number of feeders tried in one `watch` call. */
 const MAXIMUM_FEEDER_TRIES = 2;
 
@@ -67,9 +66,7 @@
 /** A record store that reads changes from another entry where possible. */
 export class FollowerRecordStore extends RecordStore {
   readonly #options: FollowerRecordStoreOptions;
-  readonly #cooldownEndsAtMs = new Map<string, number>();
-  #feeder: FeederConnection | undefined;
-  #directEndsAtMs = -Infinity;
+  readonly #feeders: FeederSelection;
   #isDirect = true;
   #source: string | undefined;
   readonly #freshness = new RecordFreshness();
@@ -85,6 +82,7 @@
     this.eras.onOdd = ({named, era}) =>
       options.log.record('store.era-odd', {named, era});
     this.#createdAtMs = options.clock.now();
+    this.#feeders = new FeederSelection(options);
   }
 
   /** Whether this entry reads the store itself. */
@@ -106,11 +104,11 @@
   override async readAll(
     mayBeOld: boolean,
   ): Promise<Result<RecordChanges, RecordStoreError>> {
-    const feeder = this.#selectFeeder();
+    const feeder = this.#feeders.select();
     if (feeder !== undefined) {
       const fed = await this.#readAllFromFeeder(feeder);
       if (fed.isErr()) {
-        this.#onFeederFailure(feeder, fed.error);
+        this.#feeders.onFailure(feeder, fed.error);
       } else if (this.#isFeederBehind(fed.value)) {
         this.#onFeederBehind(feeder, fed.value);
       } else {
@@ -187,7 +185,7 @@
     signal: AbortSignal,
   ): Promise<Result<RecordChanges, RecordStoreError>> {
     for (let tries = 0; tries < MAXIMUM_FEEDER_TRIES; tries++) {
-      const feeder = this.#selectFeeder();
+      const feeder = this.#feeders.select();
       if (feeder === undefined) {
         break;
       }
@@ -197,21 +195,24 @@
         this.#setSource(feeder.name);
         return fed;
       }
-      this.#onFeederFailure(feeder, fed.error);
+      this.#feeders.onFailure(feeder, fed.error);
       const tookMs = this.#options.clock.now() - startedAtMs;
       if (tookMs > QUICK_FAILURE_MS) {
-        this.#bypassFeeders();
+        this.#feeders.bypass();
       }
     }
-    if (this.#selectFeeder() !== undefined) {
-      this.#bypassFeeders();
+    if (this.#feeders.select() !== undefined) {
+      this.#feeders.bypass();
     }
     this.#setSource(undefined);
     const polled = this.#isStarting ? await this.#poll(after) : undefined;
     if (polled !== undefined) {
       return polled;
     }
-    const limitMs = Math.min(waitMs, this.#remainingDirectMs());
+    const limitMs = Math.min(
+      this.#toOwnWaitMs(waitMs),
+      this.#feeders.remainingDirectMs,
+    );
     const watched = await this.#options.store.watch(after, limitMs, signal);
     if (watched.isOk() && watched.value.revision >= after.revision) {
       this.#freshness.onChanges(watched.value, this.#options.clock.now());
@@ -219,6 +220,13 @@
     return watched;
   }
 
+  /** An entry that reads the store for itself alone needs no proof while it waits; one call lasts until it follows another again. */
+  #toOwnWaitMs(waitMs: number): number {
+    return waitMs === 0 || this.#options.isFeeding()
+      ? waitMs
+      : this.confirmationMs;
+  }
+
   /** @param feeder Name of the entry that changes are read from; undefined for the store. */
   #setSource(feeder: string | undefined): void {
     this.#isDirect = feeder === undefined;
@@ -230,14 +238,12 @@
 
   /** Whether to poll instead of watch: when all entries start together, all would watch the store until their feeders respond. */
   get #isStarting(): boolean {
-    if (this.ageMs > MAXIMUM_FEED_AGE_MS) {
-      // Polls may be old; a watch confirms that no record is missing.
-      return false;
-    }
     const {clock, feeders, isNoEntryAnnounced} = this.#options;
     const ageMs = clock.now() - this.#createdAtMs;
     if (isNoEntryAnnounced()) {
-      return ageMs < FIRST_ENTRY_POLLING_MS;
+      // Polls may be old; a watch between them confirms that no record is missing.
+      const isConfirmed = this.ageMs <= MAXIMUM_FEED_AGE_MS;
+      return isConfirmed && ageMs < FIRST_ENTRY_POLLING_MS;
     }
     return feeders().length > 0 && ageMs < STARTUP_POLLING_MS;
   }
@@ -261,6 +267,12 @@
     }));
   }
 
+  override get confirmationMs(): number {
+    return this.#options.isFeeding()
+      ? FEEDING_CONFIRMATION_MS
+      : super.confirmationMs;
+  }
+
   /** Requests to a feeder are free, and a poll costs next to nothing. */
   override get isWatchBilled(): boolean {
     return this.#isDirect && !this.#isStarting;
@@ -299,39 +311,10 @@
   }
 
   override async close(): Promise<void> {
-    this.#feeder?.close();
+    this.#feeders.close();
     await this.#options.store.close();
   }
 
-  /** Returns the feeder to follow, or undefined when this entry reads the store itself. */
-  #selectFeeder(): FeederConnection | undefined {
-    const nowMs = this.#options.clock.now();
-    if (nowMs < this.#directEndsAtMs) {
-      return undefined;
-    }
-    const first = this.#options
-      .feeders()
-      .find(({name}) => (this.#cooldownEndsAtMs.get(name) ?? 0) <= nowMs);
-    return first?.feedAddress === undefined
-      ? undefined
-      : this.#connect(first.name, first.feedAddress);
-  }
-
-  /** Remaining time of direct reads after a feeder failed, in milliseconds; infinite when no such time runs. */
-  #remainingDirectMs(): number {
-    const remainingMs = this.#directEndsAtMs - this.#options.clock.now();
-    return remainingMs > 0 ? Math.ceil(remainingMs) : Infinity;
-  }
-
-  #connect(name: string, address: string): FeederConnection {
-    if (this.#feeder?.name === name) {
-      return this.#feeder;
-    }
-    this.#feeder?.close();
-    this.#feeder = new FeederConnection(name, address, this.#options.clock);
-    return this.#feeder;
-  }
-
   /** Returns no changes while the feeder is behind this entry, and fails once the records are too old to wait for it. */
   async #watchFeeder(
     feeder: FeederConnection,
@@ -377,23 +360,4 @@
       });
     }
   }
-
-  #onFeederFailure(feeder: FeederConnection, error: RecordStoreError): void {
-    const nowMs = this.#options.clock.now();
-    this.#cooldownEndsAtMs.set(feeder.name, nowMs + FEEDER_COOLDOWN_MS);
-    // Requests in flight end with the failure that is logged here.
-    feeder.close();
-    this.#feeder = undefined;
-    this.#options.log.record('feeder.lost', {
-      feeder: feeder.name,
-      cause: error.message,
-    });
-  }
-
-  /** Has the store read directly for a time with jitter. */
-  #bypassFeeders(): void {
-    const jitterMs = this.#options.random.nextBelow(DIRECT_JITTER_MS);
-    const nowMs = this.#options.clock.now();
-    this.#directEndsAtMs = nowMs + MINIMUM_DIRECT_MS + jitterMs;
-  }
 }
--- a/packages/balancer/src/relay/relay-receiver.ts
+++ b/packages/balancer/src/relay/relay-receiver.ts
@@ -35,6 +35,9 @@
 /** Attempts of one relayed request: the entry that relays it decides on repeats. */
 const RELAYED_ATTEMPTS = 1;
 
+/** Time in which a relayed request must be complete, in milliseconds: links between entries are fast. */
+const BODY_TIMEOUT_MS = 10_000;
+
 /** Maximum number of relayed requests in flight: twice what an entry's share of a hundred upstreams' slots is, and few beside its descriptors. */
 const MAXIMUM_IN_FLIGHT = 256;
 
@@ -92,7 +95,18 @@
       return;
     }
     const limitBytes = routing.limits.bodyBytes + MAXIMUM_LINE_BYTES;
-    const read = await readBody(request, limitBytes);
+    const read = await readBody(request, {
+      limitBytes,
+      memory: this.#options.bodyMemory,
+      withinMs: BODY_TIMEOUT_MS,
+    });
+    if (read.kind === 'no-memory') {
+      this.#refuse(response, 'not-run', 'no-memory', 0);
+      return;
+    }
+    if (read.kind === 'body') {
+      response.once('close', read.release);
+    }
     const message =
       read.kind === 'body' && read.body !== null
         ? parseRequest(read.body)
--- a/packages/balancer/src/serving/body-reader.ts
+++ b/packages/balancer/src/serving/body-reader.ts
@@ -1,51 +1,211 @@
-/** Reads request bodies up to a size limit. */
+/** Reads request bodies up to a size limit, within the memory that all of them share. */
 
 import type {IncomingMessage} from 'node:http';
+import {ByteCollector} from '@wasabidyke/shared';
+import {MemoryBudget} from '../exchange/memory-budget.js';
 
 /** A complete body, or the reason why there is none. */
 export type BodyResult =
-  | {readonly kind: 'body'; readonly body: Buffer | null}
+  | {
+      readonly kind: 'body';
+      readonly body: Buffer | null;
+      /** Returns the memory of the body. */
+      readonly release: () => void;
+    }
   | {readonly kind: 'too-large'}
-  | {readonly kind: 'broken-off'};
+  | {readonly kind: 'broken-off'}
+  /** All bodies together would take more than they may; this one was not read. */
+  | {readonly kind: 'no-memory'}
+  /** It was not complete in time. */
+  | {readonly kind: 'overdue'};
 
-/** Reads a complete body of at most `limitBytes`; null if the request has none. */
+/** Memory for request bodies, in bytes: the largest body that sites allow, and half of it for others; with the rest of an entry it stays within the memory of the smallest VMs. */
+const CAPACITY_BYTES = 100_663_296;
+
+/** Chunks that a body may have whatever its size, and the bytes that each further one must bring on average. */
+const MAXIMUM_SMALL_CHUNKS = 16_384;
+const MINIMUM_CHUNK_BYTES = 8;
+
+/** How a body is read. */
+export interface BodyOptions {
+  readonly limitBytes: number;
+  readonly memory: MemoryBudget;
+  /** Time in which the body must be complete, in milliseconds. */
+  readonly withinMs: number;
+}
+
+/** Creates the memory that all bodies of one entry share. */
+export function createBodyMemory(): MemoryBudget {
+  return new MemoryBudget(CAPACITY_BYTES);
+}
+
+/** Reads a complete body; null if the request has none. */
 export function readBody(
   request: IncomingMessage,
-  limitBytes: number,
+  options: BodyOptions,
 ): BodyResult | Promise<BodyResult> {
   const isChunked = request.headers['transfer-encoding'] !== undefined;
   const declaredBytes = Number(request.headers['content-length'] ?? 0);
   if (!isChunked && declaredBytes === 0) {
     const hasLength = request.headers['content-length'] !== undefined;
-    return {kind: 'body', body: hasLength ? Buffer.alloc(0) : null};
+    const body = hasLength ? Buffer.alloc(0) : null;
+    return {kind: 'body', body, release: () => {}};
   }
-  if (declaredBytes > limitBytes) {
+  if (declaredBytes > options.limitBytes) {
     return {kind: 'too-large'};
   }
-  return collectChunks(request, limitBytes);
+  return isChunked
+    ? new ChunkedBody(request, options).result
+    : new SizedBody(request, options, declaredBytes).result;
 }
 
-function collectChunks(
-  request: IncomingMessage,
-  limitBytes: number,
-): Promise<BodyResult> {
-  return new Promise(resolve => {
-    const chunks: Buffer[] = [];
-    let receivedBytes = 0;
-    request.on('data', (chunk: Buffer) => {
-      receivedBytes += chunk.length;
-      if (receivedBytes > limitBytes) {
-        request.pause();
-        resolve({kind: 'too-large'});
-        return;
-      }
-      chunks.push(chunk);
-    });
-    request.once('end', () => {
-      const body = chunks.length === 1 ? chunks[0] : Buffer.concat(chunks);
-      resolve({kind: 'body', body});
-    });
-    request.once('error', () => resolve({kind: 'broken-off'}));
-    request.once('close', () => resolve({kind: 'broken-off'}));
-  });
+/** A body that is being read. */
+abstract class PendingBody {
+  readonly result: Promise<BodyResult>;
+  protected readonly options: BodyOptions;
+  readonly #request: IncomingMessage;
+  #settle: (result: BodyResult) => void = () => {};
+  readonly #timer: NodeJS.Timeout;
+  #isEnded = false;
+
+  constructor(request: IncomingMessage, options: BodyOptions) {
+    this.#request = request;
+    this.options = options;
+    this.result = new Promise(resolve => (this.#settle = resolve));
+    this.#timer = setTimeout(
+      () => this.fail('overdue'),
+      Math.min(options.withinMs, LONGEST_TIMER_MS),
+    );
+    request.on('data', (chunk: Buffer) => this.#onData(chunk));
+    request.once('end', () => this.#onEnd());
+    request.once('error', () => this.fail('broken-off'));
+    request.once('close', () => this.fail('broken-off'));
+  }
+
+  /** Memory that was taken for it, in bytes. */
+  protected abstract get takenBytes(): number;
+
+  /** Keeps a chunk; fails the body if it can't. */
+  protected abstract keep(chunk: Buffer): void;
+
+  /** All that was kept; undefined if there is no memory to put it together. */
+  protected abstract complete(): Buffer | undefined;
+
+  protected fail(kind: Exclude<BodyResult['kind'], 'body'>): void {
+    if (this.#end()) {
+      this.#request.pause();
+      this.options.memory.release(this.takenBytes);
+      this.#settle({kind});
+    }
+  }
+
+  #onData(chunk: Buffer): void {
+    if (!this.#isEnded) {
+      this.keep(chunk);
+    }
+  }
+
+  #onEnd(): void {
+    const body = this.#isEnded ? undefined : this.complete();
+    if (body === undefined) {
+      this.fail('no-memory');
+      return;
+    }
+    if (this.#end()) {
+      const {memory} = this.options;
+      let heldBytes = this.takenBytes;
+      const release = () => {
+        memory.release(heldBytes);
+        heldBytes = 0;
+      };
+      this.#settle({kind: 'body', body, release});
+    }
+  }
+
+  #end(): boolean {
+    const isFirst = !this.#isEnded;
+    this.#isEnded = true;
+    clearTimeout(this.#timer);
+    return isFirst;
+  }
+}
+
+/** Longest time of a timer, in milliseconds. */
+const LONGEST_TIMER_MS = 2 ** 31 - 1;
+
+/** A body whose length is known: its memory is taken before it is read, so that what is begun can be completed. */
+class SizedBody extends PendingBody {
+  readonly #declaredBytes: number;
+  readonly #hasMemory: boolean;
+  #body: Buffer | undefined;
+  #usedBytes = 0;
+
+  constructor(
+    request: IncomingMessage,
+    options: BodyOptions,
+    declaredBytes: number,
+  ) {
+    super(request, options);
+    this.#declaredBytes = declaredBytes;
+    this.#hasMemory = options.memory.take(declaredBytes);
+    if (!this.#hasMemory) {
+      this.fail('no-memory');
+    }
+  }
+
+  protected override get takenBytes(): number {
+    return this.#hasMemory ? this.#declaredBytes : 0;
+  }
+
+  protected override keep(chunk: Buffer): void {
+    this.#body ??= Buffer.allocUnsafeSlow(this.#declaredBytes);
+    this.#usedBytes += chunk.copy(this.#body, this.#usedBytes);
+  }
+
+  protected override complete(): Buffer {
+    return this.#body ?? Buffer.alloc(0);
+  }
+}
+
+/** A body in chunks: its memory is taken as it comes, and once more to put it together. */
+class ChunkedBody extends PendingBody {
+  readonly #collector = new ByteCollector();
+  #chunks = 0;
+  #takenBytes = 0;
+
+  protected override get takenBytes(): number {
+    return this.#takenBytes;
+  }
+
+  protected override keep(chunk: Buffer): void {
+    const {limitBytes} = this.options;
+    this.#chunks += 1;
+    const allowedChunks =
+      MAXIMUM_SMALL_CHUNKS + this.#collector.bytes / MINIMUM_CHUNK_BYTES;
+    const bytes = this.#collector.bytes + chunk.length;
+    if (bytes > limitBytes || this.#chunks > allowedChunks) {
+      this.fail('too-large');
+    } else if (this.#take(this.#collector.growthFor(chunk.length))) {
+      this.#collector.append(chunk);
+    } else {
+      this.fail('no-memory');
+    }
+  }
+
+  protected override complete(): Buffer | undefined {
+    const {bytes, heldBytes} = this.#collector;
+    if (!this.#take(bytes)) {
+      return undefined;
+    }
+    const body = this.#collector.take();
+    this.options.memory.release(heldBytes);
+    this.#takenBytes -= heldBytes;
+    return body;
+  }
+
+  #take(bytes: number): boolean {
+    const isTaken = this.options.memory.take(bytes);
+    this.#takenBytes += isTaken ? bytes : 0;
+    return isTaken;
+  }
 }
--- a/packages/balancer/src/serving/caller-server.ts
+++ b/packages/balancer/src/serving/caller-server.ts
@@ -21,9 +21,11 @@
 import type {CallerLimits} from '../routing/routing-configuration.js';
 import type {RoutingTable} from '../routing/routing-table.js';
 import {canBeFinished} from './attempt-timing.js';
-import {readBody} from './body-reader.js';
+import {readBody, type BodyResult} from './body-reader.js';
 import {refuseMalformed} from './malformed-request.js';
 import type {RequestDispatcherOptions} from './dispatcher-options.js';
+import {headerBytesOf} from './request-head.js';
+import {onceClosed} from './response-close.js';
 import {STOPPING_RETRY_AFTER_MS} from './refusals.js';
 import {RequestDispatcher} from './request-dispatcher.js';
 import type {Refusal, RoutedRequest} from './routed-request.js';
@@ -51,6 +53,9 @@
 /** Delay after which a caller that an unconfigured entry refuses may try another entry, in milliseconds. */
 const UNCONFIGURED_RETRY_AFTER_MS = 300;
 
+/** Delay after which a caller may try again whose body found no memory, in milliseconds: another upload has ended by then, or another entry has room. */
+const MEMORY_RETRY_AFTER_MS = 250;
+
 /** Serves callers' requests. */
 export class CallerServer {
   readonly #options: CallerServerOptions;
@@ -135,6 +140,8 @@
       },
       (request, response) => this.#accept(request, response),
     );
+    // Each pipelined request listens to its connection.
+    server.on('connection', socket => socket.setMaxListeners(0));
     server.on('clientError', (error, socket) =>
       refuseMalformed(error, socket as Socket),
     );
@@ -150,7 +157,7 @@
       socket,
       (this.#unansweredRequests.get(socket) ?? 0) + 1,
     );
-    response.once('close', () => this.#onClose(socket, arrivedAtMs));
+    onceClosed(response, () => this.#onClose(socket, arrivedAtMs));
     this.#serve(request, response, arrivedAtMs).catch((error: unknown) => {
       this.#options.log.record('request.fault', {cause: String(error)});
       response.destroy();
@@ -209,11 +216,16 @@
       this.#refuseStopping(response, requestId);
       return;
     }
-    const bodyResult = await readBody(request, table.limits.bodyBytes);
+    const bodyResult = await readBody(request, {
+      limitBytes: table.limits.bodyBytes,
+      memory: this.#options.bodyMemory,
+      withinMs: ownDeadlineMs - this.#options.clock.now(),
+    });
     if (bodyResult.kind !== 'body') {
-      this.#refuseBody(response, bodyResult.kind);
+      this.#refuseBody(response, requestId, bodyResult.kind);
       return;
     }
+    onceClosed(response, bodyResult.release);
     // A long upload may have ended after the stop began.
     if (this.#isStoppedTooEarly(ownDeadlineMs)) {
       this.#refuseStopping(response, requestId);
@@ -250,12 +262,11 @@
     response: ServerResponse,
     request: RoutedRequest,
   ): Promise<void> {
-    if (response.destroyed) {
+    if (response.destroyed || response.req.socket.destroyed) {
       return;
     }
     const dispatcher = new RequestDispatcher(request, this.#options);
-    const onClose = () => dispatcher.cancel();
-    response.once('close', onClose);
+    const removeListener = onceClosed(response, () => dispatcher.cancel());
     this.#dispatchers.add(dispatcher);
     dispatcher.start();
     const result = await dispatcher.result;
@@ -268,7 +279,7 @@
       });
       return;
     }
-    response.off('close', onClose);
+    removeListener();
     if (result.kind === 'answer') {
       this.#sendAnswer(response, request, result.answer);
     } else {
@@ -336,16 +347,22 @@
 
   #refuseBody(
     response: ServerResponse,
-    reason: 'too-large' | 'broken-off',
+    requestId: string | undefined,
+    reason: Exclude<BodyResult['kind'], 'body'>,
   ): void {
     this.#options.log.record('request.body-refused', {reason});
-    if (reason === 'broken-off') {
+    if (reason === 'broken-off' || reason === 'overdue') {
       response.destroy();
       return;
     }
     // The rest of the body stays unread, so the connection can't be reused.
     response.setHeader('connection', 'close');
-    this.#send(response, 413, {});
+    if (reason === 'no-memory') {
+      const retryAfterMs = MEMORY_RETRY_AFTER_MS;
+      this.#refuse(response, requestId, {reason, isNotRun: true, retryAfterMs});
+    } else {
+      this.#send(response, 413, {});
+    }
   }
 
   #send(
@@ -378,14 +395,3 @@
 function round(value: number | undefined): number | undefined {
   return value === undefined ? undefined : Math.round(value);
 }
-
-/** Length of `: ` and of a line end. */
-const HEADER_SEPARATOR_BYTES = 2;
-
-function headerBytesOf(request: IncomingMessage): number {
-  let bytes = (request.url?.length ?? 0) + (request.method?.length ?? 0);
-  for (const part of request.rawHeaders) {
-    bytes += part.length + HEADER_SEPARATOR_BYTES;
-  }
-  return bytes;
-}
--- a/packages/balancer/src/serving/dispatcher-options.ts
+++ b/packages/balancer/src/serving/dispatcher-options.ts
@@ -2,6 +2,7 @@
 
 import type {RandomSource} from '@wasabidyke/policy';
 import type {Clock} from '@wasabidyke/shared';
+import type {MemoryBudget} from '../exchange/memory-budget.js';
 import type {WireProtocol} from '../exchange/wire-protocol.js';
 import type {UpstreamRegistry} from '../members/upstream-registry.js';
 import type {RelaySender} from '../relay/relay-sender.js';
@@ -24,6 +25,8 @@
   readonly processWatch: ProcessWatch;
   /** When this process ends, on the monotonic clock in milliseconds; infinite unless it is stopping. */
   readonly endsAtMs: () => number;
+  /** Memory that the bodies of all requests share. */
+  readonly bodyMemory: MemoryBudget;
   /** Sends requests through other entries. */
   readonly relay: RelaySender;
 }
--- a/packages/balancer/src/serving/routed-request.ts
+++ b/packages/balancer/src/serving/routed-request.ts
@@ -53,6 +53,8 @@
   'other-configuration',
   /** The entry that a request was relayed to has as many as it takes. */
   'relays-full',
+  /** The bodies of requests take all memory that they may. */
+  'no-memory',
   /** No upstream is usable. */
   'no-upstream',
   /** Neither this entry nor another one that it asked reaches an upstream. */
--- a/packages/balancer/src/store/record-store.ts
+++ b/packages/balancer/src/store/record-store.ts
@@ -62,6 +62,9 @@
   readonly era: number;
 }
 
+/** Time within which the store must confirm records that no other entry reads, in milliseconds. Source: together with the time-out of a watch and a retry, it stays within three seconds, after which an entry whose connections fell silent must be up to date. */
+const CONFIRMATION_MS = 1_800;
+
 /** A store with range reads, watches and leases. Every call has its own timeout. */
 export abstract class RecordStore {
   /** Era of the store, as far as its answers have told. */
@@ -71,6 +74,11 @@
     this.eras = eras;
   }
 
+  /** Time within which an answer of the store must confirm that no change is missing, in milliseconds. */
+  get confirmationMs(): number {
+    return CONFIRMATION_MS;
+  }
+
   /** Whether each watch is billed, so that several changes should be batched into one. */
   get isWatchBilled(): boolean {
     return true;
--- a/packages/balancer/src/store/store-watcher.ts
+++ b/packages/balancer/src/store/store-watcher.ts
@@ -45,9 +45,6 @@
   readonly clock: Clock;
 }
 
-/** Time from one answer of the store to the next, in milliseconds. Source: together with the time that two entries between the store and a follower add, it stays within `MAXIMUM_FEED_AGE_MS`. */
-const CONFIRMATION_INTERVAL_MS = 800;
-
 /** Pause after a change, in milliseconds. Source: together with the time to detect an unresponsive feeder, and a read, it stays within half of the shortest bound on draining, 2.5 seconds. */
 const BATCHING_PAUSE_MS = 600;
 
@@ -230,7 +227,7 @@
 
   /** How long the next watch may wait, in milliseconds; it doesn't after a failure. */
   #nextWaitMs(): number {
-    const remainingMs = CONFIRMATION_INTERVAL_MS - this.ageMs;
+    const remainingMs = this.#options.store.confirmationMs - this.ageMs;
     return Math.round(Math.max(0, remainingMs));
   }
 
--- a/packages/entry/src/data-path/answer-sink.ts
+++ b/packages/entry/src/data-path/answer-sink.ts
@@ -1,6 +1,7 @@
 /** Sinks that take the answers of attempts: one relays to the caller, one records. */
 
 import type {IncomingHttpHeaders, ServerResponse} from 'node:http';
+import {ByteCollector} from '@wasabidyke/shared';
 import {toCallerHeaders, type HeaderFields} from './headers.js';
 
 /** Lets a sink pause an upstream that sends faster than the sink can write. */
@@ -42,8 +43,7 @@
   #status = 0;
   #headers: HeaderFields = {};
   #flow: FlowControl | undefined;
-  #bufferedChunks: Buffer[] = [];
-  #bufferedBytes = 0;
+  readonly #buffered = new ByteCollector();
   #isCommitted = false;
 
   /** @param bufferLimitBytes Answers up to this size are buffered until they are complete; 0 relays at once. */
@@ -84,9 +84,8 @@
       this.#write(chunk);
       return;
     }
-    this.#bufferedChunks.push(chunk);
-    this.#bufferedBytes += chunk.length;
-    if (this.#bufferedBytes > this.#bufferLimitBytes) {
+    this.#buffered.append(chunk);
+    if (this.#buffered.bytes > this.#bufferLimitBytes) {
       this.#commit();
     }
   }
@@ -108,17 +107,13 @@
       this.#response.destroy();
       return;
     }
-    this.#bufferedChunks = [];
-    this.#bufferedBytes = 0;
+    this.#buffered.clear();
   }
 
   #sendBuffered(trailers: IncomingHttpHeaders): void {
     this.#isCommitted = true;
     this.#response.writeHead(this.#status, this.#headers);
-    const body =
-      this.#bufferedChunks.length === 1
-        ? this.#bufferedChunks[0]
-        : Buffer.concat(this.#bufferedChunks);
+    const body = this.#buffered.take();
     if (Object.keys(trailers).length > 0) {
       this.#response.write(body);
       this.#response.addTrailers(toCallerHeaders(trailers));
@@ -131,10 +126,9 @@
   #commit(): void {
     this.#isCommitted = true;
     this.#response.writeHead(this.#status, this.#headers);
-    for (const chunk of this.#bufferedChunks) {
-      this.#write(chunk);
+    if (this.#buffered.bytes > 0) {
+      this.#write(this.#buffered.take());
     }
-    this.#bufferedChunks = [];
   }
 
   #write(chunk: Buffer): void {
@@ -158,7 +152,7 @@
   readonly #limitBytes: number;
   #status = 0;
   #headers: HeaderFields = {};
-  #chunks: Buffer[] = [];
+  readonly #body = new ByteCollector();
   #bytes = 0;
   #answer: RecordedAnswer | undefined;
 
@@ -180,27 +174,27 @@
   override onHead(status: number, headers: IncomingHttpHeaders): void {
     this.#status = status;
     this.#headers = toCallerHeaders(headers);
-    this.#chunks = [];
+    this.#body.clear();
     this.#bytes = 0;
   }
 
   override onData(chunk: Buffer): void {
     this.#bytes += chunk.length;
     if (this.#bytes <= this.#limitBytes) {
-      this.#chunks.push(chunk);
+      this.#body.append(chunk);
     }
   }
 
   override onEnd(): void {
     if (this.#bytes <= this.#limitBytes) {
-      const body = Buffer.concat(this.#chunks);
+      const body = this.#body.take();
       this.#answer = {status: this.#status, headers: this.#headers, body};
     }
-    this.#chunks = [];
+    this.#body.clear();
   }
 
   override onBroken(): void {
-    this.#chunks = [];
+    this.#body.clear();
     this.#bytes = 0;
   }
 }
--- a/packages/entry/src/data-path/request-body.ts
+++ b/packages/entry/src/data-path/request-body.ts
@@ -1,5 +1,6 @@
 /** Reads request bodies up to a size limit. */
 
+import {ByteCollector} from '@wasabidyke/shared';
 import type {IncomingMessage} from 'node:http';
 import {Transform, type Readable, type TransformCallback} from 'node:stream';
 
@@ -33,20 +34,18 @@
   if ((readContentLength(request) ?? 0) > limitBytes) {
     return {kind: 'too-large'};
   }
-  const chunks: Buffer[] = [];
-  let bytes = 0;
+  const collector = new ByteCollector();
   try {
     for await (const chunk of request as AsyncIterable<Buffer>) {
-      bytes += chunk.length;
-      if (bytes > limitBytes) {
+      if (collector.bytes + chunk.length > limitBytes) {
         return {kind: 'too-large'};
       }
-      chunks.push(chunk);
+      collector.append(chunk);
     }
   } catch {
     return {kind: 'broken-off'};
   }
-  return {kind: 'body', body: Buffer.concat(chunks)};
+  return {kind: 'body', body: collector.take()};
 }
 
 /** Returns the body as a stream that fails, and ends the attempt, after `limitBytes`. */
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -2,12 +2,14 @@
 
 export * from './address.js';
 export * from './backoff.js';
+export * from './byte-collector.js';
 export * from './clock.js';
 export * from './document.js';
 export type {Draft} from './draft.js';
 export * from './finding.js';
 export * from './header-fields.js';
 export * from './life-cycle.js';
+export * from './limited-body.js';
 export * from './metrics.js';
 export * from './outcome.js';
 export * from './parse-json.js';
