--- a/features/balancer/builds.feature
+++ b/features/balancer/builds.feature
@@ -50,6 +50,8 @@
       | statements     | 9812e0f |
       | limits         | 9812e0f |
       | relay request  | 5191b2f |
+      | feed           | ad08e2f |
+      | entry record   | ad08e2f |
 
   # Guards against a change of a message or record by which landed builds can't read it any more.
   Scenario Outline: What is written has all that builds read: <message> by <build>
@@ -64,3 +66,5 @@
       | statements     | 9812e0f |
       | limits         | 9812e0f |
       | relay request  | 5191b2f |
+      | feed           | ad08e2f |
+      | entry record   | ad08e2f |
--- a/features/support/recorded-messages.ts
+++ b/features/support/recorded-messages.ts
@@ -97,6 +97,16 @@
     feed: agedFeed,
     'relay request': `${JSON.stringify(relayed)}\nbody`,
   },
+  ad08e2f: {
+    feed: JSON.stringify({
+      revision: 7,
+      era: 3,
+      ageMs: 12,
+      departures: [departed],
+      changes: [change],
+    }),
+    'entry record': JSON.stringify({...entry, sequence: 5, tellsEra: true}),
+  },
 };
 
 const suspectKey = toSuspectKey(suspect);
@@ -122,7 +132,7 @@
     const changes = [{...change, value}];
     return serializeFeed({changes, revision: 7, era: 3}, 12, [departed]);
   },
-  'entry record': () => JSON.stringify({...entry, sequence: 5}),
+  'entry record': () => JSON.stringify({...entry, sequence: 5, tellsEra: true}),
   'suspect record': () => serializeSuspect(suspect).toString(),
   statements: () => serializeStatements([statement]),
   limits: () => serializeLimits({limits: [limit]}),
@@ -196,6 +206,10 @@
       ),
     }),
   },
+  ad08e2f: {
+    feed: z.object({revision: z.int(), era: z.int(), changes: fedChanges}),
+    'entry record': z.object({tellsEra: z.optional(z.boolean())}),
+  },
   '5191b2f': {
     'relay request': z.object({
       requestId: z.optional(z.string()),
