--- a/packages/balancer/src/store/store-watcher.ts
+++ b/packages/balancer/src/store/store-watcher.ts
@@ -1,13 +1,13 @@
 /**
  * Follows the store: reads all records once, then watches for changes. A pause
  * follows each change, so that changes in quick succession cost one call. Each
- * watch waits for less than a second: its answer is what proves that no change
- * is missing, and its absence that the connection has fallen silent.
+ * watch waits for a short time only: its answer proves that no change is
+ * missing, and its absence that the connection has fallen silent.
  */
 
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Backoff, Err, type Clock, type Result} from '@wasabidyke/shared';
-import type {StorePosition} from './store-eras.js';
+import {isBefore, type StorePosition} from './store-eras.js';
 import {
   withoutReplaced,
   type RecordChange,
@@ -142,7 +142,7 @@
       // The watch restarts at once; the code that aborted it has handled the cause.
       return 0;
     }
-    if (watched.isOk() && watched.value.revision < position.revision) {
+    if (watched.isOk() && isBefore(watched.value, position)) {
       return this.#handleResult(
         toHistoryLost(watched.value, position),
         () => {},
