--- a/packages-private/soak/src/acts-on-stops.ts
+++ b/packages-private/soak/src/acts-on-stops.ts
@@ -23,6 +23,10 @@
   {subject}: Step,
 ): Promise<void> {
   const entry = entries[subject % entries.length];
+  if (!entry.isRunning) {
+    // It was killed, and the next process isn't told to stop.
+    return;
+  }
   const fromMs = nowMs();
   history.disturbances.push({
     subject: entry.address,
--- a/packages-private/soak/src/entry-process.ts
+++ b/packages-private/soak/src/entry-process.ts
@@ -82,6 +82,12 @@
     return this.#child?.pid;
   }
 
+  /** Whether a process of it runs now. */
+  get isRunning(): boolean {
+    const child = this.#child;
+    return child?.exitCode === null && child.signalCode === null;
+  }
+
   /** Where it names entries. */
   get listPort(): number {
     return this.#options.ports[1];
