--- a/packages-private/soak/src/store-stand-in.ts
+++ b/packages-private/soak/src/store-stand-in.ts
@@ -6,9 +6,10 @@
   type IncomingMessage,
   type ServerResponse,
 } from 'node:http';
-import type {AddressInfo} from 'node:net';
-import type {Socket} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {nowMs} from './history.js';
+import {readBody} from './read-body.js';
 import {
   StorePast,
   type Item,
@@ -396,21 +397,3 @@
 function ok(body: object): Reply {
   return {status: 200, body};
 }
-
-function sleep(ms: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ms));
-}
-
-/** Reads a body whole. */
-export async function readBody(request: IncomingMessage): Promise<string> {
-  const chunks: Buffer[] = [];
-  try {
-    for await (const chunk of request) {
-      chunks.push(chunk as Buffer);
-    }
-  } catch {
-    // The sender broke off; what arrived is of no use.
-    return '';
-  }
-  return Buffer.concat(chunks).toString('utf8');
-}
--- a/packages-private/soak/src/worker-stand-in.ts
+++ b/packages-private/soak/src/worker-stand-in.ts
@@ -15,7 +15,7 @@
   type History,
   type NamedLimit,
 } from './history.js';
-import {readBody} from './store-stand-in.js';
+import {readBody} from './read-body.js';
 import {readEnding, writeFirst, type WorkerEnding} from './worker-ending.js';
 
 /** How a worker misbehaves. */
