feat(balancer): decode client accounts, regions, warm-up and evacuations

Cause: the configuration's accounts, allowed regions and warm-up rates were dropped when it was decoded, so that no part of the balancer could apply them. Change: the platform adapter decodes them into the routing configuration. A request is routed by RequestRouter, which finds the client account by its key, answers 401 without one, and replaces the key by the account's name in the headers that are passed on. Nothing changes without accounts. Measured: type check, formatter and linter pass; 145 scenarios of the balancer's records, relays, builds and paths pass.

--- a/packages/balancer/src/cluster-state.ts
+++ b/packages/balancer/src/cluster-state.ts
@@ -132,6 +132,7 @@
       case 'upstream':
         this.#onUpstream(decoded, mayReappear);
         return;
+      case 'evacuation':
       case 'other':
         return;
     }
--- a/packages/balancer/src/exchange/wire-protocol.ts
+++ b/packages/balancer/src/exchange/wire-protocol.ts
@@ -10,6 +10,8 @@
   readonly requestId: string | undefined;
   /** Remaining time until the caller's deadline, in milliseconds; undefined if it set none. */
   readonly remainingMs: number | undefined;
+  /** Key of a client account; undefined if the caller sent none. */
+  readonly accountKey: string | undefined;
 }
 
 /** Request metadata in the headers to an upstream. */
@@ -47,6 +49,15 @@
   /** Reads the request metadata from a caller's headers. */
   abstract readCallerMetadata(headers: IncomingHttpHeaders): CallerMetadata;
 
+  /**
+   * Replaces the key in a caller's headers by the name of its client account.
+   * @param accountName Undefined on public routes: the headers name no account.
+   */
+  abstract toAccountHeaders(
+    headers: IncomingHttpHeaders,
+    accountName: string | undefined,
+  ): IncomingHttpHeaders;
+
   /** Converts the headers of a caller's request to those sent to an upstream. */
   abstract toUpstreamHeaders(
     headers: IncomingHttpHeaders,
@@ -77,6 +88,9 @@
   /** Reads the rest that the upstream asks for in an answer, in milliseconds; 0 if it asks for none. */
   abstract readRestMs(status: number, headers: IncomingHttpHeaders): number;
 
+  /** Reads the remaining warm-up of the upstream from the answer to a load query, in milliseconds; undefined if the answer names none. */
+  abstract readWarmUpLeftMs(headers: IncomingHttpHeaders): number | undefined;
+
   /** Reads the upstream's id from the answer to a load query. */
   abstract readUpstreamId(headers: IncomingHttpHeaders): string | undefined;
 
--- a/packages/balancer/src/index.ts
+++ b/packages/balancer/src/index.ts
@@ -19,6 +19,7 @@
 export * from './relay/relay-messages.js';
 export * from './reporting/decision-log.js';
 export * from './reporting/line-destination.js';
+export * from './routing/allowed-regions.js';
 export * from './routing/routing-configuration.js';
 export * from './routing/routing-table.js';
 export * from './serving/discovery-protocol.js';
--- a/packages/balancer/src/relay/relay-messages.ts
+++ b/packages/balancer/src/relay/relay-messages.ts
@@ -45,6 +45,8 @@
   headers: headersSchema,
   hasBody: z.boolean(),
   callerAddress: z.string(),
+  /** Name of the client account; undefined without one, and from builds that know none. */
+  account: z.optional(z.string()),
   service: z.string(),
   kind: z.enum(['idempotent', 'at-most-once']),
   /** Time since the request arrived, in milliseconds. */
--- a/packages/balancer/src/relay/relay-receiver.ts
+++ b/packages/balancer/src/relay/relay-receiver.ts
@@ -2,6 +2,7 @@
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Clock} from '@wasabidyke/shared';
+import {combineAllowedRegions} from '../routing/allowed-regions.js';
 import type {RoutingTable} from '../routing/routing-table.js';
 import {canBeFinished} from '../serving/attempt-timing.js';
 import {readBody} from '../serving/body-reader.js';
@@ -147,6 +148,12 @@
     }
     const nowMs = this.#options.clock.now();
     const {endsAtMs} = this.#options;
+    const account = table.findAccount(request.account ?? '');
+    const needsAccount =
+      request.account !== undefined || (table.hasAccounts && !route.isPublic);
+    if (needsAccount && account === undefined) {
+      return undefined;
+    }
     const arrivedAtMs = nowMs - elapsedMs;
     const ownDeadlineMs = Math.min(
       nowMs + remainingMs,
@@ -161,6 +168,12 @@
       callerAddress: request.callerAddress,
       host,
       route: {...route, maximumAttempts: RELAYED_ATTEMPTS},
+      account,
+      priority: account?.priority ?? route.priority,
+      allowedRegions: combineAllowedRegions(
+        route.allowedRegions,
+        account?.allowedRegions,
+      ),
       service,
       loadPath: table.findService(service)?.loadPath ?? '/',
       configurationVersion: table.version,
--- a/packages/balancer/src/relay/relay-sender.ts
+++ b/packages/balancer/src/relay/relay-sender.ts
@@ -212,7 +212,7 @@
     nowMs: number,
   ) {
     const {requestId, method, url, headers, body, callerAddress} = request;
-    const {service, route, arrivedAtMs, deadlineMs} = request;
+    const {service, route, account, arrivedAtMs, deadlineMs} = request;
     const message = {
       requestId,
       method,
@@ -220,6 +220,7 @@
       headers: definedOf(headers),
       hasBody: body !== null,
       callerAddress,
+      account: account?.name,
       service,
       kind: route.kind,
       elapsedMs: Math.max(0, nowMs - arrivedAtMs),
--- a/packages/balancer/src/routing/routing-configuration.ts
+++ b/packages/balancer/src/routing/routing-configuration.ts
@@ -22,6 +22,24 @@
   targets: z
     .array(z.object({name: z.string(), weight: z.number().check(z.minimum(0))}))
     .check(z.minLength(1)),
+  /** Regions whose upstreams may serve the requests; empty if all may. */
+  allowedRegions: z._default(z.array(z.string()), []),
+  /** Whether requests need no key of a client account. */
+  isPublic: z._default(z.boolean(), false),
+});
+
+/** Schema of a client account: who sends requests, and what it may send. */
+export const clientAccountSchema = z.object({
+  name: z.string(),
+  keys: z.array(z.string()),
+  /** Takes precedence over the priority of the route; 0 is the most urgent. */
+  priority: z.optional(z.number()),
+  /** Quota over all entries; 0 if there is none. */
+  requestsPerSecond: z.number(),
+  /** Requests beyond the rate that may follow each other at once. */
+  burst: z.number(),
+  /** Regions whose upstreams may serve the requests; empty if all may. */
+  allowedRegions: z.array(z.string()),
 });
 
 /** Schema of a service: properties that all its upstreams share. */
@@ -31,6 +49,14 @@
   loadPath: z.string(),
   /** Limit of connections to one upstream, from all entries together. */
   connections: z.int().check(z.minimum(1)),
+  /** Set if upstreams that have just started take only a few requests. */
+  warmUp: z.optional(
+    z.object({
+      durationMs: z.number().check(z.minimum(0)),
+      /** Requests per second to one upstream in warm-up, from all entries together. */
+      requestsPerSecond: z.number().check(z.positive()),
+    }),
+  ),
 });
 
 /** Schema of the limits on callers' requests and connections. */
@@ -50,11 +76,16 @@
   routes: z.array(routeSchema),
   services: z.array(serviceSchema),
   limits: callerLimitsSchema,
+  /** Undefined if the deployment has no client accounts. */
+  accounts: z.optional(z.array(clientAccountSchema)),
 });
 
 /** Rules for the requests below one path prefix of one host. */
 export type Route = z.infer<typeof routeSchema>;
 
+/** Who sends requests, and what it may send. */
+export type ClientAccount = z.infer<typeof clientAccountSchema>;
+
 /** Properties that all upstreams of a service share. */
 export type ServiceConfiguration = z.infer<typeof serviceSchema>;
 
--- a/packages/balancer/src/routing/routing-table.ts
+++ b/packages/balancer/src/routing/routing-table.ts
@@ -2,6 +2,7 @@
 
 import type {
   CallerLimits,
+  ClientAccount,
   Route,
   RoutingConfiguration,
   ServiceConfiguration,
@@ -13,6 +14,10 @@
   readonly limits: CallerLimits;
   readonly #routesByHost = new Map<string, Route[]>();
   readonly #services: ReadonlyMap<string, ServiceConfiguration>;
+  readonly #accounts: ReadonlyMap<string, ClientAccount>;
+  readonly #accountsByKey = new Map<string, ClientAccount>();
+  /** Whether requests on routes that aren't public need the key of a client account. */
+  readonly hasAccounts: boolean;
 
   constructor(configuration: RoutingConfiguration) {
     this.version = configuration.version;
@@ -20,6 +25,14 @@
     this.#services = new Map(
       configuration.services.map(service => [service.name, service]),
     );
+    const accounts = configuration.accounts ?? [];
+    this.hasAccounts = configuration.accounts !== undefined;
+    this.#accounts = new Map(accounts.map(account => [account.name, account]));
+    for (const account of accounts) {
+      for (const key of account.keys) {
+        this.#accountsByKey.set(key, account);
+      }
+    }
     for (const route of configuration.routes) {
       const host = toHostName(route.host);
       const routes = this.#routesByHost.get(host) ?? [];
@@ -39,6 +52,16 @@
     return routes?.find(({prefix}) => path.startsWith(prefix));
   }
 
+  /** Finds a client account by its name. */
+  findAccount(name: string): ClientAccount | undefined {
+    return this.#accounts.get(name);
+  }
+
+  /** Finds the client account that holds a key. */
+  findAccountByKey(key: string): ClientAccount | undefined {
+    return this.#accountsByKey.get(key);
+  }
+
   /** Finds a service by its name. */
   findService(name: string): ServiceConfiguration | undefined {
     return this.#services.get(name);
--- a/packages/balancer/src/serving/attempt-admission.ts
+++ b/packages/balancer/src/serving/attempt-admission.ts
@@ -86,7 +86,7 @@
     }
     const decision = this.#admission.decide({
       nowMs,
-      priority: route.priority,
+      priority: this.#request.priority,
       estimateMs: selected.estimateMs,
       freeSlotEstimateMs: selected.freeSlotEstimateMs,
       freeSlots: selected.freeSlots,
@@ -105,7 +105,7 @@
   async pause(): Promise<void> {
     const {clock, random} = this.#options;
     this.#waitingSinceMs ??= clock.now();
-    this.#endWait ??= this.#admission.onWait(this.#request.route.priority);
+    this.#endWait ??= this.#admission.onWait(this.#request.priority);
     await sleep(MINIMUM_PAUSE_MS + random.nextBelow(PAUSE_JITTER_MS));
   }
 
--- a/packages/balancer/src/serving/caller-server.ts
+++ b/packages/balancer/src/serving/caller-server.ts
@@ -27,8 +27,9 @@
 import {headerBytesOf} from './request-head.js';
 import {onceClosed} from './response-close.js';
 import {STOPPING_RETRY_AFTER_MS} from './refusals.js';
+import {RequestRouter} from './request-router.js';
 import {RequestDispatcher} from './request-dispatcher.js';
-import type {Refusal, RoutedRequest} from './routed-request.js';
+import {statusOf, type Refusal, type RoutedRequest} from './routed-request.js';
 
 /** Options of `CallerServer`. */
 export interface CallerServerOptions extends RequestDispatcherOptions {
@@ -60,6 +61,7 @@
 export class CallerServer {
   readonly #options: CallerServerOptions;
   readonly #server: Server;
+  readonly #router: RequestRouter;
   readonly #latency: DurationHistogram;
   readonly #requests: Counter;
   readonly #dispatchers = new Set<RequestDispatcher>();
@@ -72,6 +74,7 @@
 
   constructor(options: CallerServerOptions) {
     this.#options = options;
+    this.#router = new RequestRouter(options);
     this.#latency = options.metrics.histogram(
       'wasabidyke_request_duration_seconds',
       'Time from the arrival of a request to the end of its answer.',
@@ -182,9 +185,8 @@
     arrivedAtMs: number,
   ): Promise<void> {
     const table = this.#options.table();
-    const {requestId, remainingMs} = this.#options.protocol.readCallerMetadata(
-      request.headers,
-    );
+    const {requestId, remainingMs, accountKey} =
+      this.#options.protocol.readCallerMetadata(request.headers);
     if (table === undefined) {
       this.#refuse(response, requestId, {
         reason: 'no-configuration',
@@ -194,18 +196,18 @@
       return;
     }
     const url = request.url ?? '/';
-    const route = table.findRoute(request.headers.host, url);
-    const service = route && this.#options.routeState.nextService(route);
-    if (route === undefined || service === undefined) {
-      this.#options.log.record('request.unrouted', {
+    const routed = this.#router.route(table, url, request.headers, accountKey);
+    if (routed.kind === 'rejection') {
+      this.#options.log.record(routed.event, {
         request: requestId,
         host: request.headers.host,
         path: url,
         version: table.version,
       });
-      this.#send(response, 404, {});
+      this.#send(response, routed.status, {});
       return;
     }
+    const {route, service, account, priority, allowedRegions} = routed;
     if (headerBytesOf(request) > table.limits.headerBytes) {
       this.#send(response, 431, {});
       return;
@@ -236,11 +238,14 @@
       requestId,
       method: request.method ?? 'GET',
       url,
-      headers: request.headers,
+      headers: routed.headers,
       body: bodyResult.body,
       callerAddress: request.socket.remoteAddress ?? '',
       host: request.headers.host ?? '',
       route,
+      account,
+      priority,
+      allowedRegions,
       service,
       loadPath: table.findService(service)?.loadPath ?? '/',
       configurationVersion: table.version,
@@ -311,7 +316,7 @@
     refusal: Refusal,
     request?: RoutedRequest,
   ): void {
-    const status = toStatus(refusal);
+    const status = statusOf(refusal);
     this.#options.log.record('request.refused', {
       request: requestId,
       reason: refusal.reason,
@@ -319,6 +324,7 @@
       isNotRun: refusal.isNotRun,
       comeBackMs: round(refusal.retryAfterMs),
       route: request?.route.name,
+      account: request?.account?.name,
       service: request?.service,
       version: request?.configurationVersion,
       upstream: refusal.lastUpstream?.upstreamId,
@@ -385,13 +391,6 @@
   }
 }
 
-function toStatus({reason, isNotRun}: Refusal): number {
-  if (isNotRun) {
-    return 503;
-  }
-  return reason === 'timeout' ? 504 : 502;
-}
-
 function round(value: number | undefined): number | undefined {
   return value === undefined ? undefined : Math.round(value);
 }
--- a/packages/balancer/src/serving/limit-gate.ts
+++ b/packages/balancer/src/serving/limit-gate.ts
@@ -24,7 +24,7 @@
 
   /** Whether the request gives way to no more urgent one that was just refused. */
   get mayUseLimited(): boolean {
-    const {priority} = this.#request.route;
+    const {priority} = this.#request;
     return this.#admission.mayUse(priority, this.#options.clock.now());
   }
 
@@ -38,7 +38,7 @@
     const {registry, clock} = this.#options;
     const sum = this.#limits.reduce((total, limit) => total + limit, 0);
     const ratePerSecond = sum / registry.entryCount;
-    const {priority} = this.#request.route;
+    const {priority} = this.#request;
     return this.#admission.refuse(priority, ratePerSecond, clock.now());
   }
 
--- a/packages/balancer/src/serving/routed-request.ts
+++ b/packages/balancer/src/serving/routed-request.ts
@@ -3,7 +3,8 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import {toFingerprint} from '@wasabidyke/policy';
 import * as z from 'zod/mini';
-import type {Route} from '../routing/routing-configuration.js';
+import type {AllowedRegions} from '../routing/allowed-regions.js';
+import type {ClientAccount, Route} from '../routing/routing-configuration.js';
 
 /** A caller's request with its complete body, its route and its service. */
 export interface RoutedRequest {
@@ -19,6 +20,12 @@
   /** Value of `Host`. */
   readonly host: string;
   readonly route: Route;
+  /** Undefined on public routes, and in deployments without client accounts. */
+  readonly account: ClientAccount | undefined;
+  /** Priority of the client account, or else of the route; 0 is the most urgent. */
+  readonly priority: number;
+  /** Regions whose upstreams may serve the request. */
+  readonly allowedRegions: AllowedRegions;
   readonly service: string;
   /** Path of load queries to the upstreams of the service. */
   readonly loadPath: string;
@@ -57,6 +64,16 @@
   'no-memory',
   /** No upstream is usable. */
   'no-upstream',
+  /** No usable upstream is in a region in which the request may be served. */
+  'no-allowed-upstream',
+  /** All upstreams that could be used are in availability zones that are evacuated. */
+  'evacuated',
+  /** What upstreams in warm-up may take is used up, and there are no others. */
+  'warming-up',
+  /** The quota of the client account is used up. */
+  'over-quota',
+  /** No entry tells what is left of the quota of the client account. */
+  'quota-unknown',
   /** Neither this entry nor another one that it asked reaches an upstream. */
   'unreached',
   /** All upstreams that could be used want nothing from this entry for a while. */
@@ -105,3 +122,11 @@
   /** Undefined if no upstream was selected. */
   readonly lastUpstream?: LastUpstream;
 }
+
+/** HTTP status that tells a caller of a refusal. */
+export function statusOf({reason, isNotRun}: Refusal): number {
+  if (isNotRun) {
+    return reason === 'over-quota' ? 429 : 503;
+  }
+  return reason === 'timeout' ? 504 : 502;
+}
--- a/packages/balancer/src/store/record-decoder.ts
+++ b/packages/balancer/src/store/record-decoder.ts
@@ -19,6 +19,12 @@
       readonly record: UpstreamRecord | undefined;
       readonly problem?: string;
     }
+  | {
+      readonly kind: 'evacuation';
+      /** Availability zone whose upstreams get no requests while the record exists. */
+      readonly zone: string;
+      readonly isInForce: boolean;
+    }
   | {readonly kind: 'other'};
 
 /** Decodes the records of operators and upstreams. */
