fix(balancer): wait for load reports as long as the links take

Cause: a request waited at most 8 ms for load reports of its region. Where zones are 5.4 ms apart, one way, each answer came after that, so that every selection was made by the reports of an earlier request, and after a start by none at all: full upstreams looked as free as the others. Change: the round trip to each group of upstreams is learned from their answers to load queries, and the wait follows it, from 8 to 30 ms; it is longer while no upstream has reported and connections have to be opened.

--- a/packages/balancer/src/members/upstream-handle.ts
+++ b/packages/balancer/src/members/upstream-handle.ts
@@ -6,6 +6,7 @@
   type GroupFailureShare,
   type RequestLimit,
   type RestPeriod,
+  type RoundTripEstimate,
   type ServiceReach,
 } from '@wasabidyke/policy';
 import {Backoff, type Clock} from '@wasabidyke/shared';
@@ -32,7 +33,8 @@
 export interface UpstreamHandleOptions {
   readonly record: UpstreamRecord;
   readonly distance: Distance;
-  readonly roundTripMs: number;
+  /** Round trip to the upstreams at its distance, learned from their answers. */
+  readonly roundTrip: RoundTripEstimate;
   readonly connectionLimit: number;
   /** Failure share of the upstreams of its service in the same distance group. */
   readonly groupFailureShare: GroupFailureShare;
@@ -93,12 +95,12 @@
   #heardAtMs = -Infinity;
 
   constructor(options: UpstreamHandleOptions) {
-    const {record, distance, roundTripMs, connectionLimit} = options;
+    const {record, distance, roundTrip, connectionLimit} = options;
     this.#options = options;
     this.#record = record;
     this.statistics = new UpstreamStatistics(
       distance,
-      roundTripMs,
+      roundTrip.roundTripMs,
       record.slots,
       options.groupFailureShare,
       options.reach,
@@ -291,13 +293,15 @@
     if (connection === undefined) {
       return;
     }
-    const {roundTripMs} = this.#options;
+    const {roundTrip, clock} = this.#options;
+    const wasOpen = connection.isUsed;
+    const startedAtMs = clock.now();
     const exchange = this.#createLoadQuery(connection, path);
     let isEnded = false;
     // After a pause of this process, timers fire before pending answers are read.
     const overdueTimer = setTimeout(
       () => setImmediate(() => isEnded || this.#onOverdue()),
-      roundTripMs + LOAD_QUERY_MARGIN_MS,
+      roundTrip.roundTripMs + LOAD_QUERY_MARGIN_MS,
     );
     const timeoutTimer = setTimeout(
       () => exchange.abort(),
@@ -306,6 +310,9 @@
     exchange.start();
     const result = await exchange.result;
     isEnded = true;
+    if (wasOpen && result.kind === 'answered') {
+      roundTrip.onAnswer(clock.now() - startedAtMs);
+    }
     clearTimeout(overdueTimer);
     clearTimeout(timeoutTimer);
     this.#onLoadQueryEnd(result);
--- a/packages/balancer/src/members/upstream-registry.ts
+++ b/packages/balancer/src/members/upstream-registry.ts
@@ -5,6 +5,7 @@
   rendezvousHash,
   RequestLimit,
   RestPeriod,
+  RoundTripEstimate,
   ServiceReach,
   type Distance,
   type RandomSource,
@@ -75,6 +76,7 @@
   /** The entries that are up, this one included. */
   #entries: readonly string[] = [];
   readonly #groupFailureShares = new Map<string, GroupFailureShare>();
+  readonly #roundTrips = new Map<Distance, RoundTripEstimate>();
 
   constructor(options: UpstreamRegistryOptions) {
     this.#options = options;
@@ -175,6 +177,18 @@
     return groupFailureShare;
   }
 
+  /** Round trip to the upstreams at a distance. */
+  roundTrip(distance: Distance): RoundTripEstimate {
+    const known = this.#roundTrips.get(distance);
+    if (known !== undefined) {
+      return known;
+    }
+    const {roundTripsMs} = this.#options.locality;
+    const roundTrip = new RoundTripEstimate(roundTripsMs[distance]);
+    this.#roundTrips.set(distance, roundTrip);
+    return roundTrip;
+  }
+
   add(record: UpstreamRecord): void {
     const {locality, protocol, clock, connectionLimit, onUnresponsive} =
       this.#options;
@@ -185,7 +199,7 @@
     const handle: UpstreamHandle = new UpstreamHandle({
       record,
       distance,
-      roundTripMs: locality.roundTripsMs[distance],
+      roundTrip: this.roundTrip(distance),
       connectionLimit: connectionLimit(record.service),
       groupFailureShare: this.groupFailureShare(record.service, distance),
       reach: this.reach(record.service),
--- a/packages/balancer/src/serving/upstream-selector.ts
+++ b/packages/balancer/src/serving/upstream-selector.ts
@@ -8,6 +8,7 @@
 import {
   expectedLoss,
   isOtherRegionWorthQuerying,
+  reportWaitMs,
   type Distance,
   type RandomSource,
   type TokenBucket,
@@ -81,9 +82,6 @@
 /** Load queries per request to upstreams of other regions. */
 const OTHER_REGION_QUERIES = 4;
 
-/** Longest wait for load reports from this region, in milliseconds: several round trips. */
-const REGION_WAIT_MS = 8;
-
 /** Longest wait beyond one round trip for load reports from other regions, in milliseconds. */
 const OTHER_REGION_MARGIN_MS = 8;
 
@@ -124,7 +122,7 @@
       preferred,
       criteria.loadPath,
       PREFERRED_UPSTREAMS,
-      REGION_WAIT_MS,
+      this.#regionWaitMs(preferred),
     );
     const bestPreferred = this.#selectBest(preferred, criteria);
     if (bestPreferred !== undefined && bestPreferred.loss < WIDER_SEARCH_LOSS) {
@@ -135,7 +133,7 @@
       otherInRegion,
       criteria.loadPath,
       REGION_QUERIES,
-      REGION_WAIT_MS,
+      this.#regionWaitMs(otherInRegion),
     );
     const bestInRegion = this.#selectBest(inRegion, criteria);
     const inOtherRegions = usable.filter(
@@ -165,6 +163,21 @@
     return this.#selectBest(usable, criteria);
   }
 
+  #regionWaitMs(handles: readonly UpstreamHandle[]): number {
+    const {registry, clock} = this.#options;
+    const nowMs = clock.now();
+    const isSameZone = handles.every(
+      ({statistics}) => statistics.distance === 'same-zone',
+    );
+    const {roundTripMs} = registry.roundTrip(
+      isSameZone ? 'same-zone' : 'same-region',
+    );
+    const hasReports = handles.some(({statistics}) =>
+      Number.isFinite(statistics.reportAgeMs(nowMs)),
+    );
+    return reportWaitMs({roundTripMs, hasReports});
+  }
+
   /** Selects by current estimates; undefined if none of the upstreams is usable any more. */
   #selectBest(
     handles: readonly UpstreamHandle[],
