feat(balancer): requests are served only in allowed regions and in zones that are not evacuated

The lists of regions and the evacuation records were decoded but had no effect. Placement decides for each upstream when one is selected and again when the request is sent. Relays go only to entries of allowed regions, and the receiver checks its own region, its upstreams and the lists that the request was routed with. Lists of entries for callers leave out regions that the host's routes don't allow.

--- a/packages/balancer/src/balancer-gauges.ts
+++ b/packages/balancer/src/balancer-gauges.ts
@@ -4,6 +4,7 @@
 import type {MetricRegistry} from '@wasabidyke/shared';
 import type {ClusterState} from './cluster-state.js';
 import type {FollowerRecordStore} from './feed/follower-record-store.js';
+import type {Evacuations} from './members/evacuations.js';
 import type {EntryRoster} from './members/entry-roster.js';
 import type {UpstreamRegistry} from './members/upstream-registry.js';
 import type {StoreWatcher} from './store/store-watcher.js';
@@ -16,6 +17,7 @@
   readonly clusterState: ClusterState;
   readonly registry: UpstreamRegistry;
   readonly entries: EntryRoster;
+  readonly evacuations: Evacuations;
   readonly liveness: LivenessTracker;
   readonly crashGuard: CrashGuard;
   readonly processWatch: ProcessWatch;
@@ -72,6 +74,11 @@
     'Services whose upstreams this entry may not reach, so that it relays their requests through other entries.',
     () => sources.registry.doubtfulServices,
   );
+  metrics.gauge(
+    'wasabidyke_zones_evacuated',
+    'Availability zones whose upstreams get no requests because they are evacuated.',
+    () => sources.evacuations.size,
+  );
   metrics.gauge(
     'wasabidyke_entries',
     'Entries that are announced.',
--- a/packages/balancer/src/balancer.ts
+++ b/packages/balancer/src/balancer.ts
@@ -20,8 +20,8 @@
 import {LimitNotifier} from './limits/limit-notifier.js';
 import {EntryMonitor} from './members/entry-monitor.js';
 import {EntryRoster} from './members/entry-roster.js';
+import {Placement} from './members/placement.js';
 import {
-  distanceTo,
   ROUND_TRIPS_MS,
   UpstreamRegistry,
   type Locality,
@@ -71,6 +71,7 @@
   readonly #entryClient = new EntryClient();
   readonly #entries: EntryRoster;
   readonly #entryMonitor: EntryMonitor;
+  readonly #placement: Placement;
   readonly #registry: UpstreamRegistry;
   readonly #entryShare = new EntryShare({
     settings: () => this.#settings,
@@ -175,12 +176,14 @@
       },
       ageMs: () => (this.#storeWatcher.isLost ? Infinity : this.#store.ageMs),
     });
+    this.#placement = new Placement({settings, log});
     this.#registry = this.#createRegistry();
     this.#clusterState = new ClusterState({
       decoder: site.decoder,
       history: this.#history,
       entries: this.#entries,
       registry: this.#registry,
+      placement: this.#placement,
       crashMonitor: this.#suspects.monitor,
       onReplaced: record => this.#suspects.processWatch.onReplaced(record),
       clock,
@@ -208,7 +211,14 @@
       minimumCapacity: 1,
       nowMs: clock.now(),
     });
-    this.#upstreamSelector = this.#createUpstreamSelector();
+    this.#upstreamSelector = new UpstreamSelector({
+      registry: this.#registry,
+      placement: this.#placement,
+      clock,
+      random: this.#random,
+      costs: settings.transferCosts,
+      queryBudget: this.#loadQueryBudget,
+    });
     this.#relaySender = this.#createRelaySender();
     const dispatching = this.#createDispatcherOptions();
     this.#callerServer = new CallerServer({...dispatching, metrics});
@@ -223,7 +233,7 @@
       metrics,
       maximumAgeMs: settings.entryListAge,
       isReady: () => this.#state === 'serving',
-      isConfigured: () => this.#clusterState.table !== undefined,
+      table: () => this.#clusterState.table,
     });
     registerGauges(metrics, {
       storeWatcher: this.#storeWatcher,
@@ -231,6 +241,7 @@
       clusterState: this.#clusterState,
       registry: this.#registry,
       entries: this.#entries,
+      evacuations: this.#placement.evacuations,
       liveness: this.#liveness,
       crashGuard: this.#suspects.guard,
       processWatch: this.#suspects.processWatch,
@@ -256,6 +267,7 @@
   /** Applies changed settings. Changed addresses take effect at the next start. */
   applySettings(settings: BalancerSettings): void {
     this.#settings = settings;
+    this.#placement.applySettings(settings);
     this.#upstreamSelector.applyCosts(settings.transferCosts);
     this.#discoveryServer.applyMaximumAge(settings.entryListAge);
   }
@@ -350,21 +362,10 @@
     });
   }
 
-  #createUpstreamSelector(): UpstreamSelector {
-    return new UpstreamSelector({
-      registry: this.#registry,
-      clock: this.#clock,
-      random: this.#random,
-      costs: this.#settings.transferCosts,
-      queryBudget: this.#loadQueryBudget,
-    });
-  }
-
   #createRelaySender(): RelaySender {
     return new RelaySender({
       peers: () => this.#entries.listResponsivePeers(),
-      distanceTo: zone => distanceTo(zone, this.#locality),
-      roundTripsMs: ROUND_TRIPS_MS,
+      locality: () => this.#locality,
       memory: this.#registry.answerMemory,
       clock: this.#clock,
       random: this.#random,
@@ -381,6 +382,7 @@
       selector: this.#upstreamSelector,
       routeState,
       registry: this.#registry,
+      placement: this.#placement,
       protocol: this.#site.wireProtocol,
       clock: this.#clock,
       random: this.#random,
--- a/packages/balancer/src/cluster-state.ts
+++ b/packages/balancer/src/cluster-state.ts
@@ -4,11 +4,13 @@
 import {entryRecordSchema} from './members/entry-record.js';
 import type {RecordHistory} from './feed/record-history.js';
 import type {EntryRoster} from './members/entry-roster.js';
+import type {Placement} from './members/placement.js';
 import type {DepartedStart, UpstreamRecord} from './members/upstream-record.js';
 import {UpstreamRoster} from './members/upstream-roster.js';
 import type {UpstreamRegistry} from './members/upstream-registry.js';
 import type {DecisionLog} from './reporting/decision-log.js';
 import {RoutingTable} from './routing/routing-table.js';
+import {findUnknownRegions} from './routing/unknown-regions.js';
 import {ENTRY_KEY_PREFIX} from './store/entry-announcer.js';
 import type {DecodedRecord, RecordDecoder} from './store/record-decoder.js';
 import type {
@@ -26,6 +28,8 @@
   readonly decoder: RecordDecoder;
   readonly entries: EntryRoster;
   readonly registry: UpstreamRegistry;
+  /** Takes the evacuations, and knows the regions. */
+  readonly placement: Placement;
   readonly clock: Clock;
   readonly log: DecisionLog;
   /** Called when a new configuration was applied. */
@@ -133,6 +137,11 @@
         this.#onUpstream(decoded, mayReappear);
         return;
       case 'evacuation':
+        this.#options.placement.evacuations.apply(
+          decoded.zone,
+          decoded.isInForce,
+        );
+        return;
       case 'other':
         return;
     }
@@ -142,16 +151,20 @@
     const nowMs = this.#options.clock.now();
     const ids = new Set<string>();
     const names = new Set<string>();
+    const evacuated = new Set<string>();
     for (const key of keys) {
       const decoded = this.#options.decoder.decode(key, undefined);
       if (decoded.kind === 'upstream') {
         ids.add(decoded.id);
+      } else if (decoded.kind === 'evacuation') {
+        evacuated.add(decoded.zone);
       } else if (key.startsWith(ENTRY_KEY_PREFIX)) {
         names.add(key.slice(ENTRY_KEY_PREFIX.length));
       }
     }
     this.#upstreams.onCompleteRead(ids, nowMs, mayReappear);
     this.#options.entries.onCompleteRead(names, nowMs, mayReappear);
+    this.#options.placement.evacuations.onCompleteRead(evacuated);
     this.#completeEra(keys);
   }
 
@@ -235,6 +248,14 @@
       revision,
       routes: configuration.routes.length,
     });
+    const {zones} = this.#options.placement;
+    const isKnown = (region: string) => zones.hasRegion(region);
+    for (const unknown of findUnknownRegions(configuration, isKnown)) {
+      this.#options.log.record('configuration.unknown-region', {
+        version: configuration.version,
+        ...unknown,
+      });
+    }
     this.#options.onTable(this.#table);
   }
 
--- a/packages/balancer/src/members/entry-roster.ts
+++ b/packages/balancer/src/members/entry-roster.ts
@@ -6,12 +6,17 @@
   UNNAMED_ERA,
   type StorePosition,
 } from '../store/store-eras.js';
+import {
+  isRegionAllowed,
+  type AllowedRegions,
+} from '../routing/allowed-regions.js';
 import type {EntryRecord} from './entry-record.js';
 
-/** Region and availability zone of a caller; undefined when not known. */
+/** Region and availability zone of a caller, and the host that it asks for; undefined when not known. */
 export interface CallerPlace {
   readonly region: string | undefined;
   readonly zone: string | undefined;
+  readonly host?: string | undefined;
 }
 
 /** Minimum number of entries listed for a caller, if there are as many: one may fail before the list expires. */
@@ -193,14 +198,18 @@
     }
   }
 
-  /** Addresses for a caller: those of its availability zone; if these are too few, also of its region, then of all regions. */
-  list(place: CallerPlace): readonly string[] {
+  /**
+   * Addresses for a caller: those of its availability zone; if these are too
+   * few, also of its region, then of all allowed regions.
+   * @param allowed Regions that the routes of the caller's host allow.
+   */
+  list(place: CallerPlace, allowed?: AllowedRegions): readonly string[] {
     const all = this.#listedRecords();
     const addresses = new Set<string>();
     const groups = [
       all.filter(({zone}) => zone === place.zone),
       all.filter(({region}) => region === place.region),
-      all,
+      all.filter(({region}) => isRegionAllowed(allowed, region)),
     ];
     for (const group of groups) {
       if (addresses.size >= MINIMUM_LISTED) {
--- a/packages/balancer/src/members/upstream-registry.ts
+++ b/packages/balancer/src/members/upstream-registry.ts
@@ -128,12 +128,19 @@
       .length;
   }
 
-  /** Time until the first upstream of a service is back of which all rest, in milliseconds; 0 if one doesn't, or there is none. */
-  restRemainingMs(service: string): number {
+  /**
+   * Time until the first upstream of a service is back of which all rest, in
+   * milliseconds; 0 if one doesn't, or there is none.
+   * @param mayUse Whether an upstream counts.
+   */
+  restRemainingMs(
+    service: string,
+    mayUse: (handle: UpstreamHandle) => boolean,
+  ): number {
     const nowMs = this.#options.clock.now();
-    const remaining = this.list(service).map(handle =>
-      handle.restRemainingMs(nowMs),
-    );
+    const remaining = this.list(service)
+      .filter(mayUse)
+      .map(handle => handle.restRemainingMs(nowMs));
     return remaining.length === 0 ? 0 : Math.min(...remaining);
   }
 
--- a/packages/balancer/src/relay/relay-messages.ts
+++ b/packages/balancer/src/relay/relay-messages.ts
@@ -47,6 +47,8 @@
   callerAddress: z.string(),
   /** Name of the client account; undefined without one, and from builds that know none. */
   account: z.optional(z.string()),
+  /** Regions that the request was routed with; undefined if all are allowed, and from builds that know no regions. */
+  allowedRegions: z.optional(z.array(z.string())),
   service: z.string(),
   kind: z.enum(['idempotent', 'at-most-once']),
   /** Time since the request arrived, in milliseconds. */
--- a/packages/balancer/src/relay/relay-receiver.ts
+++ b/packages/balancer/src/relay/relay-receiver.ts
@@ -2,12 +2,18 @@
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Clock} from '@wasabidyke/shared';
-import {combineAllowedRegions} from '../routing/allowed-regions.js';
+import {
+  combineAllowedRegions,
+  intersectAllowedRegions,
+  isRegionAllowed,
+  type AllowedRegions,
+} from '../routing/allowed-regions.js';
 import type {RoutingTable} from '../routing/routing-table.js';
 import {canBeFinished} from '../serving/attempt-timing.js';
 import {readBody} from '../serving/body-reader.js';
 import type {DispatchResult} from '../serving/dispatch-result.js';
 import type {RequestDispatcherOptions} from '../serving/dispatcher-options.js';
+import {PLACEMENT_RETRY_AFTER_MS} from '../serving/refusals.js';
 import {RequestDispatcher} from '../serving/request-dispatcher.js';
 import type {RefusalReason, RoutedRequest} from '../serving/routed-request.js';
 import {
@@ -126,6 +132,12 @@
       this.#refuse(response, 'not-run', 'other-configuration', 0);
       return;
     }
+    const {ownRegion} = this.#options.placement.zones;
+    if (!isRegionAllowed(routed.allowedRegions, ownRegion)) {
+      const reason = 'no-allowed-upstream';
+      this.#refuse(response, 'not-run', reason, PLACEMENT_RETRY_AFTER_MS);
+      return;
+    }
     if (!canBeFinished(routed, this.#options.endsAtMs())) {
       this.#refuse(response, 'not-run', 'stopping', 0);
       return;
@@ -170,9 +182,9 @@
       route: {...route, maximumAttempts: RELAYED_ATTEMPTS},
       account,
       priority: account?.priority ?? route.priority,
-      allowedRegions: combineAllowedRegions(
-        route.allowedRegions,
-        account?.allowedRegions,
+      allowedRegions: intersectAllowedRegions(
+        combineAllowedRegions(route.allowedRegions, account?.allowedRegions),
+        toAllowedRegions(request),
       ),
       service,
       loadPath: table.findService(service)?.loadPath ?? '/',
@@ -241,3 +253,8 @@
     return {[RESULT_HEADER]: result, [IN_FLIGHT_HEADER]: inFlight};
   }
 }
+
+/** The regions that the other entry routed the request with. Its configuration may be another version, so both lists bind. */
+function toAllowedRegions({allowedRegions}: RelayedRequest): AllowedRegions {
+  return allowedRegions && new Set(allowedRegions);
+}
--- a/packages/balancer/src/relay/relay-sender.ts
+++ b/packages/balancer/src/relay/relay-sender.ts
@@ -18,7 +18,9 @@
   type ExchangeResult,
 } from '../exchange/exchange.js';
 import type {EntryRecord} from '../members/entry-record.js';
+import {distanceTo, type Locality} from '../members/upstream-registry.js';
 import type {DecisionLog} from '../reporting/decision-log.js';
+import {isRegionAllowed} from '../routing/allowed-regions.js';
 import {
   toRefusalReason,
   type RefusalReason,
@@ -40,9 +42,7 @@
 export interface RelaySenderOptions {
   /** The other entries that take messages and are up. */
   readonly peers: () => readonly EntryRecord[];
-  readonly distanceTo: (zone: string) => Distance;
-  /** Round-trip times by distance, in milliseconds. */
-  readonly roundTripsMs: Readonly<Record<Distance, number>>;
+  readonly locality: () => Locality;
   readonly memory: AnswerMemory;
   readonly clock: Clock;
   readonly random: RandomSource;
@@ -120,12 +120,14 @@
     tried: Set<string>,
     excluded: readonly string[],
   ): RelayAttempt | undefined {
-    const {peers, distanceTo, roundTripsMs, clock, memory} = this.#options;
+    const {peers, clock, memory} = this.#options;
+    const locality = this.#options.locality();
     const records = peers();
     this.#retain(records);
     const candidates = records
+      .filter(({region}) => isRegionAllowed(request.allowedRegions, region))
       .filter(({feedAddress = ''}) => this.#hasConnection(feedAddress))
-      .map(({name, zone}) => ({name, distance: distanceTo(zone)}));
+      .map(({name, zone}) => ({name, distance: distanceTo(zone, locality)}));
     const nowMs = clock.now();
     const {service} = request;
     const chosen = this.#choice.choose(service, candidates, tried, nowMs);
@@ -160,7 +162,7 @@
       connection,
       exchange,
       startedAtMs: nowMs,
-      estimateMs: workMs + 2 * roundTripsMs[chosen.distance],
+      estimateMs: workMs + 2 * locality.roundTripsMs[chosen.distance],
     };
   }
 
@@ -213,6 +215,7 @@
   ) {
     const {requestId, method, url, headers, body, callerAddress} = request;
     const {service, route, account, arrivedAtMs, deadlineMs} = request;
+    const {allowedRegions} = request;
     const message = {
       requestId,
       method,
@@ -221,6 +224,7 @@
       hasBody: body !== null,
       callerAddress,
       account: account?.name,
+      allowedRegions: allowedRegions && [...allowedRegions],
       service,
       kind: route.kind,
       elapsedMs: Math.max(0, nowMs - arrivedAtMs),
--- a/packages/balancer/src/relay/request-relay.ts
+++ b/packages/balancer/src/relay/request-relay.ts
@@ -1,6 +1,7 @@
 /** Decides for one request whether it is sent through another entry. */
 
 import type {Clock} from '@wasabidyke/shared';
+import type {Placement} from '../members/placement.js';
 import type {UpstreamHandle} from '../members/upstream-handle.js';
 import type {UpstreamRegistry} from '../members/upstream-registry.js';
 import type {RouteState} from '../serving/route-state.js';
@@ -12,6 +13,7 @@
 export interface RequestRelayOptions {
   readonly relay: RelaySender;
   readonly registry: UpstreamRegistry;
+  readonly placement: Placement;
   readonly routeState: RouteState;
   readonly clock: Clock;
 }
@@ -40,9 +42,12 @@
     selected: SelectedUpstream | undefined,
     tried: ReadonlySet<UpstreamHandle>,
   ): boolean {
-    const {registry, clock} = this.#options;
-    const {service} = this.#request;
+    const {registry, placement, clock} = this.#options;
+    const {service, allowedRegions} = this.#request;
     const nowMs = clock.now();
+    if (selected === undefined && this.#isObstructed) {
+      return false;
+    }
     if (registry.reach(service).isDoubtful) {
       return true;
     }
@@ -54,6 +59,7 @@
       .some(
         handle =>
           !tried.has(handle) &&
+          placement.allows(handle, allowedRegions) &&
           !handle.hasConnection(nowMs) &&
           handle.statistics.isUnresponsive(nowMs),
       );
@@ -76,11 +82,19 @@
     const isAllowed =
       this.#request.relayed === undefined &&
       this.#relayedTo.size < MAXIMUM_RELAYS;
-    if (!isAllowed) {
+    if (!isAllowed || this.#isObstructed) {
       return undefined;
     }
     const {workMs} = routeState.workEstimate(this.#request.route);
     const excluded = [...tried].map(({id}) => id);
     return relay.send(this.#request, workMs, this.#relayedTo, excluded);
   }
+
+  /** Whether regions or evacuations leave no upstream, so that other entries can't serve the request either. */
+  get #isObstructed(): boolean {
+    const {registry, placement} = this.#options;
+    const {service, allowedRegions} = this.#request;
+    const handles = registry.list(service);
+    return placement.findObstacle(handles, allowedRegions) !== undefined;
+  }
 }
--- a/packages/balancer/src/routing/allowed-regions.ts
+++ b/packages/balancer/src/routing/allowed-regions.ts
@@ -22,3 +22,14 @@
 ): boolean {
   return allowed === undefined || (region !== undefined && allowed.has(region));
 }
+
+/** The regions that both allow. */
+export function intersectAllowedRegions(
+  left: AllowedRegions,
+  right: AllowedRegions,
+): AllowedRegions {
+  if (left === undefined || right === undefined) {
+    return left ?? right;
+  }
+  return new Set([...left].filter(region => right.has(region)));
+}
--- a/packages/balancer/src/routing/routing-table.ts
+++ b/packages/balancer/src/routing/routing-table.ts
@@ -1,5 +1,10 @@
 /** Routing configuration indexed for lookup. It is immutable, so that each request sees one version. */
 
+import {
+  combineAllowedRegions,
+  intersectAllowedRegions,
+  type AllowedRegions,
+} from './allowed-regions.js';
 import type {
   CallerLimits,
   ClientAccount,
@@ -13,6 +18,8 @@
   readonly version: number;
   readonly limits: CallerLimits;
   readonly #routesByHost = new Map<string, Route[]>();
+  /** By host, the regions that all its routes with a list allow; hosts without lists are missing. */
+  readonly #regionsByHost = new Map<string, AllowedRegions>();
   readonly #services: ReadonlyMap<string, ServiceConfiguration>;
   readonly #accounts: ReadonlyMap<string, ClientAccount>;
   readonly #accountsByKey = new Map<string, ClientAccount>();
@@ -38,6 +45,9 @@
       const routes = this.#routesByHost.get(host) ?? [];
       routes.push(route);
       this.#routesByHost.set(host, routes);
+      if (route.allowedRegions.length > 0) {
+        this.#restrictHost(host, combineAllowedRegions(route.allowedRegions));
+      }
     }
     for (const routes of this.#routesByHost.values()) {
       routes.sort((left, right) => right.prefix.length - left.prefix.length);
@@ -52,6 +62,11 @@
     return routes?.find(({prefix}) => path.startsWith(prefix));
   }
 
+  /** The regions that all routes of a host allow which name some; undefined if none does, or the host has no routes. */
+  findHostRegions(host: string): AllowedRegions {
+    return this.#regionsByHost.get(toHostName(host));
+  }
+
   /** Finds a client account by its name. */
   findAccount(name: string): ClientAccount | undefined {
     return this.#accounts.get(name);
@@ -66,6 +81,11 @@
   findService(name: string): ServiceConfiguration | undefined {
     return this.#services.get(name);
   }
+
+  #restrictHost(host: string, allowed: AllowedRegions): void {
+    const known = this.#regionsByHost.get(host);
+    this.#regionsByHost.set(host, intersectAllowedRegions(known, allowed));
+  }
 }
 
 /** Normalizes a `Host` header: without a port, and in lower case. */
--- a/packages/balancer/src/serving/attempt-admission.ts
+++ b/packages/balancer/src/serving/attempt-admission.ts
@@ -60,6 +60,7 @@
       bodyBytes: body?.length ?? 0,
       excluded: tried,
       mayUseLimited: limitGate.mayUseLimited,
+      allowedRegions: this.#request.allowedRegions,
     });
   }
 
--- a/packages/balancer/src/serving/caller-server.ts
+++ b/packages/balancer/src/serving/caller-server.ts
@@ -331,6 +331,7 @@
       estimateMs: round(refusal.lastUpstream?.estimateMs),
       reportAgeMs: round(refusal.lastUpstream?.reportAgeMs),
       freeSlots: refusal.lastUpstream?.freeSlots,
+      ...refusal.places,
       tookMs: round(request && this.#options.clock.now() - request.arrivedAtMs),
     });
     const headers: Record<string, string> = {};
--- a/packages/balancer/src/serving/discovery-protocol.ts
+++ b/packages/balancer/src/serving/discovery-protocol.ts
@@ -10,7 +10,7 @@
   /** Path of the platform's readiness check. */
   abstract readonly readinessPath: string;
 
-  /** Reads a caller's region and availability zone from the query. */
+  /** Reads a caller's region, availability zone and host from the query. */
   abstract readPlace(query: URLSearchParams): CallerPlace;
 
   /** Formats the list of entries. @param maximumAgeMs How long callers may cache it, in milliseconds. */
--- a/packages/balancer/src/serving/discovery-server.ts
+++ b/packages/balancer/src/serving/discovery-server.ts
@@ -9,6 +9,7 @@
 } from 'node:http';
 import {parseRequestTarget, type MetricRegistry} from '@wasabidyke/shared';
 import type {EntryRoster} from '../members/entry-roster.js';
+import type {RoutingTable} from '../routing/routing-table.js';
 import type {DiscoveryProtocol} from './discovery-protocol.js';
 
 /** Options of `DiscoveryServer`. */
@@ -19,8 +20,8 @@
   /** How long callers may cache a list of entries, in milliseconds. */
   readonly maximumAgeMs: number;
   readonly isReady: () => boolean;
-  /** Whether this entry has a configuration; lists are served only then. */
-  readonly isConfigured: () => boolean;
+  /** Returns the current routing table; undefined before the first configuration. Lists are served only with one. */
+  readonly table: () => RoutingTable | undefined;
 }
 
 /** An address to listen on. */
@@ -99,9 +100,11 @@
   }
 
   #sendEntries(query: URLSearchParams, response: ServerResponse): void {
-    const {protocol, roster, isConfigured} = this.#options;
-    const addresses = roster.list(protocol.readPlace(query));
-    if (!isConfigured() || addresses.length === 0) {
+    const {protocol, roster, table} = this.#options;
+    const place = protocol.readPlace(query);
+    const allowed = table()?.findHostRegions(place.host ?? '');
+    const addresses = roster.list(place, allowed);
+    if (table() === undefined || addresses.length === 0) {
       send(response, 503, JSON_TYPE, '{}');
       return;
     }
--- a/packages/balancer/src/serving/dispatcher-options.ts
+++ b/packages/balancer/src/serving/dispatcher-options.ts
@@ -4,6 +4,7 @@
 import type {Clock} from '@wasabidyke/shared';
 import type {MemoryBudget} from '../exchange/memory-budget.js';
 import type {WireProtocol} from '../exchange/wire-protocol.js';
+import type {Placement} from '../members/placement.js';
 import type {UpstreamRegistry} from '../members/upstream-registry.js';
 import type {RelaySender} from '../relay/relay-sender.js';
 import type {DecisionLog} from '../reporting/decision-log.js';
@@ -17,6 +18,8 @@
   readonly selector: UpstreamSelector;
   readonly routeState: RouteState;
   readonly registry: UpstreamRegistry;
+  /** The zones in which requests may be served. */
+  readonly placement: Placement;
   readonly protocol: WireProtocol;
   readonly clock: Clock;
   readonly random: RandomSource;
--- a/packages/balancer/src/serving/limit-gate.ts
+++ b/packages/balancer/src/serving/limit-gate.ts
@@ -1,6 +1,7 @@
 /** Admission of one request to upstreams that name limits. */
 
 import type {Clock} from '@wasabidyke/shared';
+import type {Placement} from '../members/placement.js';
 import type {UpstreamRegistry} from '../members/upstream-registry.js';
 import type {RoutedRequest} from './routed-request.js';
 import type {RouteState} from './route-state.js';
@@ -9,6 +10,7 @@
 export interface LimitGateOptions {
   readonly routeState: RouteState;
   readonly registry: UpstreamRegistry;
+  readonly placement: Placement;
   readonly clock: Clock;
 }
 
@@ -28,7 +30,7 @@
     return this.#admission.mayUse(priority, this.#options.clock.now());
   }
 
-  /** Whether upstreams of the service name limits. */
+  /** Whether upstreams of the service that the request may be sent to name limits. */
   get isServiceLimited(): boolean {
     return this.#limits.length > 0;
   }
@@ -46,10 +48,13 @@
     return this.#options.routeState.limitedAdmission(this.#request.service);
   }
 
-  /** Limits that upstreams of the service name, in requests per second from all entries. */
+  /** Limits that the upstreams name which the request may be sent to, in requests per second from all entries. */
   get #limits(): readonly number[] {
-    return this.#options.registry
-      .list(this.#request.service)
+    const {registry, placement} = this.#options;
+    const {service, allowedRegions} = this.#request;
+    return registry
+      .list(service)
+      .filter(handle => placement.allows(handle, allowedRegions))
       .map(({limit}) => limit.requestsPerSecond)
       .filter(limit => limit !== undefined);
   }
--- a/packages/balancer/src/serving/refusals.ts
+++ b/packages/balancer/src/serving/refusals.ts
@@ -2,6 +2,7 @@
 
 import {retryAfterMs, type RandomSource} from '@wasabidyke/policy';
 import type {Clock} from '@wasabidyke/shared';
+import type {Placement, PlacementObstacle} from '../members/placement.js';
 import type {UpstreamRegistry} from '../members/upstream-registry.js';
 import type {CrashTracker} from '../suspects/crash-tracker.js';
 import type {LimitGate} from './limit-gate.js';
@@ -18,6 +19,7 @@
 export interface RefusalsOptions {
   readonly routeState: RouteState;
   readonly registry: UpstreamRegistry;
+  readonly placement: Placement;
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly limitGate: LimitGate;
@@ -27,6 +29,9 @@
 /** Time after which an entry that reaches no upstream may reach one again, in milliseconds: the shortest pause between its load queries, and their answers. */
 const UNREACHED_RETRY_AFTER_MS = 400;
 
+/** Time after which a request that regions or an evacuation leave no upstream may find one, in milliseconds: changes reach entries within 2.5 s, and early returns cost no upstream anything. */
+export const PLACEMENT_RETRY_AFTER_MS = 1_000;
+
 /** Delay after which a caller that a stopping entry refuses may try another entry, in milliseconds. */
 export const STOPPING_RETRY_AFTER_MS = 50;
 
@@ -40,10 +45,26 @@
     this.#options = options;
   }
 
+  /** Why a request is refused that no upstream could be sent. */
+  get reasonWithoutSend(): RefusalReason {
+    return this.#placementObstacle ?? 'no-upstream';
+  }
+
+  /** Why regions or evacuations leave no upstream; undefined if they leave one. */
+  get #placementObstacle(): PlacementObstacle | undefined {
+    const {placement, registry} = this.#options;
+    const {service, allowedRegions} = this.#request;
+    return placement.findObstacle(registry.list(service), allowedRegions);
+  }
+
   /** Why no upstream can be selected. */
   get reasonWithoutUpstream(): RefusalReason {
-    const {registry, limitGate} = this.#options;
-    if (registry.restRemainingMs(this.#request.service) > 0) {
+    const {limitGate} = this.#options;
+    const obstacle = this.#placementObstacle;
+    if (obstacle !== undefined) {
+      return obstacle;
+    }
+    if (this.#restRemainingMs > 0) {
       return 'resting';
     }
     return limitGate.isServiceLimited ? 'over-limit' : 'no-upstream';
@@ -67,23 +88,34 @@
         ? (knownDelayMs ?? this.#delayMs(reason, selected))
         : undefined,
       lastUpstream: selected && toLastUpstream(selected),
+      places: this.#options.placement.describe(this.#request.allowedRegions),
     };
   }
 
+  /** Time until the first upstream is back that the request may be sent to, in milliseconds; 0 if not all of them rest. */
+  get #restRemainingMs(): number {
+    const {registry, placement} = this.#options;
+    const {service, allowedRegions} = this.#request;
+    return registry.restRemainingMs(service, handle =>
+      placement.allows(handle, allowedRegions),
+    );
+  }
+
   #delayMs(
     reason: RefusalReason,
     selected: SelectedUpstream | undefined,
   ): number {
-    const {crashTracker, limitGate, registry, random} = this.#options;
+    const {crashTracker, limitGate, random} = this.#options;
     switch (reason) {
       case 'quarantined':
         return crashTracker.remainingMs;
       case 'over-limit':
         return limitGate.refuse();
-      case 'resting': {
-        const remainingMs = registry.restRemainingMs(this.#request.service);
-        return retryAfterMs(1, remainingMs, random);
-      }
+      case 'resting':
+        return retryAfterMs(1, this.#restRemainingMs, random);
+      case 'no-allowed-upstream':
+      case 'evacuated':
+        return retryAfterMs(1, PLACEMENT_RETRY_AFTER_MS, random);
       case 'full':
         return this.#fullDelayMs(selected);
       case 'stopping':
--- a/packages/balancer/src/serving/request-dispatcher.ts
+++ b/packages/balancer/src/serving/request-dispatcher.ts
@@ -308,7 +308,7 @@
     }
     if (this.#unsentCount >= MAXIMUM_UNSENT_ATTEMPTS) {
       if (!this.#sendThroughEntry()) {
-        this.#endWithoutSuccess('no-upstream');
+        this.#endWithoutSuccess(this.#refusals.reasonWithoutSend);
       }
       return;
     }
--- a/packages/balancer/src/serving/routed-request.ts
+++ b/packages/balancer/src/serving/routed-request.ts
@@ -3,6 +3,7 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import {toFingerprint} from '@wasabidyke/policy';
 import * as z from 'zod/mini';
+import type {PlacementFields} from '../members/placement.js';
 import type {AllowedRegions} from '../routing/allowed-regions.js';
 import type {ClientAccount, Route} from '../routing/routing-configuration.js';
 
@@ -121,6 +122,8 @@
   readonly retryAfterMs: number | undefined;
   /** Undefined if no upstream was selected. */
   readonly lastUpstream?: LastUpstream;
+  /** Regions and evacuations that narrowed the choice; undefined before the request is dispatched. */
+  readonly places?: PlacementFields;
 }
 
 /** HTTP status that tells a caller of a refusal. */
--- a/packages/balancer/src/serving/upstream-selector.ts
+++ b/packages/balancer/src/serving/upstream-selector.ts
@@ -15,8 +15,10 @@
   type WorkEstimate,
 } from '@wasabidyke/policy';
 import type {Clock} from '@wasabidyke/shared';
+import type {Placement} from '../members/placement.js';
 import type {UpstreamHandle} from '../members/upstream-handle.js';
 import type {UpstreamRegistry} from '../members/upstream-registry.js';
+import type {AllowedRegions} from '../routing/allowed-regions.js';
 
 /** Properties of a request that decide which upstream is selected. */
 export interface SelectionCriteria {
@@ -33,6 +35,8 @@
   readonly excluded: ReadonlySet<UpstreamHandle>;
   /** Whether the request may use upstreams that name a limit. */
   readonly mayUseLimited: boolean;
+  /** Regions whose upstreams may serve the request. */
+  readonly allowedRegions: AllowedRegions;
 }
 
 /** The selected upstream, with the estimates at the time of selection. */
@@ -56,6 +60,7 @@
 /** Dependencies and limits of upstream selection. */
 export interface UpstreamSelectorOptions {
   readonly registry: UpstreamRegistry;
+  readonly placement: Placement;
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly costs: TransferCosts;
@@ -115,7 +120,7 @@
     const {registry, clock} = this.#options;
     const usable = registry
       .list(criteria.service)
-      .filter(handle => isUsable(handle, criteria, clock.now()));
+      .filter(handle => this.#isUsable(handle, criteria, clock.now()));
     const inRegion = usable.filter(({statistics}) =>
       isInRegion(statistics.distance),
     );
@@ -172,7 +177,7 @@
   ): SelectedUpstream | undefined {
     const nowMs = this.#options.clock.now();
     const candidates = handles
-      .filter(handle => isUsable(handle, criteria, nowMs))
+      .filter(handle => this.#isUsable(handle, criteria, nowMs))
       .map(handle => this.#evaluate(handle, criteria));
     if (candidates.length === 0) {
       return undefined;
@@ -184,6 +189,24 @@
     return tied[this.#options.random.nextBelow(tied.length)];
   }
 
+  #isUsable(
+    handle: UpstreamHandle,
+    {excluded, mayUseLimited, allowedRegions}: SelectionCriteria,
+    nowMs: number,
+  ): boolean {
+    const {limit} = handle;
+    const isLimited = limit.requestsPerSecond !== undefined;
+    const isWithinLimit = !isLimited || (mayUseLimited && limit.has(nowMs));
+    return (
+      !handle.isDraining &&
+      !handle.isResting(nowMs) &&
+      !excluded.has(handle) &&
+      this.#options.placement.allows(handle, allowedRegions) &&
+      handle.hasConnection(nowMs) &&
+      isWithinLimit
+    );
+  }
+
   #evaluate(
     handle: UpstreamHandle,
     criteria: SelectionCriteria,
@@ -247,23 +270,6 @@
   return distance !== 'other-region';
 }
 
-function isUsable(
-  handle: UpstreamHandle,
-  {excluded, mayUseLimited}: SelectionCriteria,
-  nowMs: number,
-): boolean {
-  const {limit} = handle;
-  const isLimited = limit.requestsPerSecond !== undefined;
-  const isWithinLimit = !isLimited || (mayUseLimited && limit.has(nowMs));
-  return (
-    !handle.isDraining &&
-    !handle.isResting(nowMs) &&
-    !excluded.has(handle) &&
-    handle.hasConnection(nowMs) &&
-    isWithinLimit
-  );
-}
-
 /** Waits until the promise settles, or for `limitMs`. */
 async function waitAtMost(
   promise: Promise<unknown>,
--- a/packages/balancer/src/serving/upstream-sender.ts
+++ b/packages/balancer/src/serving/upstream-sender.ts
@@ -4,6 +4,7 @@
 import type {Clock} from '@wasabidyke/shared';
 import {Exchange} from '../exchange/exchange.js';
 import type {WireProtocol} from '../exchange/wire-protocol.js';
+import type {Placement} from '../members/placement.js';
 import type {CrashTracker} from '../suspects/crash-tracker.js';
 import type {ProcessWatch} from '../suspects/process-watch.js';
 import type {Attempt} from './attempt-recorder.js';
@@ -24,6 +25,7 @@
 /** Options of `UpstreamSender`. */
 export interface UpstreamSenderOptions {
   readonly protocol: WireProtocol;
+  readonly placement: Placement;
   readonly clock: Clock;
   readonly crashTracker: CrashTracker;
   readonly processWatch: ProcessWatch;
@@ -41,7 +43,7 @@
 
   /**
    * Sends the request; undefined if the upstream has no connection or none of
-   * its limit left.
+   * its limit left, or its zone may not be used any more.
    * @param onEnd Called when the exchange has ended.
    */
   send(
@@ -52,12 +54,13 @@
     ) => void,
   ): UpstreamAttempt | undefined {
     const {handle, estimateMs} = selected;
-    const {clock, protocol} = this.#options;
+    const {clock, protocol, placement} = this.#options;
     const startedAtMs = clock.now();
-    // It may have asked for rest since the selection.
-    const connection = handle.isResting(startedAtMs)
-      ? undefined
-      : handle.connections.take();
+    // It may have asked for rest, or its zone been evacuated, since the selection.
+    const mayBeSent =
+      !handle.isResting(startedAtMs) &&
+      placement.allows(handle, this.#request.allowedRegions);
+    const connection = mayBeSent ? handle.connections.take() : undefined;
     if (connection === undefined) {
       return undefined;
     }
