test(balancer): regions and evacuations with real entries, and their decisions without a network

Guards first attempts, retries, hedges, relays and lists of entries against leaving the allowed regions, and evacuations at entries that read the store and that follow another one, across complete reads and a store of an older copy. The store in memory can name the revision of each record in complete reads; without it no entry of a site in memory follows another one.

--- a/features/steps/cut-off.steps.ts
+++ b/features/steps/cut-off.steps.ts
@@ -3,10 +3,10 @@
 import assert from 'node:assert/strict';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {After, Given, Then, When} from '@cucumber/cucumber';
-import {request as sendRequest} from 'node:http';
 import type {LinkState} from '@wasabidyke/stand-ins';
 import {BalancerSite, type CallerAnswer} from '../support/balancer-site.js';
 import {eventually} from '../support/eventually.js';
+import {sendRelay, type RelayAnswer} from '../support/relay-message.js';
 
 /** A first try of a caller. */
 interface FirstTry {
@@ -17,15 +17,8 @@
   readonly answer: CallerAnswer | undefined;
 }
 
-/** What another entry answered to a message. */
-interface MessageAnswer {
-  readonly status: number;
-  readonly result: unknown;
-  readonly reason: unknown;
-}
-
 interface CutOffWorld {
-  messageAnswer: MessageAnswer;
+  messageAnswer: RelayAnswer;
   balancerSite: BalancerSite;
   tries: FirstTry[];
   /** Tries whose callers still wait. */
@@ -154,20 +147,8 @@
     entry: number,
     from: string,
   ) {
-    const message = {
-      method: 'GET',
-      url,
-      headers: {host: 'shop.example'},
-      hasBody: false,
-      callerAddress: from,
-      service,
-      kind: 'idempotent',
-      elapsedMs: 0,
-      remainingMs: 1_000,
-      excluded: [],
-    };
     const port = this.balancerSite.feedPortOf(entry - 1);
-    this.messageAnswer = await sendMessage(port, from, message);
+    this.messageAnswer = await sendRelay(port, from, {url, service});
   },
 );
 
@@ -357,33 +338,3 @@
     .flatMap(({requests}) => requests)
     .filter(got => got.path === path);
 }
-
-function sendMessage(
-  port: number,
-  localAddress: string,
-  message: object,
-): Promise<MessageAnswer> {
-  return new Promise((resolve, reject) => {
-    const request = sendRequest(
-      {
-        host: '127.0.0.1',
-        port,
-        localAddress,
-        path: '/v1/relay',
-        method: 'POST',
-        agent: false,
-      },
-      response => {
-        const {headers, statusCode = 0} = response;
-        response.resume();
-        resolve({
-          status: statusCode,
-          result: headers['relay-result'],
-          reason: headers['relay-reason'],
-        });
-      },
-    );
-    request.on('error', reject);
-    request.end(`${JSON.stringify(message)}\n`);
-  });
-}
--- /dev/null
+++ b/features/steps/place-decisions.steps.ts
@@ -0,0 +1,202 @@
+/** Steps for the decisions on regions and evacuations, without a network. */
+
+import assert from 'node:assert/strict';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {
+  Placement,
+  RoutingTable,
+  UpstreamSender,
+  type AllowedRegions,
+  type RoutedRequest,
+  type SelectedUpstream,
+  type UpstreamHandle,
+  type UpstreamSenderOptions,
+} from '@wasabidyke/balancer';
+import {SystemClock} from '@wasabidyke/shared';
+import {MemoryLog} from '../support/balancer-site.js';
+
+interface DecisionWorld {
+  placement: Placement;
+  regionByZone: Record<string, string>;
+  takenBack: string[];
+  selected: UpstreamHandle;
+  connectionsTaken: number;
+}
+
+const HOST = 'shop.example';
+
+Given(
+  'zones {string} of {string} and {string} of {string}',
+  function (
+    this: DecisionWorld,
+    firstZones: string,
+    firstRegion: string,
+    secondZones: string,
+    secondRegion: string,
+  ) {
+    this.takenBack = [];
+    this.regionByZone = Object.fromEntries([
+      ...split(firstZones).map(zone => [zone, firstRegion]),
+      ...split(secondZones).map(zone => [zone, secondRegion]),
+    ]);
+    this.placement = new Placement({
+      settings: toSettings(this),
+      log: new MemoryLog(),
+      onTakenBack: zone => {
+        // The zone is not usable yet: its upstreams are to be treated as cold first.
+        assert.ok(this.placement.evacuations.has(zone));
+        this.takenBack.push(zone);
+      },
+    });
+  },
+);
+
+Given(
+  'the zones {string} have evacuation records',
+  function (this: DecisionWorld, zones: string) {
+    for (const zone of split(zones)) {
+      this.placement.evacuations.apply(zone, true);
+    }
+  },
+);
+
+When(
+  'a complete read holds the evacuation records {string}',
+  function (this: DecisionWorld, zones: string) {
+    this.placement.evacuations.onCompleteRead(new Set(split(zones)));
+  },
+);
+
+When(
+  'the settings name the zone {string}',
+  function (this: DecisionWorld, zone: string) {
+    this.regionByZone[zone] = 'home';
+    this.placement.applySettings(toSettings(this));
+  },
+);
+
+Then(
+  'the zones {string} are evacuated',
+  function (this: DecisionWorld, zones: string) {
+    assert.deepEqual(this.placement.evacuations.zones, split(zones));
+  },
+);
+
+Then(
+  'the zones {string} were taken back',
+  function (this: DecisionWorld, zones: string) {
+    assert.deepEqual(this.takenBack, split(zones));
+  },
+);
+
+Then(
+  /^an upstream in "([^"]+)" (may|may not) be used with the regions "([^"]+)" allowed$/,
+  function (this: DecisionWorld, zone: string, may: string, regions: string) {
+    const isAllowed = this.placement.allows(
+      toHandle(zone),
+      toAllowedRegions(regions),
+    );
+    assert.equal(isAllowed, may === 'may');
+  },
+);
+
+Then(
+  'with upstreams in {string} and the regions {string} allowed, the obstacle is {string}',
+  function (
+    this: DecisionWorld,
+    zones: string,
+    regions: string,
+    obstacle: string,
+  ) {
+    const found = this.placement.findObstacle(
+      split(zones).map(toHandle),
+      toAllowedRegions(regions),
+    );
+    assert.equal(found ?? 'none', obstacle);
+  },
+);
+
+Given(
+  'an upstream in {string} is selected',
+  function (this: DecisionWorld, zone: string) {
+    this.connectionsTaken = 0;
+    const connections = {
+      take: () => {
+        this.connectionsTaken += 1;
+        return undefined;
+      },
+    };
+    const handle = {record: {zone}, isResting: () => false, connections};
+    this.selected = handle as unknown as UpstreamHandle;
+  },
+);
+
+When('the request is sent to it', function (this: DecisionWorld) {
+  const request = {allowedRegions: undefined} as unknown as RoutedRequest;
+  const options = {placement: this.placement, clock: new SystemClock()};
+  const sender = new UpstreamSender(
+    request,
+    options as unknown as UpstreamSenderOptions,
+  );
+  const selected = {handle: this.selected, estimateMs: 1};
+  sender.send(selected as unknown as SelectedUpstream, () => {});
+});
+
+Then(
+  'it takes {int} connections',
+  function (this: DecisionWorld, count: number) {
+    assert.equal(this.connectionsTaken, count);
+  },
+);
+
+Then(
+  'a host whose routes allow {string} is served in {string}',
+  (lists: string, regions: string) => {
+    const table = new RoutingTable({
+      version: 1,
+      routes: lists.split('; ').map((list, index) => ({
+        name: `route-${index}`,
+        host: HOST,
+        prefix: `/${index}/`,
+        kind: 'idempotent',
+        timeoutMs: 1_000,
+        targetLatencyMs: 100,
+        priority: 1,
+        maximumAttempts: 1,
+        targets: [{name: 'shop', weight: 1}],
+        allowedRegions: [...(toAllowedRegions(list) ?? [])],
+        isPublic: false,
+      })),
+      services: [],
+      limits: {
+        headerBytes: 1,
+        bodyBytes: 1,
+        headerTimeoutMs: 1,
+        idleTimeoutMs: 1,
+      },
+    });
+    // A caller may name the port as well.
+    const found = table.findHostRegions(`${HOST}:80`);
+    assert.deepEqual(found, toAllowedRegions(regions));
+  },
+);
+
+function toSettings({regionByZone}: DecisionWorld) {
+  return {zone: 'home-a', region: 'home', regionByZone};
+}
+
+function toHandle(zone: string): UpstreamHandle {
+  return {record: {zone}} as unknown as UpstreamHandle;
+}
+
+function split(names: string): string[] {
+  return names.split(', ').filter(name => name !== '');
+}
+
+/** `any` stands for no list, and `none` for lists that have no region in common. */
+function toAllowedRegions(regions: string): AllowedRegions {
+  if (regions === 'any') {
+    return undefined;
+  }
+  return new Set(regions === 'none' ? [] : split(regions));
+}
--- a/features/support/balancer-site.ts
+++ b/features/support/balancer-site.ts
@@ -85,6 +85,13 @@
 
 const HOST = 'shop.example';
 
+/** The region of each availability zone. */
+const REGION_BY_ZONE: Readonly<Record<string, string>> = {
+  'home-a': 'home',
+  'home-b': 'home',
+  'away-a': 'away',
+};
+
 /** What the routes of the configuration let a caller wait, in milliseconds. */
 export const ROUTE_TIMEOUT_MS = 1_000;
 
@@ -97,6 +104,9 @@
   keepsIds = true;
   /** Limit of the bodies of requests, in bytes. */
   maximumBodyBytes = 100_000;
+  /** Regions that the routes of the next configuration allow; empty if they allow all. */
+  allowedRegions: readonly string[] = [];
+  readonly #zones = new Map<ScriptedWorker, string>();
   readonly #hasLinks: boolean;
   #entries: SiteEntry[] = [];
   #started = 0;
@@ -161,9 +171,9 @@
     const settings = parseBalancerSettings(
       JSON.stringify({
         name: `entry-${this.#started}`,
-        region: 'home',
+        region: REGION_BY_ZONE[zone] ?? 'home',
         zone,
-        regionByZone: {'home-a': 'home', 'home-b': 'home'},
+        regionByZone: REGION_BY_ZONE,
         listen: {
           callers: `127.0.0.1:${callers}`,
           entries: `127.0.0.1:${entries}`,
@@ -221,6 +231,7 @@
       priority: 1,
       max_attempts: attempts,
       service: 'shop',
+      allowed_regions: this.allowedRegions,
     };
     this.store.set('op/config', {
       version: this.#version.toString(16).padStart(8, '0'),
@@ -240,8 +251,9 @@
   }
 
   /** Starts a worker and announces it. */
-  async addWorker(id: string): Promise<ScriptedWorker> {
+  async addWorker(id: string, zone = 'home-a'): Promise<ScriptedWorker> {
     const worker = new ScriptedWorker(id);
+    this.#zones.set(worker, zone);
     await worker.listen();
     this.workers.push(worker);
     if (this.#hasLinks) {
@@ -268,7 +280,12 @@
     this.store.set(`servers/${worker.id}`, {
       address: worker.address,
       born,
-      info: {service: 'shop', version: 'v1', zone: 'home-a', slots: 4},
+      info: {
+        service: 'shop',
+        version: 'v1',
+        zone: this.#zones.get(worker),
+        slots: 4,
+      },
       status: {state: 'ready', seq: this.#sent, warmup_left: '0ms', ...status},
     });
   }
--- a/features/support/memory-record-store.ts
+++ b/features/support/memory-record-store.ts
@@ -52,9 +52,17 @@
   fault: StoreFault = 'none';
   /** Age of reads that may be old, in milliseconds. */
   staleMs = 0;
+  /**
+   * Whether complete reads name the revision of each record's last change, by
+   * which entries choose whom to follow; otherwise that of the read, so that
+   * entries read the store themselves.
+   */
+  namesRevisions = false;
   /** Calls that were made, by name. */
   readonly calls = new Map<string, number>();
   readonly #records = new Map<string, Buffer>();
+  /** Revision of each record's last change. */
+  readonly #revisions = new Map<string, number>();
   #events: StoredChange[] = [];
   readonly #leases = new Map<number, string[]>();
   readonly #waiting = new Set<() => void>();
@@ -74,6 +82,7 @@
     } else {
       this.#records.set(key, bytes);
     }
+    this.#revisions.set(key, this.#revision);
     const atMs = performance.now();
     this.#events.push({key, value: bytes, revision: this.#revision, atMs});
     for (const wake of [...this.#waiting]) {
@@ -137,7 +146,7 @@
     const changes = [...this.#records].map(([key, value]) => ({
       key,
       value,
-      revision: this.#revision,
+      revision: this.#revisionOf(key),
     }));
     return Ok({changes, ...this.#position});
   }
@@ -265,6 +274,14 @@
     return {changes, revision, era: this.eras.current};
   }
 
+  /** The revision of a record in a complete read. */
+  #revisionOf(key: string): number {
+    const changedAt = this.#revisions.get(key) ?? this.#revision;
+    return this.namesRevisions
+      ? Math.min(changedAt, this.#revision)
+      : this.#revision;
+  }
+
   get #position(): StorePosition {
     const era = this.eras.onAnswer(this.#era ?? 'none', this.eras.current);
     return {era, revision: this.#revision};
--- a/features/support/recorded-messages.ts
+++ b/features/support/recorded-messages.ts
@@ -80,6 +80,8 @@
   remainingMs: 900,
   excluded: ['i-1'],
 };
+/** The same of a request whose route or client account names regions. */
+const relayedInRegions = {...relayed, allowedRegions: ['home']};
 
 /** What landed builds wrote, by build and message. */
 export const WRITTEN: Readonly<
@@ -107,6 +109,12 @@
     }),
     'entry record': JSON.stringify({...entry, sequence: 5, tellsEra: true}),
   },
+  '0bf06d7': {
+    'relay request': `${JSON.stringify({...relayed, account: 'acme'})}\nbody`,
+  },
+  '21d107c': {
+    'relay request': `${JSON.stringify(relayedInRegions)}\nbody`,
+  },
 };
 
 const suspectKey = toSuspectKey(suspect);
@@ -137,7 +145,7 @@
   statements: () => serializeStatements([statement]),
   limits: () => serializeLimits({limits: [limit]}),
   'relay request': () => {
-    const bytes = serializeRequest(relayed, Buffer.from('body'));
+    const bytes = serializeRequest(relayedInRegions, Buffer.from('body'));
     return bytes.toString().split('\n')[0];
   },
 };
@@ -210,6 +218,11 @@
     feed: z.object({revision: z.int(), era: z.int(), changes: fedChanges}),
     'entry record': z.object({tellsEra: z.optional(z.boolean())}),
   },
+  '21d107c': {
+    'relay request': z.object({
+      allowedRegions: z.optional(z.array(z.string())),
+    }),
+  },
   '5191b2f': {
     'relay request': z.object({
       requestId: z.optional(z.string()),
