--- a/features/balancer/regions.feature
+++ b/features/balancer/regions.feature
@@ -68,6 +68,17 @@
     And it was refused as not run for "resting" with allowedRegions "home"
     And worker "w2" got none of them
 
+  # Guards against a search for upstreams that stops at a home region which takes nothing.
+  Scenario: Where all upstreams of the home region rest, those of other regions are used
+    Given worker "w1" in the availability zone "home-a"
+    And worker "w2" in the availability zone "home-b"
+    And worker "w3" in the availability zone "away-a"
+    And worker "w1" asks for a rest of "3"
+    And worker "w2" asks for a rest of "3"
+    When 10 look-ups are sent to each entry
+    Then all of them were answered
+    And worker "w3" got some of them
+
   # Guards against a misspelt region that refuses all requests without a word.
   Scenario: A region that the settings don't name is logged
     Given worker "w1" in the availability zone "home-a"
--- a/packages/command/src/commands/explain.ts
+++ b/packages/command/src/commands/explain.ts
@@ -27,6 +27,8 @@
   'store.lost',
   'store.regained',
   'feeder.lost',
+  'zone.evacuated',
+  'zone.taken-back',
 ]);
 
 /** Events of an upstream that explain why a request went there or failed there. */
@@ -104,12 +106,13 @@
   const endedAt = own.at(-1)?.time ?? '';
   const beliefs = new Map<string, LogLine>();
   for (const line of ordered) {
-    const {entry, event, upstream, time} = line;
+    const {entry, event, upstream, zone, time} = line;
     const isAbout =
       BELIEFS.has(event) ||
       (UPSTREAM_EVENTS.has(event) && upstreams.has(upstream));
     if (isAbout && entries.has(entry) && time <= endedAt) {
-      beliefs.set(`${entry} ${event} ${String(upstream)}`, line);
+      const subject = `${String(upstream)} ${String(zone)}`;
+      beliefs.set(`${entry} ${event} ${subject}`, line);
     }
   }
   return [...beliefs.values()];
