--- a/packages/policy/src/token-bucket.ts
+++ b/packages/policy/src/token-bucket.ts
@@ -32,6 +32,11 @@
     this.#filledAtMs = options.nowMs;
   }
 
+  /** Capacity, as the time in which the bucket fills, in milliseconds. */
+  get capacityMs(): number {
+    return this.#capacityMs;
+  }
+
   /** Changes the rate; tokens beyond the new capacity are discarded. */
   applyRate(ratePerSecond: number, nowMs: number): void {
     this.#fill(nowMs);
