feat(balancer): keep to the rate of upstreams in warm-up

Cause: records and answers to load queries name a remaining warm-up, which only slowed the estimates down. Change: RequestLimit applies the smaller one of the limit that an upstream names and of its rate in warm-up, by one bucket. It divides lazily, by lists of entries that all limits share. Upstreams that may have become cold without saying so are queried again by the entries that want to use them. Requests that cold upstreams can't take are refused at once with the reason 'warming-up'.

--- a/packages/balancer/src/balancer-gauges.ts
+++ b/packages/balancer/src/balancer-gauges.ts
@@ -62,6 +62,11 @@
     'Upstreams that name a limit.',
     () => sources.registry.limitedCount,
   );
+  metrics.gauge(
+    'wasabidyke_upstreams_warming_up',
+    'Upstreams that are in warm-up, or may be.',
+    () => sources.registry.warmingUpCount,
+  );
   metrics.gauge(
     'wasabidyke_upstreams_resting',
     'Upstreams that asked this entry for rest.',
--- a/packages/balancer/src/balancer.ts
+++ b/packages/balancer/src/balancer.ts
@@ -187,6 +187,7 @@
       log,
       onTable: table => {
         this.#callerServer.applyLimits(table.limits);
+        this.#registry.applyWarmUps();
         this.#onConfigured();
       },
     });
@@ -346,7 +347,8 @@
       onConnectionLost: handle =>
         this.#suspects.processWatch.onConnectionLost(handle),
       onLeaving: record => this.#clusterState.onUpstreamLeaving(record),
-      ...createUpstreamReports(this.#log),
+      warmUp: name => this.#clusterState.table?.findService(name)?.warmUp,
+      ...createUpstreamReports(this.#log, this.#clock),
     });
   }
 
--- a/packages/balancer/src/limits/limit-notifier.ts
+++ b/packages/balancer/src/limits/limit-notifier.ts
@@ -41,11 +41,12 @@
 
   /** Called when what is known of an upstream's limit has changed. */
   onChange({id, record, limit}: UpstreamHandle, source: LimitSource): void {
-    this.#options.log.record('upstream.limit', {
+    const {log, clock} = this.#options;
+    log.record('upstream.limit', {
       upstream: id,
       service: record.service,
       requestsPerSecond: limit.requestsPerSecond,
-      ownPerSecond: limit.ownPerSecond,
+      ownPerSecond: limit.ownPerSecond(clock.now()),
       source,
     });
     if (this.#changed.size === 0) {
--- a/packages/balancer/src/members/entry-roster.ts
+++ b/packages/balancer/src/members/entry-roster.ts
@@ -1,6 +1,6 @@
 /** Announced entries, for callers and for choosing feeders. */
 
-import type {LivenessTracker} from '@wasabidyke/policy';
+import type {EntryList, LivenessTracker} from '@wasabidyke/policy';
 import {
   isBefore,
   UNNAMED_ERA,
@@ -109,11 +109,16 @@
       .sort();
   }
 
-  /** Names of the entries that are up, this one included unless it is stopping, in a stable order. */
-  listUp(): readonly string[] {
+  /** The entries that are up, this one included unless it is stopping, sorted by name. */
+  listUp(): EntryList {
     return this.#listedRecords()
-      .map(({name}) => name)
-      .sort();
+      .map(({name, zone, region}) => ({
+        name,
+        zone,
+        region,
+        isAnnounced: this.#members.has(name),
+      }))
+      .sort((left, right) => (left.name < right.name ? -1 : 1));
   }
 
   /** The other entries that take messages from entries. */
--- a/packages/balancer/src/members/upstream-handle.ts
+++ b/packages/balancer/src/members/upstream-handle.ts
@@ -18,6 +18,7 @@
 import {Exchange, type ExchangeResult} from '../exchange/exchange.js';
 import type {WireProtocol} from '../exchange/wire-protocol.js';
 import type {UpstreamRecord} from './upstream-record.js';
+import type {WarmUpTracker} from './warm-up-tracker.js';
 
 /** Where a limit was named: in the answer to a request or to a load query, or by another entry. */
 export type LimitSource = 'answer' | 'load-query' | 'entry';
@@ -41,6 +42,7 @@
   readonly protocol: WireProtocol;
   readonly clock: Clock;
   readonly limit: RequestLimit;
+  readonly warmUp: WarmUpTracker;
   readonly rest: RestPeriod;
   readonly answerMemory: AnswerMemory;
   /** Called when what is known of the limit has changed. */
@@ -82,6 +84,8 @@
   #loadQuery: Promise<void> | undefined;
   #lifeCheck: Promise<boolean> | undefined;
   #isOverdue = false;
+  /** When the last load query was sent. */
+  #queriedAtMs = -Infinity;
   #nextQueryAtMs = -Infinity;
   /** No connection is opened before this time. */
   #opensAtMs = -Infinity;
@@ -192,8 +196,17 @@
 
   applyRecord(record: UpstreamRecord): void {
     this.#record = record;
-    const nowMs = this.#options.clock.now();
-    this.statistics.setWarmUpEnd(nowMs + record.warmUpLeftMs);
+    const {clock, warmUp} = this.#options;
+    warmUp.onRecord(record);
+    const endsAtMs = clock.now() + record.warmUpLeftMs;
+    this.statistics.setWarmUpEnd(
+      warmUp.warmUp.isConfigured ? warmUp.warmUp.endsAtMs : endsAtMs,
+    );
+  }
+
+  /** What is known of the upstream's warm-up. */
+  get warmUp(): WarmUpTracker {
+    return this.#options.warmUp;
   }
 
   /** Stops new requests; those in flight continue. */
@@ -212,6 +225,7 @@
   onConnectFailure(): void {
     const nowMs = this.#options.clock.now();
     this.#opensAtMs = nowMs + OPEN_PAUSE_MS;
+    this.#options.warmUp.doubt('connection');
     this.statistics.onUnreachable(nowMs);
   }
 
@@ -291,7 +305,8 @@
     if (connection === undefined) {
       return;
     }
-    const {roundTripMs} = this.#options;
+    const {roundTripMs, clock} = this.#options;
+    this.#queriedAtMs = clock.now();
     const exchange = this.#createLoadQuery(connection, path);
     let isEnded = false;
     // After a pause of this process, timers fire before pending answers are read.
@@ -318,8 +333,10 @@
   }
 
   #onUnresponsive(cause: string): void {
-    const {clock, onUnresponsive} = this.#options;
+    const {clock, onUnresponsive, warmUp} = this.#options;
     this.statistics.onUnresponsive(clock.now());
+    // A late answer to the same query ends the doubt.
+    warmUp.doubt('unanswered', this.#queriedAtMs);
     onUnresponsive(this.#record, cause);
   }
 
@@ -329,6 +346,7 @@
     const isAnswered = result.kind === 'answered';
     if (isAnswered) {
       this.readAnswer(result.answer, 'load-query');
+      this.#readWarmUp(result.answer);
       const occupancy = protocol.readOccupancy(result.answer.headers);
       if (occupancy !== undefined) {
         this.statistics.onReport(occupancy, nowMs);
@@ -348,6 +366,14 @@
     this.#isOverdue = false;
   }
 
+  #readWarmUp(answer: AnswerHead): void {
+    const {warmUp} = this.#options;
+    warmUp.onLoadAnswer(answer, this.#queriedAtMs);
+    if (warmUp.warmUp.isConfigured) {
+      this.statistics.setWarmUpEnd(warmUp.warmUp.endsAtMs);
+    }
+  }
+
   /** Returns a connection to the pool after its exchange, or closes it if it is not reusable. */
   release(connection: UpstreamConnection, exchange: Exchange): void {
     if (exchange.isConnectionReusable && !this.#isDraining) {
--- a/packages/balancer/src/members/upstream-registry.ts
+++ b/packages/balancer/src/members/upstream-registry.ts
@@ -1,19 +1,26 @@
 /** The upstreams that may get requests, by service. */
 
 import {
+  EntryLists,
   GroupFailureShare,
   rendezvousHash,
   RequestLimit,
   RestPeriod,
   ServiceReach,
+  ServiceWarmUp,
+  WarmUp,
   type Distance,
+  type EntryList,
   type RandomSource,
+  type WarmUpConfiguration,
 } from '@wasabidyke/policy';
 import type {Clock} from '@wasabidyke/shared';
 import type {WireProtocol} from '../exchange/wire-protocol.js';
 import {AnswerMemory} from '../exchange/answer-memory.js';
+import {FormerStarts} from './former-starts.js';
 import {UpstreamHandle, type LimitSource} from './upstream-handle.js';
 import type {UpstreamRecord} from './upstream-record.js';
+import {WarmUpTracker, type WarmUpSource} from './warm-up-tracker.js';
 
 /** Location of this entry, and its distances to other locations. */
 export interface Locality {
@@ -42,6 +49,10 @@
   readonly random: RandomSource;
   /** Maximum number of connections of this entry to one upstream of a service. */
   readonly connectionLimit: (service: string) => number;
+  /** The warm-up of a service by its configuration; undefined if it has none. */
+  readonly warmUp: (service: string) => WarmUpConfiguration | undefined;
+  /** Called when an upstream counts as cold that did not before. */
+  readonly onWarmUp: (handle: UpstreamHandle, source: WarmUpSource) => void;
   /** Called with what an upstream says of its limit, when it changes what is known. */
   readonly onLimit: (handle: UpstreamHandle, source: LimitSource) => void;
   /** Called when an upstream has answered anything. */
@@ -73,7 +84,9 @@
   readonly answerMemory = new AnswerMemory();
   readonly #reaches = new Map<string, ServiceReach>();
   /** The entries that are up, this one included. */
-  #entries: readonly string[] = [];
+  readonly #entries = new EntryLists();
+  readonly #serviceWarmUps = new Map<string, ServiceWarmUp>();
+  readonly #formerStarts = new FormerStarts();
   readonly #groupFailureShares = new Map<string, GroupFailureShare>();
 
   constructor(options: UpstreamRegistryOptions) {
@@ -105,7 +118,7 @@
 
   /** Number of entries among which limits are divided. */
   get entryCount(): number {
-    return Math.max(1, this.#entries.length);
+    return Math.max(1, this.#entries.current.length);
   }
 
   /** Whether this entry reaches the upstreams of a service. */
@@ -151,14 +164,45 @@
     ).length;
   }
 
+  /** Number of upstreams that count as cold. */
+  get warmingUpCount(): number {
+    const nowMs = this.#options.clock.now();
+    return [...this.#handles.values()].filter(({warmUp}) =>
+      warmUp.warmUp.isCold(nowMs),
+    ).length;
+  }
+
   /** Sets the entries that are up, among which the limits of upstreams are divided. */
-  applyEntries(entries: readonly string[], nowMs: number): void {
-    if (entries.join() === this.#entries.join()) {
-      return;
+  applyEntries(entries: EntryList, nowMs: number): void {
+    this.#entries.apply(entries, nowMs);
+  }
+
+  /** Whether a service has a warm-up by its configuration. */
+  hasWarmUp(service: string): boolean {
+    return this.#serviceWarmUps.get(service)?.configuration !== undefined;
+  }
+
+  /** Applies the configured warm-ups to the upstreams that are known. */
+  applyWarmUps(): void {
+    const nowMs = this.#options.clock.now();
+    const handles = [...this.#handles.values()];
+    const warm = handles.filter(({warmUp}) => !warmUp.warmUp.isCold(nowMs));
+    for (const [service, warmUp] of this.#serviceWarmUps) {
+      warmUp.configuration = this.#options.warmUp(service);
     }
-    this.#entries = entries;
-    for (const {limit} of this.#handles.values()) {
-      limit.applyEntries(entries, nowMs);
+    for (const handle of warm) {
+      if (handle.warmUp.warmUp.isCold(nowMs)) {
+        this.#options.onWarmUp(handle, 'configuration');
+      }
+    }
+  }
+
+  /** Called when the evacuation of an availability zone has ended: its upstreams may have become cold meanwhile. */
+  onZoneTakenBack(zone: string): void {
+    for (const {record, warmUp} of this.#handles.values()) {
+      if (record.zone === zone) {
+        warmUp.doubt('evacuation');
+      }
     }
   }
 
@@ -180,8 +224,23 @@
       this.#options;
     const distance = distanceTo(record.zone, locality);
     const {entry, random, onLimit, onRest, onLeaving, onHeard} = this.#options;
-    const limit = new RequestLimit({upstream: record.id, entry, random});
-    limit.applyEntries(this.#entries, clock.now());
+    const warmUp = new WarmUp(this.#serviceWarmUp(record.service));
+    const warmUpTracker = new WarmUpTracker({
+      warmUp,
+      record,
+      protocol,
+      clock,
+      onBegin: source => this.#options.onWarmUp(handle, source),
+    });
+    const limit = new RequestLimit({
+      upstream: record.id,
+      zone: record.zone,
+      region: locality.regionByZone[record.zone],
+      entry,
+      entries: this.#entries,
+      warmUp,
+      random,
+    });
     const handle: UpstreamHandle = new UpstreamHandle({
       record,
       distance,
@@ -192,11 +251,15 @@
       protocol,
       clock,
       limit,
+      warmUp: warmUpTracker,
       rest: new RestPeriod(random),
       answerMemory: this.answerMemory,
       onLimit: source => onLimit(handle, source),
       onHeard: () => onHeard(handle),
-      onConnectionLost: () => this.#options.onConnectionLost(handle),
+      onConnectionLost: () => {
+        warmUpTracker.doubt('connection');
+        this.#options.onConnectionLost(handle);
+      },
       onRest,
       onLeaving,
       onUnresponsive,
@@ -205,6 +268,23 @@
     const handles = this.#handlesByService.get(record.service) ?? [];
     handles.push(handle);
     this.#handlesByService.set(record.service, this.#sortByPreference(handles));
+    if (warmUp.isCold(clock.now())) {
+      this.#options.onWarmUp(handle, 'record');
+    }
+    if (this.#formerStarts.isRestart(record)) {
+      warmUpTracker.doubt('restart');
+    }
+  }
+
+  #serviceWarmUp(service: string): ServiceWarmUp {
+    const known = this.#serviceWarmUps.get(service);
+    if (known !== undefined) {
+      return known;
+    }
+    const warmUp = new ServiceWarmUp();
+    warmUp.configuration = this.#options.warmUp(service);
+    this.#serviceWarmUps.set(service, warmUp);
+    return warmUp;
   }
 
   update(record: UpstreamRecord): void {
@@ -218,6 +298,7 @@
       return;
     }
     this.#handles.delete(record.id);
+    this.#formerStarts.remember(handle.record);
     const handles = this.list(handle.record.service);
     const others = handles.filter(other => other !== handle);
     this.#handlesByService.set(handle.record.service, others);
--- a/packages/balancer/src/serving/limit-gate.ts
+++ b/packages/balancer/src/serving/limit-gate.ts
@@ -28,11 +28,23 @@
     return this.#admission.mayUse(priority, this.#options.clock.now());
   }
 
-  /** Whether upstreams of the service name limits. */
+  /** Whether upstreams of the service name limits or are in warm-up. */
   get isServiceLimited(): boolean {
     return this.#limits.length > 0;
   }
 
+  /** Whether all limits of upstreams of the service are those of their warm-ups. */
+  get isServiceWarmingUp(): boolean {
+    const nowMs = this.#options.clock.now();
+    const limited = this.#options.registry
+      .list(this.#request.service)
+      .filter(({limit}) => limit.appliedPerSecond(nowMs) !== undefined);
+    return (
+      limited.length > 0 &&
+      limited.every(({warmUp}) => warmUp.warmUp.isCold(nowMs))
+    );
+  }
+
   /** Records that the request is refused; returns when it should come back, in milliseconds. */
   refuse(): number {
     const {registry, clock} = this.#options;
@@ -46,11 +58,13 @@
     return this.#options.routeState.limitedAdmission(this.#request.service);
   }
 
-  /** Limits that upstreams of the service name, in requests per second from all entries. */
+  /** Limits of upstreams of the service, in requests per second from all entries. */
   get #limits(): readonly number[] {
-    return this.#options.registry
+    const {registry, clock} = this.#options;
+    const nowMs = clock.now();
+    return registry
       .list(this.#request.service)
-      .map(({limit}) => limit.requestsPerSecond)
+      .map(({limit}) => limit.appliedPerSecond(nowMs))
       .filter(limit => limit !== undefined);
   }
 }
--- a/packages/balancer/src/serving/refusals.ts
+++ b/packages/balancer/src/serving/refusals.ts
@@ -46,6 +46,9 @@
     if (registry.restRemainingMs(this.#request.service) > 0) {
       return 'resting';
     }
+    if (limitGate.isServiceWarmingUp) {
+      return 'warming-up';
+    }
     return limitGate.isServiceLimited ? 'over-limit' : 'no-upstream';
   }
 
@@ -79,6 +82,7 @@
       case 'quarantined':
         return crashTracker.remainingMs;
       case 'over-limit':
+      case 'warming-up':
         return limitGate.refuse();
       case 'resting': {
         const remainingMs = registry.restRemainingMs(this.#request.service);
--- a/packages/balancer/src/serving/upstream-selector.ts
+++ b/packages/balancer/src/serving/upstream-selector.ts
@@ -113,11 +113,14 @@
     criteria: SelectionCriteria,
   ): Promise<SelectedUpstream | undefined> {
     const {registry, clock} = this.#options;
+    if (registry.hasWarmUp(criteria.service)) {
+      await this.#settleWarmUps(criteria);
+    }
     const usable = registry
       .list(criteria.service)
       .filter(handle => isUsable(handle, criteria, clock.now()));
-    const inRegion = usable.filter(({statistics}) =>
-      isInRegion(statistics.distance),
+    const inRegion = this.#newOnesFirst(
+      usable.filter(({statistics}) => isInRegion(statistics.distance)),
     );
     const preferred = inRegion.slice(0, PREFERRED_UPSTREAMS);
     await this.#queryLoads(
@@ -165,6 +168,60 @@
     return this.#selectBest(usable, criteria);
   }
 
+  /** Puts first what this entry should try since it holds a part of its warm-up rate, however many upstreams are nearer. */
+  #newOnesFirst(handles: readonly UpstreamHandle[]): readonly UpstreamHandle[] {
+    const nowMs = this.#options.clock.now();
+    const newOnes = handles.filter(
+      ({statistics, limit}) =>
+        !statistics.hasServed &&
+        limit.warmUp.isConfigured &&
+        limit.mayTryNew(nowMs),
+    );
+    return newOnes.length === 0
+      ? handles
+      : [...newOnes, ...handles.filter(handle => !newOnes.includes(handle))];
+  }
+
+  /** Queries upstreams of which it is unknown whether they are cold: they may be usable afterwards. */
+  async #settleWarmUps(criteria: SelectionCriteria): Promise<void> {
+    const {registry, clock} = this.#options;
+    const nowMs = clock.now();
+    const handles = registry.list(criteria.service);
+    const doubtful = handles.filter(
+      handle =>
+        handle.warmUp.warmUp.isDoubtful &&
+        !handle.isDraining &&
+        handle.isResponsive(nowMs),
+    );
+    if (doubtful.length === 0) {
+      return;
+    }
+    const inRegion = doubtful.filter(({statistics}) =>
+      isInRegion(statistics.distance),
+    );
+    const inOtherRegions = doubtful.filter(
+      ({statistics}) => !isInRegion(statistics.distance),
+    );
+    const {loadPath} = criteria;
+    const waitMs =
+      (inOtherRegions[0]?.statistics.roundTripMs ?? 0) + OTHER_REGION_MARGIN_MS;
+    const farQueries = this.#queryLoads(
+      inOtherRegions,
+      loadPath,
+      OTHER_REGION_QUERIES,
+      waitMs,
+    );
+    await this.#queryLoads(
+      inRegion,
+      loadPath,
+      PREFERRED_UPSTREAMS,
+      REGION_WAIT_MS,
+    );
+    if (!handles.some(handle => isUsable(handle, criteria, clock.now()))) {
+      await farQueries;
+    }
+  }
+
   /** Selects by current estimates; undefined if none of the upstreams is usable any more. */
   #selectBest(
     handles: readonly UpstreamHandle[],
@@ -202,7 +259,8 @@
       bytes: TYPICAL_ANSWER_BYTES + criteria.bodyBytes,
       costs: this.#costs,
     });
-    const bonus = statistics.hasServed ? 0 : NEWCOMER_BONUS;
+    const isTried = statistics.hasServed || !handle.limit.mayTryNew(nowMs);
+    const bonus = isTried ? 0 : NEWCOMER_BONUS;
     return {
       handle,
       estimateMs,
@@ -253,7 +311,7 @@
   nowMs: number,
 ): boolean {
   const {limit} = handle;
-  const isLimited = limit.requestsPerSecond !== undefined;
+  const isLimited = limit.appliedPerSecond(nowMs) !== undefined;
   const isWithinLimit = !isLimited || (mayUseLimited && limit.has(nowMs));
   return (
     !handle.isDraining &&
