--- a/features/steps/request-limit.steps.ts
+++ b/features/steps/request-limit.steps.ts
@@ -2,12 +2,20 @@
 
 import assert from 'node:assert/strict';
 import {Given, Then, When} from '@cucumber/cucumber';
-import {LimitedAdmission, RequestLimit, SeededRandom} from '@wasabidyke/policy';
+import {
+  EntryLists,
+  LimitedAdmission,
+  RequestLimit,
+  SeededRandom,
+  ServiceWarmUp,
+  WarmUp,
+} from '@wasabidyke/policy';
 import {SECOND_MS} from '@wasabidyke/shared';
 
 interface SimulatedEntry {
   readonly name: string;
   readonly limit: RequestLimit;
+  readonly lists: EntryLists;
 }
 
 interface RequestLimitWorld {
@@ -146,15 +154,29 @@
   world.joined += 1;
   const name = `entry-${world.joined}`;
   const random = new SeededRandom(world.joined);
-  const limit = new RequestLimit({upstream: 'u1', entry: name, random});
+  const lists = new EntryLists();
+  const limit = new RequestLimit({
+    upstream: 'u1',
+    zone: 'home-a',
+    region: 'home',
+    entry: name,
+    entries: lists,
+    warmUp: new WarmUp(new ServiceWarmUp()),
+    random,
+  });
   const {requestsPerSecond, nowMs} = world;
   limit.observe({requestsPerSecond, observedAtMs: nowMs}, nowMs);
-  return {name, limit};
+  return {name, limit, lists};
 }
 
 function applyEntries({entries, nowMs}: RequestLimitWorld): void {
-  const names = entries.map(({name}) => name);
-  entries.forEach(({limit}) => limit.applyEntries(names, nowMs));
+  const list = entries.map(({name}) => ({
+    name,
+    zone: 'home-a',
+    region: 'home',
+    isAnnounced: true,
+  }));
+  entries.forEach(({lists}) => lists.apply(list, nowMs));
 }
 
 function observe(
--- a/features/support/balancer-site.ts
+++ b/features/support/balancer-site.ts
@@ -95,10 +95,13 @@
   readonly workers: ScriptedWorker[] = [];
   /** Whether a worker that was crashed is back under its former id. */
   keepsIds = true;
+  /** Further properties of the service in the configuration. */
+  service: object = {};
   /** Limit of the bodies of requests, in bytes. */
   maximumBodyBytes = 100_000;
   readonly #hasLinks: boolean;
   #entries: SiteEntry[] = [];
+  readonly #records = new Map<string, object>();
   #started = 0;
   #version = 1;
   #sent = 0;
@@ -229,7 +232,9 @@
         write: {...route, prefix: '/write/', kind: 'unsafe'},
         ...changes,
       },
-      services: {shop: {health_path: '/load', max_connections: 200}},
+      services: {
+        shop: {health_path: '/load', max_connections: 200, ...this.service},
+      },
       limits: {
         max_header_bytes: 8192,
         max_body_bytes: this.maximumBodyBytes,
@@ -240,7 +245,7 @@
   }
 
   /** Starts a worker and announces it. */
-  async addWorker(id: string): Promise<ScriptedWorker> {
+  async addWorker(id: string, status: object = {}): Promise<ScriptedWorker> {
     const worker = new ScriptedWorker(id);
     await worker.listen();
     this.workers.push(worker);
@@ -249,7 +254,7 @@
         this.#entries.map(({links}) => links.add(worker.address)),
       );
     }
-    this.announce(worker, {});
+    this.announce(worker, status);
     let starts = 1;
     worker.onRestart = () => {
       starts += 1;
@@ -265,12 +270,19 @@
   /** Announces a worker, with changes to what it says. */
   announce(worker: ScriptedWorker, status: object, born = 1): void {
     this.#sent += 1;
-    this.store.set(`servers/${worker.id}`, {
+    const record = {
       address: worker.address,
       born,
       info: {service: 'shop', version: 'v1', zone: 'home-a', slots: 4},
       status: {state: 'ready', seq: this.#sent, warmup_left: '0ms', ...status},
-    });
+    };
+    this.#records.set(worker.id, record);
+    this.store.set(`servers/${worker.id}`, record);
+  }
+
+  /** Writes the announcement of a worker again as it was. */
+  announceAgain(id: string): void {
+    this.store.set(`servers/${id}`, this.#records.get(id));
   }
 
   findWorker(id: string): ScriptedWorker {
--- a/features/support/scripted-worker.ts
+++ b/features/support/scripted-worker.ts
@@ -10,12 +10,10 @@
 import {writeEndlessly} from './endless-writer.js';
 import {planEnding, type WorkerEnding} from './worker-ending.js';
 import {parseHead, type WorkerRequest} from './worker-request.js';
-import type {WorkerScript} from './worker-script.js';
+import {WorkerWarmUp} from './worker-warm-up.js';
+import {ODD_HEADER_BYTES, type WorkerScript} from './worker-script.js';
 
-export type {WorkerScript} from './worker-script.js';
-
-/** Value of a header, a character a byte: UTF-8 of a euro sign, and a byte that is no UTF-8. */
-export const ODD_HEADER_BYTES = '\u00e2\u0082\u00ac 5 \u00ff';
+export {ODD_HEADER_BYTES, type WorkerScript} from './worker-script.js';
 
 /** Time that a slow answer takes, in milliseconds. */
 const SLOW_MS = 300;
@@ -48,6 +46,7 @@
   rest: string | undefined;
   /** Whether its answers say that it leaves. */
   isLeaving = false;
+  readonly warmUp = new WorkerWarmUp();
   /** Load queries that it got. */
   loadQueries = 0;
   /** Whether requests can crash it. */
@@ -220,7 +219,7 @@
     if (this.isTalking) {
       const leaving = this.isLeaving ? '\r\nServer-Leaving: 1' : '';
       const head = `HTTP/1.1 200 OK\r\nWasabidyke-Instance-Id: ${this.id}\r\nWasabidyke-Server-Load: ${this.load}`;
-      const answer = `${head}${leaving}\r\nContent-Length: 0${HEAD_END}`;
+      const answer = `${head}${this.warmUp.field}${leaving}\r\nContent-Length: 0${HEAD_END}`;
       setTimeout(() => socket.write(answer), this.talkDelayMs);
     }
   }
--- a/features/support/worker-script.ts
+++ b/features/support/worker-script.ts
@@ -1,5 +1,8 @@
 /** What a scripted worker can be told to do. */
 
+/** Value of a header, a character a byte: UTF-8 of a euro sign, and a byte that is no UTF-8. */
+export const ODD_HEADER_BYTES = '\u00e2\u0082\u00ac 5 \u00ff';
+
 /** How the worker answers requests. */
 export type WorkerScript =
   | 'answers'
