--- a/features/support/balancer-site.ts
+++ b/features/support/balancer-site.ts
@@ -102,6 +102,8 @@
   readonly workers: ScriptedWorker[] = [];
   /** Whether a worker that was crashed is back under its former id. */
   keepsIds = true;
+  /** Further properties of the service in the configuration. */
+  service: object = {};
   /** Limit of the bodies of requests, in bytes. */
   maximumBodyBytes = 100_000;
   /** Regions that the routes of the next configuration allow; empty if they allow all. */
@@ -109,6 +111,7 @@
   readonly #zones = new Map<ScriptedWorker, string>();
   readonly #hasLinks: boolean;
   #entries: SiteEntry[] = [];
+  readonly #records = new Map<string, object>();
   #started = 0;
   #version = 1;
   #sent = 0;
@@ -240,7 +243,9 @@
         write: {...route, prefix: '/write/', kind: 'unsafe'},
         ...changes,
       },
-      services: {shop: {health_path: '/load', max_connections: 200}},
+      services: {
+        shop: {health_path: '/load', max_connections: 200, ...this.service},
+      },
       limits: {
         max_header_bytes: 8192,
         max_body_bytes: this.maximumBodyBytes,
@@ -251,7 +256,11 @@
   }
 
   /** Starts a worker and announces it. */
-  async addWorker(id: string, zone = 'home-a'): Promise<ScriptedWorker> {
+  async addWorker(
+    id: string,
+    zone = 'home-a',
+    status: object = {},
+  ): Promise<ScriptedWorker> {
     const worker = new ScriptedWorker(id);
     this.#zones.set(worker, zone);
     await worker.listen();
@@ -261,7 +270,7 @@
         this.#entries.map(({links}) => links.add(worker.address)),
       );
     }
-    this.announce(worker, {});
+    this.announce(worker, status);
     let starts = 1;
     worker.onRestart = () => {
       starts += 1;
@@ -277,7 +286,7 @@
   /** Announces a worker, with changes to what it says. */
   announce(worker: ScriptedWorker, status: object, born = 1): void {
     this.#sent += 1;
-    this.store.set(`servers/${worker.id}`, {
+    const record = {
       address: worker.address,
       born,
       info: {
@@ -287,7 +296,14 @@
         slots: 4,
       },
       status: {state: 'ready', seq: this.#sent, warmup_left: '0ms', ...status},
-    });
+    };
+    this.#records.set(worker.id, record);
+    this.store.set(`servers/${worker.id}`, record);
+  }
+
+  /** Writes the announcement of a worker again as it was. */
+  announceAgain(id: string): void {
+    this.store.set(`servers/${id}`, this.#records.get(id));
   }
 
   findWorker(id: string): ScriptedWorker {
--- a/packages/balancer/src/balancer.ts
+++ b/packages/balancer/src/balancer.ts
@@ -176,7 +176,11 @@
       },
       ageMs: () => (this.#storeWatcher.isLost ? Infinity : this.#store.ageMs),
     });
-    this.#placement = new Placement({settings, log});
+    this.#placement = new Placement({
+      settings,
+      log,
+      onTakenBack: zone => this.#registry.onZoneTakenBack(zone),
+    });
     this.#registry = this.#createRegistry();
     this.#clusterState = new ClusterState({
       decoder: site.decoder,
@@ -190,6 +194,7 @@
       log,
       onTable: table => {
         this.#callerServer.applyLimits(table.limits);
+        this.#registry.applyWarmUps();
         this.#onConfigured();
       },
     });
@@ -358,7 +363,8 @@
       onConnectionLost: handle =>
         this.#suspects.processWatch.onConnectionLost(handle),
       onLeaving: record => this.#clusterState.onUpstreamLeaving(record),
-      ...createUpstreamReports(this.#log),
+      warmUp: name => this.#clusterState.table?.findService(name)?.warmUp,
+      ...createUpstreamReports(this.#log, this.#clock),
     });
   }
 
--- a/packages/balancer/src/serving/limit-gate.ts
+++ b/packages/balancer/src/serving/limit-gate.ts
@@ -30,11 +30,23 @@
     return this.#admission.mayUse(priority, this.#options.clock.now());
   }
 
-  /** Whether upstreams of the service that the request may be sent to name limits. */
+  /** Whether upstreams of the service that the request may be sent to name limits or are in warm-up. */
   get isServiceLimited(): boolean {
     return this.#limits.length > 0;
   }
 
+  /** Whether all limits of upstreams of the service are those of their warm-ups. */
+  get isServiceWarmingUp(): boolean {
+    const nowMs = this.#options.clock.now();
+    const limited = this.#options.registry
+      .list(this.#request.service)
+      .filter(({limit}) => limit.appliedPerSecond(nowMs) !== undefined);
+    return (
+      limited.length > 0 &&
+      limited.every(({warmUp}) => warmUp.warmUp.isCold(nowMs))
+    );
+  }
+
   /** Records that the request is refused; returns when it should come back, in milliseconds. */
   refuse(): number {
     const {registry, clock} = this.#options;
@@ -48,14 +60,15 @@
     return this.#options.routeState.limitedAdmission(this.#request.service);
   }
 
-  /** Limits that the upstreams name which the request may be sent to, in requests per second from all entries. */
+  /** Limits of the upstreams which the request may be sent to, in requests per second from all entries. */
   get #limits(): readonly number[] {
-    const {registry, placement} = this.#options;
+    const {registry, placement, clock} = this.#options;
     const {service, allowedRegions} = this.#request;
+    const nowMs = clock.now();
     return registry
       .list(service)
       .filter(handle => placement.allows(handle, allowedRegions))
-      .map(({limit}) => limit.requestsPerSecond)
+      .map(({limit}) => limit.appliedPerSecond(nowMs))
       .filter(limit => limit !== undefined);
   }
 }
--- a/packages/balancer/src/serving/refusals.ts
+++ b/packages/balancer/src/serving/refusals.ts
@@ -67,6 +67,9 @@
     if (this.#restRemainingMs > 0) {
       return 'resting';
     }
+    if (limitGate.isServiceWarmingUp) {
+      return 'warming-up';
+    }
     return limitGate.isServiceLimited ? 'over-limit' : 'no-upstream';
   }
 
@@ -110,6 +113,7 @@
       case 'quarantined':
         return crashTracker.remainingMs;
       case 'over-limit':
+      case 'warming-up':
         return limitGate.refuse();
       case 'resting':
         return retryAfterMs(1, this.#restRemainingMs, random);
