test(balancer): a step of the warm-up scenarios has a text of its own

Cause: two step files defined the same text, so that three scenarios were ambiguous. Change: the step that acts on the registry alone is renamed.

--- a/features/balancer/warm-up.feature
+++ b/features/balancer/warm-up.feature
@@ -119,5 +119,5 @@
   # Guards against upstreams that are taken for warm after a time in which nobody has asked them.
   Scenario: The upstreams of a zone count as cold after its evacuation
     Given a registry with a warm upstream in each of the zones "home-a, home-b"
-    When the zone "home-a" is taken back
+    When the zone "home-a" is taken back from its evacuation
     Then 1 upstream of the registry counts as cold
--- a/features/steps/upstream-warm-up.steps.ts
+++ b/features/steps/upstream-warm-up.steps.ts
@@ -190,7 +190,7 @@
 );
 
 When(
-  'the zone {string} is taken back',
+  'the zone {string} is taken back from its evacuation',
   function (this: UpstreamWarmUpWorld, zone: string) {
     this.registry.onZoneTakenBack(zone);
   },
