feat(balancer): check client accounts, index routes by prefix, recheck keys

Cause: accounts of a configuration were taken unchecked, a repeated key could match by its joined value, a key sent before the first accounts reached upstreams, a caller's Connection header could remove the account's name, an upload could outlast the revocation of its key, and the search for a route grew with the routes of its host.

--- a/packages/balancer/src/balancer-gauges.ts
+++ b/packages/balancer/src/balancer-gauges.ts
@@ -52,6 +52,11 @@
     'Version of the configuration in force.',
     () => clusterState.table?.version ?? 0,
   );
+  metrics.gauge(
+    'wasabidyke_accounts',
+    'Client accounts of the configuration in force.',
+    () => clusterState.table?.accounts.size ?? 0,
+  );
   metrics.gauge(
     'wasabidyke_upstreams',
     'Upstreams that may be used.',
--- a/packages/balancer/src/balancer-settings.ts
+++ b/packages/balancer/src/balancer-settings.ts
@@ -95,3 +95,11 @@
     ),
   );
 }
+
+/** Regions of a deployment: those of its availability zones, and that of the entry itself. */
+export function regionsOf({
+  region,
+  regionByZone,
+}: BalancerSettings): ReadonlySet<string> {
+  return new Set([region, ...Object.values(regionByZone)]);
+}
--- a/packages/balancer/src/balancer.ts
+++ b/packages/balancer/src/balancer.ts
@@ -10,7 +10,7 @@
 } from '@wasabidyke/policy';
 import {MetricRegistry, SystemClock, type Clock} from '@wasabidyke/shared';
 import {registerGauges} from './balancer-gauges.js';
-import type {BalancerSettings} from './balancer-settings.js';
+import {regionsOf, type BalancerSettings} from './balancer-settings.js';
 import {ClusterState} from './cluster-state.js';
 import {EntryShare} from './entry-share.js';
 import {EntryClient} from './feed/entry-client.js';
@@ -185,6 +185,7 @@
       onReplaced: record => this.#suspects.processWatch.onReplaced(record),
       clock,
       log,
+      regions: () => regionsOf(this.#settings),
       onTable: table => {
         this.#callerServer.applyLimits(table.limits);
         this.#onConfigured();
--- a/packages/balancer/src/cluster-state.ts
+++ b/packages/balancer/src/cluster-state.ts
@@ -8,7 +8,9 @@
 import {UpstreamRoster} from './members/upstream-roster.js';
 import type {UpstreamRegistry} from './members/upstream-registry.js';
 import type {DecisionLog} from './reporting/decision-log.js';
+import {AccountDirectory} from './routing/account-directory.js';
 import {RoutingTable} from './routing/routing-table.js';
+import {findUnknownRegions} from './routing/unknown-regions.js';
 import {ENTRY_KEY_PREFIX} from './store/entry-announcer.js';
 import type {DecodedRecord, RecordDecoder} from './store/record-decoder.js';
 import type {
@@ -28,6 +30,8 @@
   readonly registry: UpstreamRegistry;
   readonly clock: Clock;
   readonly log: DecisionLog;
+  /** Regions that the settings name. */
+  readonly regions: () => ReadonlySet<string>;
   /** Called when a new configuration was applied. */
   readonly onTable: (table: RoutingTable) => void;
   /** Takes the records of requests that may crash upstreams. */
@@ -228,13 +232,35 @@
     if (configuration.version <= currentVersion) {
       return;
     }
-    this.#table = new RoutingTable(configuration);
-    this.#options.log.record('configuration.applied', {
+    const {log, regions} = this.#options;
+    const accounts = AccountDirectory.create(
+      configuration.accounts ?? [],
+      this.#table?.accounts,
+    );
+    if (accounts.isErr()) {
+      log.record('configuration.refused', {
+        version: currentVersion,
+        refusedVersion: configuration.version,
+        revision,
+        cause: accounts.error,
+      });
+      return;
+    }
+    this.#table = new RoutingTable(configuration, accounts.value);
+    log.record('configuration.applied', {
       version: configuration.version,
       formerVersion: currentVersion,
       revision,
       routes: configuration.routes.length,
+      accounts: configuration.accounts?.length,
     });
+    const unknownRegions = findUnknownRegions(configuration, regions());
+    if (unknownRegions !== undefined) {
+      log.record('configuration.unknown-regions', {
+        version: configuration.version,
+        ...unknownRegions,
+      });
+    }
     this.#options.onTable(this.#table);
   }
 
--- a/packages/balancer/src/exchange/wire-protocol.ts
+++ b/packages/balancer/src/exchange/wire-protocol.ts
@@ -10,8 +10,10 @@
   readonly requestId: string | undefined;
   /** Remaining time until the caller's deadline, in milliseconds; undefined if it set none. */
   readonly remainingMs: number | undefined;
-  /** Key of a client account; undefined if the caller sent none. */
+  /** Key of a client account; undefined if the caller sent none, or more than one. */
   readonly accountKey: string | undefined;
+  /** Whether the caller sent more than one key. */
+  readonly hasRepeatedKey: boolean;
 }
 
 /** Request metadata in the headers to an upstream. */
@@ -46,12 +48,18 @@
 
 /** Reads and writes the headers of requests and answers. */
 export abstract class WireProtocol {
-  /** Reads the request metadata from a caller's headers. */
-  abstract readCallerMetadata(headers: IncomingHttpHeaders): CallerMetadata;
+  /**
+   * Reads the request metadata from a caller's headers.
+   * @param rawHeaders Names and values in turn as they were sent: `headers` joins those with one name.
+   */
+  abstract readCallerMetadata(
+    headers: IncomingHttpHeaders,
+    rawHeaders: readonly string[],
+  ): CallerMetadata;
 
   /**
    * Replaces the key in a caller's headers by the name of its client account.
-   * @param accountName Undefined on public routes: the headers name no account.
+   * @param accountName Undefined on public routes and without accounts: the headers name no account.
    */
   abstract toAccountHeaders(
     headers: IncomingHttpHeaders,
--- a/packages/balancer/src/relay/relay-receiver.ts
+++ b/packages/balancer/src/relay/relay-receiver.ts
@@ -148,7 +148,10 @@
     }
     const nowMs = this.#options.clock.now();
     const {endsAtMs} = this.#options;
-    const account = table.findAccount(request.account ?? '');
+    const account =
+      request.account === undefined
+        ? undefined
+        : table.findAccount(request.account);
     const needsAccount =
       request.account !== undefined || (table.hasAccounts && !route.isPublic);
     if (needsAccount && account === undefined) {
@@ -163,7 +166,8 @@
       requestId: request.requestId,
       method: request.method,
       url,
-      headers,
+      // Older builds pass on what the caller sent, also its key.
+      headers: this.#options.protocol.toAccountHeaders(headers, account?.name),
       body,
       callerAddress: request.callerAddress,
       host,
--- a/packages/balancer/src/routing/routing-configuration.ts
+++ b/packages/balancer/src/routing/routing-configuration.ts
@@ -73,11 +73,11 @@
 export const routingConfigurationSchema = z.object({
   /** Increases with each change. */
   version: z.int().check(z.minimum(0)),
-  routes: z.array(routeSchema),
+  routes: z.readonly(z.array(routeSchema)),
   services: z.array(serviceSchema),
   limits: callerLimitsSchema,
   /** Undefined if the deployment has no client accounts. */
-  accounts: z.optional(z.array(clientAccountSchema)),
+  accounts: z.optional(z.readonly(z.array(clientAccountSchema))),
 });
 
 /** Rules for the requests below one path prefix of one host. */
--- a/packages/balancer/src/routing/routing-table.ts
+++ b/packages/balancer/src/routing/routing-table.ts
@@ -1,5 +1,7 @@
 /** Routing configuration indexed for lookup. It is immutable, so that each request sees one version. */
 
+import {AccountDirectory} from './account-directory.js';
+import {RouteIndex} from './route-index.js';
 import type {
   CallerLimits,
   ClientAccount,
@@ -8,58 +10,48 @@
   ServiceConfiguration,
 } from './routing-configuration.js';
 
-/** Routes and services of one configuration version. */
+/** Routes, services and client accounts of one configuration version. */
 export class RoutingTable {
   readonly version: number;
   readonly limits: CallerLimits;
-  readonly #routesByHost = new Map<string, Route[]>();
+  readonly #routes: RouteIndex;
   readonly #services: ReadonlyMap<string, ServiceConfiguration>;
-  readonly #accounts: ReadonlyMap<string, ClientAccount>;
-  readonly #accountsByKey = new Map<string, ClientAccount>();
+  /** Client accounts; empty if the deployment has none. */
+  readonly accounts: AccountDirectory;
   /** Whether requests on routes that aren't public need the key of a client account. */
   readonly hasAccounts: boolean;
 
-  constructor(configuration: RoutingConfiguration) {
+  /**
+   * @param accounts The accounts of the configuration, if they are indexed already.
+   * @throws If they aren't, and one of them is wrong.
+   */
+  constructor(
+    configuration: RoutingConfiguration,
+    accounts = AccountDirectory.create(configuration.accounts ?? []).unwrap(),
+  ) {
     this.version = configuration.version;
     this.limits = configuration.limits;
+    this.#routes = new RouteIndex(configuration.routes);
     this.#services = new Map(
       configuration.services.map(service => [service.name, service]),
     );
-    const accounts = configuration.accounts ?? [];
     this.hasAccounts = configuration.accounts !== undefined;
-    this.#accounts = new Map(accounts.map(account => [account.name, account]));
-    for (const account of accounts) {
-      for (const key of account.keys) {
-        this.#accountsByKey.set(key, account);
-      }
-    }
-    for (const route of configuration.routes) {
-      const host = toHostName(route.host);
-      const routes = this.#routesByHost.get(host) ?? [];
-      routes.push(route);
-      this.#routesByHost.set(host, routes);
-    }
-    for (const routes of this.#routesByHost.values()) {
-      routes.sort((left, right) => right.prefix.length - left.prefix.length);
-    }
+    this.accounts = accounts;
   }
 
   /** Finds the matching route with the longest prefix. @param url Path with or without a query. */
   findRoute(host: string | undefined, url: string): Route | undefined {
-    const routes = this.#routesByHost.get(toHostName(host ?? ''));
-    const queryAt = url.indexOf('?');
-    const path = queryAt === -1 ? url : url.slice(0, queryAt);
-    return routes?.find(({prefix}) => path.startsWith(prefix));
+    return this.#routes.find(host, url);
   }
 
   /** Finds a client account by its name. */
   findAccount(name: string): ClientAccount | undefined {
-    return this.#accounts.get(name);
+    return this.accounts.findByName(name);
   }
 
   /** Finds the client account that holds a key. */
   findAccountByKey(key: string): ClientAccount | undefined {
-    return this.#accountsByKey.get(key);
+    return this.accounts.findByKey(key);
   }
 
   /** Finds a service by its name. */
@@ -67,10 +59,3 @@
     return this.#services.get(name);
   }
 }
-
-/** Normalizes a `Host` header: without a port, and in lower case. */
-function toHostName(host: string): string {
-  const portAt = host.lastIndexOf(':');
-  const hasPort = portAt > -1 && /^\d+$/.test(host.slice(portAt + 1));
-  return (hasPort ? host.slice(0, portAt) : host).toLowerCase();
-}
--- a/packages/balancer/src/serving/caller-server.ts
+++ b/packages/balancer/src/serving/caller-server.ts
@@ -1,12 +1,7 @@
 /** HTTP server for callers: reads each request completely, dispatches it to upstreams and writes the answer. */
 
 import {once} from 'node:events';
-import {
-  createServer,
-  type IncomingMessage,
-  type Server,
-  type ServerResponse,
-} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {
   SECOND_MS,
@@ -22,12 +17,13 @@
 import type {RoutingTable} from '../routing/routing-table.js';
 import {canBeFinished} from './attempt-timing.js';
 import {readBody, type BodyResult} from './body-reader.js';
-import {refuseMalformed} from './malformed-request.js';
+import {CallerConnections} from './caller-connections.js';
+import {createCallerListener} from './caller-listener.js';
 import type {RequestDispatcherOptions} from './dispatcher-options.js';
 import {headerBytesOf} from './request-head.js';
 import {onceClosed} from './response-close.js';
 import {STOPPING_RETRY_AFTER_MS} from './refusals.js';
-import {RequestRouter} from './request-router.js';
+import {RequestRouter, type RoutingRejection} from './request-router.js';
 import {RequestDispatcher} from './request-dispatcher.js';
 import {statusOf, type Refusal, type RoutedRequest} from './routed-request.js';
 
@@ -41,16 +37,6 @@
   readonly clock: Clock;
 }
 
-/** Upper bound of header sizes in Node's parser; the configured limit applies below it. */
-const MAXIMUM_HEADER_BYTES = 65_536;
-
-/** Timeouts before the first configuration. */
-const INITIAL_IDLE_TIMEOUT_MS = 15_000;
-const INITIAL_HEADER_TIMEOUT_MS = 5_000;
-
-/** Interval of Node's check for connections that exceed a timeout, in milliseconds. */
-const CONNECTION_CHECK_INTERVAL_MS = 1_000;
-
 /** Delay after which a caller that an unconfigured entry refuses may try another entry, in milliseconds. */
 const UNCONFIGURED_RETRY_AFTER_MS = 300;
 
@@ -65,10 +51,8 @@
   readonly #latency: DurationHistogram;
   readonly #requests: Counter;
   readonly #dispatchers = new Set<RequestDispatcher>();
-  /** Unanswered requests of each connection. */
-  readonly #unansweredRequests = new WeakMap<Socket, number>();
+  readonly #connections = new CallerConnections();
   #inFlight = 0;
-  #isClosingConnections = false;
   #isStopping = false;
   #onIdle: (() => void) | undefined;
 
@@ -88,7 +72,9 @@
       'Requests of callers under way.',
       () => this.#inFlight,
     );
-    this.#server = this.#createServer();
+    this.#server = createCallerListener((request, response) =>
+      this.#accept(request, response),
+    );
   }
 
   /** Number of requests in flight. */
@@ -111,7 +97,7 @@
 
   /** Closes each connection after its next answer from now on. */
   closeConnections(): void {
-    this.#isClosingConnections = true;
+    this.#connections.closeAll();
   }
 
   /** Refuses new connections and requests; resolves once the requests in flight are answered. */
@@ -131,35 +117,12 @@
     }
   }
 
-  /** Uses Node's HTTP server directly: a framework would double the duration of a restart. */
-  #createServer(): Server {
-    const server = createServer(
-      {
-        keepAliveTimeout: INITIAL_IDLE_TIMEOUT_MS,
-        requestTimeout: 0,
-        headersTimeout: INITIAL_HEADER_TIMEOUT_MS,
-        maxHeaderSize: MAXIMUM_HEADER_BYTES,
-        connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
-      },
-      (request, response) => this.#accept(request, response),
-    );
-    // Each pipelined request listens to its connection.
-    server.on('connection', socket => socket.setMaxListeners(0));
-    server.on('clientError', (error, socket) =>
-      refuseMalformed(error, socket as Socket),
-    );
-    return server;
-  }
-
   #accept(request: IncomingMessage, response: ServerResponse): void {
     const arrivedAtMs = this.#options.clock.now();
     const {socket} = request;
     this.#inFlight += 1;
     this.#requests.add();
-    this.#unansweredRequests.set(
-      socket,
-      (this.#unansweredRequests.get(socket) ?? 0) + 1,
-    );
+    this.#connections.onRequest(socket);
     onceClosed(response, () => this.#onClose(socket, arrivedAtMs));
     this.#serve(request, response, arrivedAtMs).catch((error: unknown) => {
       this.#options.log.record('request.fault', {cause: String(error)});
@@ -169,10 +132,7 @@
 
   #onClose(socket: Socket, arrivedAtMs: number): void {
     this.#inFlight -= 1;
-    this.#unansweredRequests.set(
-      socket,
-      (this.#unansweredRequests.get(socket) ?? 1) - 1,
-    );
+    this.#connections.onAnswered(socket);
     this.#latency.record(this.#options.clock.now() - arrivedAtMs);
     if (this.#inFlight === 0) {
       this.#onIdle?.();
@@ -185,8 +145,11 @@
     arrivedAtMs: number,
   ): Promise<void> {
     const table = this.#options.table();
-    const {requestId, remainingMs, accountKey} =
-      this.#options.protocol.readCallerMetadata(request.headers);
+    const metadata = this.#options.protocol.readCallerMetadata(
+      request.headers,
+      request.rawHeaders,
+    );
+    const {requestId, remainingMs} = metadata;
     if (table === undefined) {
       this.#refuse(response, requestId, {
         reason: 'no-configuration',
@@ -195,23 +158,17 @@
       });
       return;
     }
+    if (headerBytesOf(request) > table.limits.headerBytes) {
+      this.#send(response, 431, {});
+      return;
+    }
     const url = request.url ?? '/';
-    const routed = this.#router.route(table, url, request.headers, accountKey);
+    const routed = this.#router.route(table, url, request.headers, metadata);
     if (routed.kind === 'rejection') {
-      this.#options.log.record(routed.event, {
-        request: requestId,
-        host: request.headers.host,
-        path: url,
-        version: table.version,
-      });
-      this.#send(response, routed.status, {});
+      this.#reject(response, requestId, routed);
       return;
     }
     const {route, service, account, priority, allowedRegions} = routed;
-    if (headerBytesOf(request) > table.limits.headerBytes) {
-      this.#send(response, 431, {});
-      return;
-    }
     const timeoutMs = Math.min(route.timeoutMs, remainingMs ?? Infinity);
     const ownDeadlineMs = arrivedAtMs + timeoutMs;
     if (this.#isStoppedTooEarly(ownDeadlineMs)) {
@@ -233,6 +190,17 @@
       this.#refuseStopping(response, requestId);
       return;
     }
+    const rejection = this.#router.recheck(
+      table,
+      this.#options.table(),
+      url,
+      request.headers,
+      metadata,
+    );
+    if (rejection !== undefined) {
+      this.#reject(response, requestId, rejection);
+      return;
+    }
     const {endsAtMs} = this.#options;
     await this.#dispatch(response, {
       requestId,
@@ -305,11 +273,30 @@
     if (hasBody) {
       headers['content-length'] = String(answer.body.length);
     }
-    this.#closeIfLast(response);
+    this.#connections.closeIfLast(response);
     response.writeHead(answer.status, headers);
     response.end(hasBody ? answer.body : undefined);
   }
 
+  /** Answers a request that the configuration doesn't allow. The log names neither the key nor the query, which may hold secrets of the caller. */
+  #reject(
+    response: ServerResponse,
+    requestId: string | undefined,
+    rejection: RoutingRejection,
+  ): void {
+    const {url = '/', headers} = response.req;
+    this.#options.log.record(rejection.event, {
+      request: requestId,
+      host: headers.host,
+      path: url.split('?', 1)[0],
+      route: rejection.route,
+      reason: rejection.reason,
+      account: rejection.account,
+      version: rejection.version,
+    });
+    this.#send(response, rejection.status, {});
+  }
+
   #refuse(
     response: ServerResponse,
     requestId: string | undefined,
@@ -376,19 +363,10 @@
     status: number,
     headers: Record<string, string>,
   ): void {
-    this.#closeIfLast(response);
+    this.#connections.closeIfLast(response);
     response.writeHead(status, {...headers, 'content-length': '0'});
     response.end();
   }
-
-  /** Closes the connection after this answer, unless further requests on it are already being served. */
-  #closeIfLast(response: ServerResponse): void {
-    const {socket} = response.req;
-    const isLast = (this.#unansweredRequests.get(socket) ?? 1) <= 1;
-    if (this.#isClosingConnections && isLast) {
-      response.setHeader('connection', 'close');
-    }
-  }
 }
 
 function round(value: number | undefined): number | undefined {
--- a/packages/balancer/src/serving/request-router.ts
+++ b/packages/balancer/src/serving/request-router.ts
@@ -1,7 +1,7 @@
 /** Finds the route, the service and the client account of a caller's request. */
 
 import type {IncomingHttpHeaders} from 'node:http';
-import type {WireProtocol} from '../exchange/wire-protocol.js';
+import type {CallerMetadata, WireProtocol} from '../exchange/wire-protocol.js';
 import {
   combineAllowedRegions,
   type AllowedRegions,
@@ -22,6 +22,10 @@
   readonly headers: IncomingHttpHeaders;
 }
 
+/** Why a request is not authorized. */
+export type KeyProblem =
+  'missing-key' | 'repeated-key' | 'unknown-key' | 'revoked-key';
+
 /** A request that the configuration doesn't allow. */
 export interface RoutingRejection {
   readonly kind: 'rejection';
@@ -29,25 +33,25 @@
   readonly status: number;
   /** Event under which the rejection is logged. */
   readonly event: 'request.unrouted' | 'request.unauthorized';
+  /** Version of the configuration that rejects it. */
+  readonly version: number;
+  /** Name of the route; undefined without one. */
+  readonly route?: string;
+  /** Undefined if no route was found. */
+  readonly reason?: KeyProblem;
+  /** Name of the account that a revoked key belonged to. */
+  readonly account?: string;
 }
 
+/** The keys that a request carries. */
+export type RequestKeys = Pick<CallerMetadata, 'accountKey' | 'hasRepeatedKey'>;
+
 /** Options of `RequestRouter`. */
 export interface RequestRouterOptions {
   readonly protocol: WireProtocol;
   readonly routeState: RouteState;
 }
 
-const UNROUTED: RoutingRejection = {
-  kind: 'rejection',
-  status: 404,
-  event: 'request.unrouted',
-};
-const UNAUTHORIZED: RoutingRejection = {
-  kind: 'rejection',
-  status: 401,
-  event: 'request.unauthorized',
-};
-
 /** Routes callers' requests by one version of the configuration. */
 export class RequestRouter {
   readonly #options: RequestRouterOptions;
@@ -56,50 +60,108 @@
     this.#options = options;
   }
 
-  /** @param accountKey Undefined if the caller sent none. */
+  /** Routes a request. */
   route(
     table: RoutingTable,
     url: string,
     headers: IncomingHttpHeaders,
-    accountKey: string | undefined,
+    keys: RequestKeys,
   ): RequestDestination | RoutingRejection {
     const route = table.findRoute(headers.host, url);
     if (route === undefined) {
-      return UNROUTED;
+      return toUnrouted(table);
     }
-    const account = this.#findAccount(table, route, accountKey);
-    if (account === 'unknown') {
-      return UNAUTHORIZED;
+    const account = findAccount(table, route, keys);
+    if (account?.kind === 'rejection') {
+      return account;
     }
     const service = this.#options.routeState.nextService(route);
     if (service === undefined) {
-      return UNROUTED;
+      return toUnrouted(table);
     }
+    const found = account?.account;
     return {
       kind: 'destination',
       route,
       service,
-      account,
-      priority: account?.priority ?? route.priority,
+      account: found,
+      priority: found?.priority ?? route.priority,
       allowedRegions: combineAllowedRegions(
         route.allowedRegions,
-        account?.allowedRegions,
+        found?.allowedRegions,
       ),
-      headers: table.hasAccounts
-        ? this.#options.protocol.toAccountHeaders(headers, account?.name)
-        : headers,
+      // Also without accounts: callers may send keys before this entry knows of them.
+      headers: this.#options.protocol.toAccountHeaders(headers, found?.name),
     };
   }
 
-  #findAccount(
+  /**
+   * Checks the key of a routed request again if the configuration has changed
+   * since: a body may take longer to arrive than a revoked key is accepted.
+   * @returns Undefined if the request may go on with what it was routed by.
+   */
+  recheck(
     table: RoutingTable,
-    route: Route,
-    key: string | undefined,
-  ): ClientAccount | 'unknown' | undefined {
-    if (!table.hasAccounts || route.isPublic) {
+    newest: RoutingTable | undefined,
+    url: string,
+    headers: IncomingHttpHeaders,
+    keys: RequestKeys,
+  ): RoutingRejection | undefined {
+    if (newest === undefined || newest === table) {
       return undefined;
     }
-    const account = key === undefined ? undefined : table.findAccountByKey(key);
-    return account ?? 'unknown';
+    const route = newest.findRoute(headers.host, url);
+    const account = route && findAccount(newest, route, keys);
+    return account?.kind === 'rejection' ? account : undefined;
+  }
+}
+
+/** Finds the account of a request; undefined if it needs none. */
+function findAccount(
+  table: RoutingTable,
+  route: Route,
+  {accountKey, hasRepeatedKey}: RequestKeys,
+):
+  | {readonly kind: 'account'; readonly account: ClientAccount}
+  | RoutingRejection
+  | undefined {
+  if (!table.hasAccounts || route.isPublic) {
+    return undefined;
   }
+  if (hasRepeatedKey) {
+    return toUnauthorized(table, route, 'repeated-key');
+  }
+  if (accountKey === undefined || accountKey === '') {
+    return toUnauthorized(table, route, 'missing-key');
+  }
+  const account = table.findAccountByKey(accountKey);
+  if (account !== undefined) {
+    return {kind: 'account', account};
+  }
+  const former = table.accounts.findRevoked(accountKey);
+  return former === undefined
+    ? toUnauthorized(table, route, 'unknown-key')
+    : toUnauthorized(table, route, 'revoked-key', former);
+}
+
+function toUnrouted({version}: RoutingTable): RoutingRejection {
+  return {kind: 'rejection', status: 404, event: 'request.unrouted', version};
+}
+
+function toUnauthorized(
+  {version}: RoutingTable,
+  route: Route,
+  reason: KeyProblem,
+  account?: string,
+): RoutingRejection {
+  const event = 'request.unauthorized';
+  return {
+    kind: 'rejection',
+    status: 401,
+    event,
+    version,
+    route: route.name,
+    reason,
+    account,
+  };
 }
