--- a/features/balancer/builds.feature
+++ b/features/balancer/builds.feature
@@ -52,6 +52,7 @@
       | relay request  | 5191b2f |
       | feed           | ad08e2f |
       | entry record   | ad08e2f |
+      | relay request  | 0bf06d7 |
 
   # Guards against a change of a message or record by which landed builds can't read it any more.
   Scenario Outline: What is written has all that builds read: <message> by <build>
@@ -68,3 +69,4 @@
       | relay request  | 5191b2f |
       | feed           | ad08e2f |
       | entry record   | ad08e2f |
+      | relay request  | 0bf06d7 |
--- a/features/support/balancer-site.ts
+++ b/features/support/balancer-site.ts
@@ -97,6 +97,8 @@
   keepsIds = true;
   /** Limit of the bodies of requests, in bytes. */
   maximumBodyBytes = 100_000;
+  /** Client accounts by name, as operators write them; undefined if there are none. */
+  accounts: object | undefined;
   readonly #hasLinks: boolean;
   #entries: SiteEntry[] = [];
   #started = 0;
@@ -229,6 +231,7 @@
         write: {...route, prefix: '/write/', kind: 'unsafe'},
         ...changes,
       },
+      tenants: this.accounts,
       services: {shop: {health_path: '/load', max_connections: 200}},
       limits: {
         max_header_bytes: 8192,
--- a/features/support/older-entry.ts
+++ b/features/support/older-entry.ts
@@ -19,6 +19,8 @@
   sequence = Date.now();
   /** Paths of the messages that it got. */
   readonly messages: string[] = [];
+  /** Their bodies. */
+  readonly bodies: string[] = [];
   readonly #server: Server;
 
   constructor(name: string, build: OlderBuild) {
@@ -28,8 +30,10 @@
       const path = request.url ?? '';
       this.messages.push(path);
       const isKnown = KNOWN_PATHS[this.build].includes(path);
-      request.resume();
+      const chunks: Buffer[] = [];
+      request.on('data', (chunk: Buffer) => chunks.push(chunk));
       request.on('end', () => {
+        this.bodies.push(Buffer.concat(chunks).toString('latin1'));
         response.writeHead(isKnown ? 200 : 404, {
           'content-type': 'application/json',
         });
--- a/features/support/recorded-messages.ts
+++ b/features/support/recorded-messages.ts
@@ -81,6 +81,9 @@
   excluded: ['i-1'],
 };
 
+/** The same request on a client account. */
+export const relayedOnAccount = {...relayed, account: 'alpha'};
+
 /** What landed builds wrote, by build and message. */
 export const WRITTEN: Readonly<
   Record<string, Partial<Record<MessageName, string>>>
@@ -107,6 +110,9 @@
     }),
     'entry record': JSON.stringify({...entry, sequence: 5, tellsEra: true}),
   },
+  '0bf06d7': {
+    'relay request': `${JSON.stringify(relayedOnAccount)}\nbody`,
+  },
 };
 
 const suspectKey = toSuspectKey(suspect);
@@ -137,7 +143,7 @@
   statements: () => serializeStatements([statement]),
   limits: () => serializeLimits({limits: [limit]}),
   'relay request': () => {
-    const bytes = serializeRequest(relayed, Buffer.from('body'));
+    const bytes = serializeRequest(relayedOnAccount, Buffer.from('body'));
     return bytes.toString().split('\n')[0];
   },
 };
@@ -225,4 +231,5 @@
       excluded: z.array(z.string()),
     }),
   },
+  '0bf06d7': {'relay request': z.object({account: z.string()})},
 };
