--- a/packages-private/bench/src/measure.ts
+++ b/packages-private/bench/src/measure.ts
@@ -5,6 +5,7 @@
   ['policy', './policy-command.js'],
   ['added-latency', './added-latency-command.js'],
   ['control-cost', './control-cost-command.js'],
+  ['account-cost', './account-cost-command.js'],
 ]);
 
 const BAD_USE_STATUS = 2;
--- a/packages/balancer/src/serving/request-router.ts
+++ b/packages/balancer/src/serving/request-router.ts
@@ -154,11 +154,10 @@
   reason: KeyProblem,
   account?: string,
 ): RoutingRejection {
-  const event = 'request.unauthorized';
   return {
     kind: 'rejection',
     status: 401,
-    event,
+    event: 'request.unauthorized',
     version,
     route: route.name,
     reason,
