test(balancer): world properties of the account steps have names of their own

Cause: a step of another feature keeps text in the property that the account steps closed as a connection, so that one scenario of relay.feature failed after its end. Change: the properties are renamed.

--- a/features/steps/accounts.steps.ts
+++ b/features/steps/accounts.steps.ts
@@ -17,10 +17,10 @@
   balancerSite: BalancerSite;
   answer: CallerAnswer;
   status: number;
-  pipelined: CallerConnection;
+  pipelinedCalls: CallerConnection;
   /** Connections by the key that is used on them. */
-  connections: Map<string, CallerConnection>;
-  upload: CallerConnection;
+  accountConnections: Map<string, CallerConnection>;
+  accountUpload: CallerConnection;
 }
 
 /** Beginning of the ids of the requests of these steps. */
@@ -53,7 +53,7 @@
 };
 
 Given('client accounts', async function (this: AccountWorld) {
-  this.connections = new Map();
+  this.accountConnections = new Map();
   await configureAccounts(this.balancerSite, ACCOUNTS);
   await this.balancerSite.ready();
 });
@@ -68,9 +68,9 @@
 );
 
 After(function (this: Partial<AccountWorld>) {
-  this.connections?.forEach(connection => connection.close());
-  this.pipelined?.close();
-  this.upload?.close();
+  this.accountConnections?.forEach(connection => connection.close());
+  this.pipelinedCalls?.close();
+  this.accountUpload?.close();
 });
 
 When(
@@ -168,7 +168,7 @@
     const connection = await CallerConnection.open(
       this.balancerSite.callerPort,
     );
-    this.connections.set(key, connection);
+    this.accountConnections.set(key, connection);
     connection.write(toKeyRequest(key));
     assert.deepEqual(await connection.answered(1), [200]);
   },
@@ -212,26 +212,30 @@
   'look-ups with these keys are sent one behind the other',
   async function (this: AccountWorld, table: DataTable) {
     const keys = table.raw().map(([key]) => key);
-    this.pipelined = await CallerConnection.open(this.balancerSite.callerPort);
-    this.pipelined.write(keys.map(toKeyRequest).join(''));
-    await this.pipelined.answered(keys.length);
+    this.pipelinedCalls = await CallerConnection.open(
+      this.balancerSite.callerPort,
+    );
+    this.pipelinedCalls.write(keys.map(toKeyRequest).join(''));
+    await this.pipelinedCalls.answered(keys.length);
   },
 );
 
 Then(
   'they are answered {string} in order',
   function (this: AccountWorld, statuses: string) {
-    assert.equal(this.pipelined.statuses.join(', '), statuses);
+    assert.equal(this.pipelinedCalls.statuses.join(', '), statuses);
   },
 );
 
 Given(
   'an upload with the key {string} of which half has arrived',
   async function (this: AccountWorld, key: string) {
-    this.upload = await CallerConnection.open(this.balancerSite.callerPort);
+    this.accountUpload = await CallerConnection.open(
+      this.balancerSite.callerPort,
+    );
     const fields = `Wasabidyke-Key: ${key}`;
     const text = toRequestText('POST /write/a', fields, ID, UPLOAD);
-    this.upload.write(text.slice(0, -UPLOAD.length / 2));
+    this.accountUpload.write(text.slice(0, -UPLOAD.length / 2));
     await eventually('the head has arrived', async () => {
       const {body} = await this.balancerSite.get(2, '/metrics');
       return body.includes('wasabidyke_requests_in_flight 1\n');
@@ -240,13 +244,13 @@
 );
 
 When('the rest of the upload arrives', function (this: AccountWorld) {
-  this.upload.write(UPLOAD.slice(UPLOAD.length / 2));
+  this.accountUpload.write(UPLOAD.slice(UPLOAD.length / 2));
 });
 
 Then(
   'the upload is answered {int}',
   async function (this: AccountWorld, status: number) {
-    assert.deepEqual(await this.upload.answered(1), [status]);
+    assert.deepEqual(await this.accountUpload.answered(1), [status]);
   },
 );
 
@@ -332,7 +336,7 @@
 }
 
 async function sendAgain(world: AccountWorld, key: string): Promise<number> {
-  const connection = world.connections.get(key);
+  const connection = world.accountConnections.get(key);
   assert.ok(connection !== undefined);
   const {length} = connection.statuses;
   connection.write(toKeyRequest(key));
