--- a/features/balancer/builds.feature
+++ b/features/balancer/builds.feature
@@ -70,4 +70,5 @@
       | relay request  | 5191b2f |
       | feed           | ad08e2f |
       | entry record   | ad08e2f |
+      | relay request  | 0bf06d7 |
       | relay request  | 21d107c |
--- a/features/support/balancer-site.ts
+++ b/features/support/balancer-site.ts
@@ -109,6 +109,8 @@
   /** Regions that the routes of the next configuration allow; empty if they allow all. */
   allowedRegions: readonly string[] = [];
   readonly #zones = new Map<ScriptedWorker, string>();
+  /** Client accounts by name, as operators write them; undefined if there are none. */
+  accounts: object | undefined;
   readonly #hasLinks: boolean;
   #entries: SiteEntry[] = [];
   readonly #records = new Map<string, object>();
@@ -243,6 +245,7 @@
         write: {...route, prefix: '/write/', kind: 'unsafe'},
         ...changes,
       },
+      tenants: this.accounts,
       services: {
         shop: {health_path: '/load', max_connections: 200, ...this.service},
       },
--- a/features/support/recorded-messages.ts
+++ b/features/support/recorded-messages.ts
@@ -83,6 +83,9 @@
 /** The same of a request whose route or client account names regions. */
 const relayedInRegions = {...relayed, allowedRegions: ['home']};
 
+/** The same request on a client account. */
+export const relayedOnAccount = {...relayed, account: 'alpha'};
+
 /** What landed builds wrote, by build and message. */
 export const WRITTEN: Readonly<
   Record<string, Partial<Record<MessageName, string>>>
@@ -110,7 +113,7 @@
     'entry record': JSON.stringify({...entry, sequence: 5, tellsEra: true}),
   },
   '0bf06d7': {
-    'relay request': `${JSON.stringify({...relayed, account: 'acme'})}\nbody`,
+    'relay request': `${JSON.stringify(relayedOnAccount)}\nbody`,
   },
   '21d107c': {
     'relay request': `${JSON.stringify(relayedInRegions)}\nbody`,
@@ -145,7 +148,8 @@
   statements: () => serializeStatements([statement]),
   limits: () => serializeLimits({limits: [limit]}),
   'relay request': () => {
-    const bytes = serializeRequest(relayedInRegions, Buffer.from('body'));
+    const request = {...relayedInRegions, ...relayedOnAccount};
+    const bytes = serializeRequest(request, Buffer.from('body'));
     return bytes.toString().split('\n')[0];
   },
 };
@@ -238,4 +242,5 @@
       excluded: z.array(z.string()),
     }),
   },
+  '0bf06d7': {'relay request': z.object({account: z.string()})},
 };
--- a/packages/balancer/src/cluster-state.ts
+++ b/packages/balancer/src/cluster-state.ts
@@ -9,6 +9,7 @@
 import {UpstreamRoster} from './members/upstream-roster.js';
 import type {UpstreamRegistry} from './members/upstream-registry.js';
 import type {DecisionLog} from './reporting/decision-log.js';
+import {AccountDirectory} from './routing/account-directory.js';
 import {RoutingTable} from './routing/routing-table.js';
 import {findUnknownRegions} from './routing/unknown-regions.js';
 import {ENTRY_KEY_PREFIX} from './store/entry-announcer.js';
@@ -32,6 +33,8 @@
   readonly placement: Placement;
   readonly clock: Clock;
   readonly log: DecisionLog;
+  /** Regions that the settings name. */
+  readonly regions: () => ReadonlySet<string>;
   /** Called when a new configuration was applied. */
   readonly onTable: (table: RoutingTable) => void;
   /** Takes the records of requests that may crash upstreams. */
@@ -241,19 +244,33 @@
     if (configuration.version <= currentVersion) {
       return;
     }
-    this.#table = new RoutingTable(configuration);
-    this.#options.log.record('configuration.applied', {
+    const {log, regions} = this.#options;
+    const accounts = AccountDirectory.create(
+      configuration.accounts ?? [],
+      this.#table?.accounts,
+    );
+    if (accounts.isErr()) {
+      log.record('configuration.refused', {
+        version: currentVersion,
+        refusedVersion: configuration.version,
+        revision,
+        cause: accounts.error,
+      });
+      return;
+    }
+    this.#table = new RoutingTable(configuration, accounts.value);
+    log.record('configuration.applied', {
       version: configuration.version,
       formerVersion: currentVersion,
       revision,
       routes: configuration.routes.length,
+      accounts: configuration.accounts?.length,
     });
-    const {zones} = this.#options.placement;
-    const isKnown = (region: string) => zones.hasRegion(region);
-    for (const unknown of findUnknownRegions(configuration, isKnown)) {
-      this.#options.log.record('configuration.unknown-region', {
+    const unknownRegions = findUnknownRegions(configuration, regions());
+    if (unknownRegions !== undefined) {
+      log.record('configuration.unknown-regions', {
         version: configuration.version,
-        ...unknown,
+        ...unknownRegions,
       });
     }
     this.#options.onTable(this.#table);
--- a/packages/balancer/src/members/zone-regions.ts
+++ b/packages/balancer/src/members/zone-regions.ts
@@ -40,13 +40,6 @@
   hasZone(zone: string): boolean {
     return this.#regions.has(zone);
   }
-
-  /** Whether the settings name a region. */
-  hasRegion(region: string): boolean {
-    return (
-      region === this.#ownRegion || [...this.#regions.values()].includes(region)
-    );
-  }
 }
 
 /** A map, because zone names from the store may be those of properties that every object has. */
--- a/packages/balancer/src/routing/unknown-regions.ts
+++ b/packages/balancer/src/routing/unknown-regions.ts
@@ -1,40 +1,44 @@
-/** Finds region names in a configuration that the settings don't name: a misspelt one matches nothing. */
+/** Regions that a configuration names and that the deployment doesn't have. */
 
 import type {RoutingConfiguration} from './routing-configuration.js';
 
-/** A region that lists name and the settings don't. */
-export interface UnknownRegion {
-  readonly region: string;
-  /** Number of routes and of client accounts whose lists name it. */
-  readonly routes: number;
-  readonly accounts: number;
-  /** Name of the first of them. */
-  readonly subject: string;
+/** Maximum number of names in one log line: enough to find the mistake, and short enough to read. */
+const MAXIMUM_NAMES = 10;
+
+/** Regions that are not known, and where they are named. */
+export interface UnknownRegions {
+  /** Number of different regions. */
+  readonly count: number;
+  /** Their names, separated by commas; the first ones if there are many. */
+  readonly regions: string;
+  /** Routes and accounts that name them; the first ones if there are many. */
+  readonly subjects: string;
 }
 
-/** Finds the unknown regions of a configuration. @param isKnown Whether the settings name a region. */
+/** Finds the allowed regions that the settings don't name; undefined if all are known. They match no upstream. */
 export function findUnknownRegions(
   {routes, accounts = []}: RoutingConfiguration,
-  isKnown: (region: string) => boolean,
-): readonly UnknownRegion[] {
-  const found = new Map<string, UnknownRegion>();
-  const count = (
-    lists: RoutingConfiguration['routes'] | typeof accounts,
-    kind: 'routes' | 'accounts',
-  ) => {
-    for (const {name, allowedRegions} of lists) {
-      for (const region of new Set(allowedRegions)) {
-        const known = found.get(region);
-        if (known !== undefined) {
-          found.set(region, {...known, [kind]: known[kind] + 1});
-        } else if (!isKnown(region)) {
-          const none = {region, routes: 0, accounts: 0, subject: name};
-          found.set(region, {...none, [kind]: 1});
-        }
-      }
+  known: ReadonlySet<string>,
+): UnknownRegions | undefined {
+  const regions = new Set<string>();
+  const subjects: string[] = [];
+  const inspect = (kind: string, name: string, allowed: readonly string[]) => {
+    const unknown = allowed.filter(region => !known.has(region));
+    unknown.forEach(region => regions.add(region));
+    if (unknown.length > 0 && subjects.length < MAXIMUM_NAMES) {
+      subjects.push(`${kind} ${name}`);
     }
   };
-  count(routes, 'routes');
-  count(accounts, 'accounts');
-  return [...found.values()];
+  routes.forEach(route => inspect('route', route.name, route.allowedRegions));
+  accounts.forEach(({name, allowedRegions}) =>
+    inspect('account', name, allowedRegions),
+  );
+  if (regions.size === 0) {
+    return undefined;
+  }
+  return {
+    count: regions.size,
+    regions: [...regions].slice(0, MAXIMUM_NAMES).join(', '),
+    subjects: subjects.join(', '),
+  };
 }
