feat(soak): callers with keys of client accounts, and the judgement of keys

Cause: no run under faults had client accounts. Callers send keys that stay valid; one caller sends keys that were revoked as well. The checks keys and unauthorized judge that no worker gets a key, that no request runs over 3 s after its key was revoked or on another account, and that no valid key is refused. Runs that begin with an older build have no accounts, since it passes keys on.

--- a/features/soak/soak.feature
+++ b/features/soak/soak.feature
@@ -38,6 +38,34 @@
       | recover       | nothing was served after the last fault              |
       | exits         | an entry ended by itself                             |
 
+  # Guards against a judge that sees neither keys that leak or outlast their revocation, nor valid ones that are refused.
+  Scenario Outline: With client accounts, the check "<check>" finds that <what>
+    Given a history of requests that were served
+    And with client accounts <what>
+    Then the check "<check>" finds something, and no other does
+
+    Examples:
+      | check        | what                                             |
+      | keys         | a request ran long after its key was revoked     |
+      | keys         | a worker got a key                               |
+      | keys         | a request ran on another account                 |
+      | keys         | a request ran on no account                      |
+      | unauthorized | a valid key was refused                          |
+      | unauthorized | a key was refused though it had come long before |
+      | refused      | a request that was answered 401 ran              |
+
+  # Guards against a judge that counts what the bound of three seconds allows.
+  Scenario Outline: It is no finding that <what>
+    Given a history of requests that were served
+    And with client accounts <what>
+    Then no check finds anything
+
+    Examples:
+      | what                                            |
+      | a request ran shortly after its key was revoked |
+      | a revoked key was refused                       |
+      | a new key was refused shortly after it came     |
+
   Scenario: A crashing request that reaches three workers late is no finding
     Given a history of requests that were served
     And in it a request crashed workers, and three more much later
--- a/packages-private/soak/src/acts-on-stops.ts
+++ b/packages-private/soak/src/acts-on-stops.ts
@@ -2,6 +2,7 @@
 
 import {request as sendRequest} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {chooseSteadyKey, toKeyFields} from './accounts.js';
 import type {Site} from './acts.js';
 import {HOST} from './caller.js';
 import {STOP_WITHIN_MS} from './entry-process.js';
@@ -42,6 +43,7 @@
       entry.signal('SIGTERM');
     }
   }, subject % LONGEST_SECOND_MS);
+  const chooseKey = chooseSteadyKey(history, subject);
   const orders: Array<Promise<void>> = [];
   for (let index = 0; index < ORDERS; index++) {
     await sleep(ORDER_PAUSE_MS);
@@ -53,6 +55,7 @@
       entry: entry.address,
       sentAtMs: nowMs(),
       isLong: true,
+      key: chooseKey({nextBelow: () => 0})?.key,
     };
     history.calls.push(record);
     orders.push(send(record));
@@ -78,6 +81,7 @@
         host: HOST,
         'wasabidyke-attempt-id': record.id,
         'wasabidyke-request-deadline-ms': String(DEADLINE_MS),
+        ...toKeyFields(record.key),
       },
     });
     request.on('response', response => {
--- a/packages-private/soak/src/caller.ts
+++ b/packages-private/soak/src/caller.ts
@@ -3,6 +3,7 @@
 import {Agent, request as sendRequest} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {SeededRandom} from '@wasabidyke/policy';
+import {toKeyFields, type KeyChoice} from './accounts.js';
 import type {EntryProcess} from './entry-process.js';
 import {nowMs, type CallRecord, type History} from './history.js';
 
@@ -34,6 +35,10 @@
   readonly entries: readonly EntryProcess[];
   readonly history: History;
   readonly random: SeededRandom;
+  /** Chooses the key of each request. */
+  readonly chooseKey: KeyChoice;
+  /** Whether its keys may have been revoked. */
+  readonly isRevocable: boolean;
   /** Where callers reach an entry, by the address that it names. */
   readonly linkOf: (address: string) => string | undefined;
 }
@@ -122,7 +127,8 @@
   }
 
   async #call(address: string): Promise<void> {
-    const {name, random, history, linkOf} = this.#options;
+    const {name, random, history, linkOf, chooseKey, isRevocable} =
+      this.#options;
     const link = linkOf(address);
     if (link === undefined) {
       return;
@@ -136,6 +142,8 @@
       path: `${path}${this.#sent}`,
       entry: address,
       sentAtMs: nowMs(),
+      key: chooseKey(random)?.key,
+      isRevocable: isRevocable || undefined,
     };
     history.calls.push(record);
     const isLeaving = random.nextBelow(LEAVING_ONE_IN) === 0;
@@ -167,6 +175,7 @@
           host: HOST,
           'wasabidyke-attempt-id': id,
           'wasabidyke-request-deadline-ms': String(DEADLINE_MS),
+          ...toKeyFields(record.key),
           ...(body === '' ? {} : {'content-length': body.length}),
         },
       });
--- a/packages-private/soak/src/checks-reach.ts
+++ b/packages-private/soak/src/checks-reach.ts
@@ -30,12 +30,13 @@
 }
 
 function isFirstTry(call: CallRecord, {fromMs, toMs}: Cut): boolean {
-  const {sentAtMs, endedAtMs, leftAtMs, isCrashing} = call;
+  const {sentAtMs, endedAtMs, leftAtMs, isCrashing, isRevocable} = call;
   return (
     sentAtMs > fromMs + CUT_OFF_AFTER_MS &&
     (endedAtMs ?? Infinity) < toMs &&
     leftAtMs === undefined &&
-    isCrashing === undefined
+    isCrashing === undefined &&
+    isRevocable === undefined
   );
 }
 
--- a/packages-private/soak/src/checks.ts
+++ b/packages-private/soak/src/checks.ts
@@ -6,11 +6,13 @@
   type ConfigurationRecord,
   type History,
 } from './history.js';
+import {checkKeys, checkUnauthorized} from './checks-keys.js';
 import {checkLimit} from './checks-limit.js';
 import {checkListed} from './checks-listed.js';
 import {checkReach} from './checks-reach.js';
 import {checkUnfinished} from './checks-stop.js';
 import {checkLeft, checkRest} from './checks-rest.js';
+import {isInTouch} from './checks-touch.js';
 import {toAnswer} from './worker-stand-in.js';
 
 /** A promise that was broken. */
@@ -24,6 +26,7 @@
   stableWindowMs: 3_000,
   drainMs: 2_500,
   configApplyMs: 2_500,
+  keyMs: 3_000,
   downgradeSlackMs: 250,
   lossSlackMs: 200,
   leaveMs: 500,
@@ -54,7 +57,7 @@
   '/long/': ['writes'],
 };
 
-const NOT_RUN_STATUSES = [408, 421, 429, 503];
+const NOT_RUN_STATUSES = [401, 408, 421, 429, 503];
 
 /** All checks, by name. */
 export const CHECKS: Readonly<Record<string, (history: History) => string[]>> =
@@ -78,6 +81,8 @@
     rest: checkRest,
     left: checkLeft,
     unfinished: checkUnfinished,
+    keys: checkKeys,
+    unauthorized: checkUnauthorized,
     recover: checkRecover,
     exits: ({exits}) =>
       exits.map(({entry, status}) => `${entry} ended with status ${status}`),
@@ -344,11 +349,12 @@
 
 function checkRecover({calls, calmFromMs}: History): string[] {
   const late = calls.filter(
-    ({sentAtMs, endedAtMs, leftAtMs, isCrashing}) =>
+    ({sentAtMs, endedAtMs, leftAtMs, isCrashing, isRevocable}) =>
       sentAtMs > calmFromMs &&
       endedAtMs !== undefined &&
       leftAtMs === undefined &&
-      isCrashing === undefined,
+      isCrashing === undefined &&
+      isRevocable === undefined,
   );
   const served = late.filter(({status}) => status === 200).length;
   return served < CALM_SHARE * late.length || late.length === 0
@@ -372,23 +378,6 @@
   );
 }
 
-/** Whether the entry and the store were left alone long enough before a change and until its effect. */
-function isInTouch(
-  history: History,
-  entry: string,
-  changedAtMs: number,
-  atMs: number,
-): boolean {
-  const from = changedAtMs - BOUNDS.stableWindowMs;
-  return (
-    history.isCalm(entry, from, atMs) &&
-    history.isCalm('store', from, atMs) &&
-    !history.starts.some(
-      start => start.entry === entry && start.atMs > from && start.atMs < atMs,
-    )
-  );
-}
-
 function isNotRun(status: CallRecord['status']): boolean {
   return status !== undefined && NOT_RUN_STATUSES.includes(status);
 }
--- a/packages-private/soak/src/crashing-request.ts
+++ b/packages-private/soak/src/crashing-request.ts
@@ -7,6 +7,7 @@
 import {request as sendRequest} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {SeededRandom, type RandomSource} from '@wasabidyke/policy';
+import {chooseSteadyKey, toKeyFields} from './accounts.js';
 import {HOST} from './caller.js';
 import type {EntryProcess} from './entry-process.js';
 import {nowMs, type CallRecord, type History} from './history.js';
@@ -42,6 +43,7 @@
   const ending = toEndingPath(drawEnding(random));
   const patience = drawPatience(random);
   const path = `${prefix}${ending}${seed}-${history.calls.length}`;
+  const chooseKey = chooseSteadyKey(history, seed);
   for (let sent = 1; !history.isOver; sent++) {
     const entries = listEntries();
     const entry = entries[random.nextBelow(entries.length)];
@@ -52,6 +54,7 @@
       entry: entry.address,
       sentAtMs: nowMs(),
       isCrashing: true,
+      key: chooseKey(random)?.key,
     };
     history.calls.push(record);
     await send(record, entry.address, patience);
@@ -90,6 +93,7 @@
       host: HOST,
       'wasabidyke-attempt-id': record.id,
       'wasabidyke-request-deadline-ms': String(deadlineMs),
+      ...toKeyFields(record.key),
     };
     const request = sendRequest(
       {host, port, path: record.path, method, headers, agent: false},
--- a/packages-private/soak/src/history.ts
+++ b/packages-private/soak/src/history.ts
@@ -1,5 +1,7 @@
 /** What callers and workers saw, and what was done to the system. Times are on one monotonic clock, in milliseconds. */
 
+import type {KeyRecord} from './accounts.js';
+
 /** One send of a request by a caller, and what became of it. */
 export interface CallRecord {
   readonly id: string;
@@ -22,6 +24,10 @@
   readonly isLong?: true;
   /** When the caller gave up. */
   leftAtMs?: number;
+  /** Key of its client account. */
+  readonly key?: string;
+  /** Whether its key may have been revoked, so that it may be refused for that. */
+  readonly isRevocable?: true;
 }
 
 /** A request as a worker read it. */
@@ -34,6 +40,10 @@
   readonly atMs: number;
   /** Entry whose process sent it; known only at workers that rest or leave. */
   readonly sender?: string;
+  /** Name of the client account that it came with. */
+  readonly account?: string;
+  /** Whether the key of the account came with it. */
+  readonly hasKey?: boolean;
   /** False when the worker refused it before running. */
   hasRun: boolean;
   /** When its connection ended while it ran. */
@@ -120,6 +130,8 @@
   readonly disturbances: Disturbance[] = [];
   readonly leavings: Leaving[] = [];
   readonly configurations: ConfigurationRecord[] = [];
+  /** Keys of client accounts; none if the run has no accounts. */
+  readonly keys: KeyRecord[] = [];
   readonly lists: ListRecord[] = [];
   readonly absences: Absence[] = [];
   readonly limits: NamedLimit[] = [];
--- a/packages-private/soak/src/operator.ts
+++ b/packages-private/soak/src/operator.ts
@@ -1,5 +1,6 @@
 /** Operators and workers as the store sees them: configurations, announcements and leavings. */
 
+import type {Accounts} from './accounts.js';
 import {HOST} from './caller.js';
 import {nowMs, type History} from './history.js';
 import type {StoreStandIn} from './store-stand-in.js';
@@ -22,17 +23,24 @@
 export class Operator {
   readonly #store: StoreStandIn;
   readonly #history: History;
+  readonly #accounts: Accounts | undefined;
   #version = 0;
   #sequence = 0;
   /** The last announcements, by worker. */
   readonly #announced = new Map<string, Announcement>();
 
-  constructor(store: StoreStandIn, history: History) {
+  /** @param accounts Undefined in runs without client accounts. */
+  constructor(
+    store: StoreStandIn,
+    history: History,
+    accounts: Accounts | undefined,
+  ) {
     this.#store = store;
     this.#history = history;
+    this.#accounts = accounts;
   }
 
-  /** Writes a configuration in which `/moving/` goes to the other service. */
+  /** Writes a configuration in which `/moving/` goes to the other service, and whose accounts may have other keys. */
   moveRoute(): void {
     this.#version += 1;
     const movedTo = this.#version % 2 === 0 ? 'writes' : 'reads';
@@ -51,6 +59,7 @@
         },
         moving: {...ROUTE, prefix: '/moving/', kind: 'safe', service: movedTo},
       },
+      tenants: this.#accounts?.createNext(),
       services: {reads: service, writes: service},
       limits: {
         max_header_bytes: 8_192,
--- a/packages-private/soak/src/soak.ts
+++ b/packages-private/soak/src/soak.ts
@@ -5,8 +5,9 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {SeededRandom} from '@wasabidyke/policy';
 import {findFreePorts} from '@wasabidyke/stand-ins';
+import {Accounts, chooseChangingKey, chooseSteadyKey} from './accounts.js';
 import {act, type Site} from './acts.js';
-import {Caller} from './caller.js';
+import {Caller, type CallerOptions} from './caller.js';
 import {findViolations, type Violation} from './checks.js';
 import {EntryProcess} from './entry-process.js';
 import {EntrySockets} from './entry-sockets.js';
@@ -83,7 +84,10 @@
   const history = new History();
   const store = new StoreStandIn();
   store.staleMs = STALE_MS;
-  const operator = new Operator(store, history);
+  // An older build passes keys on to workers, so that its runs have no accounts.
+  const accounts =
+    options.olderProgram === undefined ? new Accounts(history) : undefined;
+  const operator = new Operator(store, history, accounts);
   const storeAddress = await store.listen();
   operator.moveRoute();
   const entries: EntryProcess[] = [];
@@ -153,17 +157,33 @@
   for (const entry of entries) {
     links.set(entry.address, await entry.callers.listen());
   }
-  const callers = Array.from(
-    {length: options.callers},
-    (_, index) =>
-      new Caller({
-        name: `caller-${index + 1}`,
-        entries,
-        history,
-        random: new SeededRandom(seed + index),
-        linkOf: address => links.get(address),
-      }),
+  const createCaller = (
+    name: string,
+    index: number,
+    keys: Pick<CallerOptions, 'chooseKey' | 'isRevocable'>,
+  ) =>
+    new Caller({
+      ...keys,
+      name,
+      entries,
+      history,
+      random: new SeededRandom(seed + index),
+      linkOf: address => links.get(address),
+    });
+  const callers = Array.from({length: options.callers}, (_, index) =>
+    createCaller(`caller-${index + 1}`, index, {
+      chooseKey: chooseSteadyKey(history, index),
+      isRevocable: false,
+    }),
   );
+  if (history.keys.length > 0) {
+    callers.push(
+      createCaller('revoked', options.callers, {
+        chooseKey: chooseChangingKey(history),
+        isRevocable: true,
+      }),
+    );
+  }
   const startMs = nowMs();
   const calls = callers.map(caller => caller.run());
   const acts = steps.map(async step => {
--- a/packages-private/soak/src/worker-stand-in.ts
+++ b/packages-private/soak/src/worker-stand-in.ts
@@ -208,6 +208,8 @@
       service: this.service,
       path: url,
       body,
+      account: headers['wasabidyke-tenant']?.toString(),
+      hasKey: headers['wasabidyke-key'] !== undefined,
       atMs: nowMs(),
       hasRun: false,
     };
