feat(balancer): keep quotas of client accounts over all entries

An account may run its rate and burst over all entries together. Each region has a granting entry per account, chosen by rendezvous hash; entries ask it while they read the body. Shares of the regions follow the demand that they tell each other. Entries without an answer use a small reserve, then refuse.

--- /dev/null
+++ b/features/support/quota-simulation.ts
@@ -0,0 +1,404 @@
+/** Entries that keep the quotas of accounts, without a network: each message arrives at once or not at all. */
+
+import {
+  AccountGranting,
+  GrantingEntryChoice,
+  grantingPart,
+  QuotaBucket,
+  quotaBound,
+  QuotaReserve,
+  SeededRandom,
+  type GrantingScope,
+  type Quota,
+  type QuotaTolerance,
+} from '@wasabidyke/policy';
+
+/** How quotas are kept: as designed, by equal fixed shares of the regions, or by one entry for all regions. */
+export type QuotaDesign = 'shares' | 'equal' | 'single';
+
+/** What happens from `FAULT_MS` on. */
+export type QuotaFault =
+  | 'none'
+  | 'entry lost'
+  | 'granting entry lost'
+  | 'half cut off'
+  | 'all restarted'
+  | 'limit lowered'
+  | 'surge';
+
+/** One simulation. */
+export interface QuotaRun {
+  readonly entries: number;
+  readonly design: QuotaDesign;
+  readonly fault: QuotaFault;
+  readonly seed: number;
+}
+
+/** What came out. */
+export interface QuotaResult {
+  /** Highest part of the bound that an account reached in any window. */
+  worstPart: number;
+  /** Requests within the quota, by a bucket that sees all of them. */
+  within: number;
+  /** Those of them that were refused, also after a try at another entry. */
+  refused: number;
+  /** Messages per second, those between regions among them. */
+  messagesPerSecond: number;
+  crossRegionPerSecond: number;
+}
+
+interface SimulatedEntry {
+  readonly name: string;
+  readonly region: string;
+  readonly grants: Map<SimulatedAccount, AccountGranting>;
+  readonly reserves: Map<SimulatedAccount, QuotaReserve>;
+  isUp: boolean;
+  /** Entries of different groups can't reach each other. */
+  group: number;
+  readyAtMs: number;
+}
+
+interface SimulatedAccount {
+  readonly name: string;
+  readonly usualPerSecond: number;
+  quota: Quota;
+  /** Sees all requests; tells which are within the quota. */
+  readonly reference: QuotaBucket;
+  /** Requests let through, by step. */
+  readonly passed: Int16Array;
+  readonly turn: number;
+  /** From when on the quota has been in force. */
+  sinceMs: number;
+}
+
+type Grant = {readonly granted: number} | undefined;
+
+const TOLERANCE: QuotaTolerance = {windowMs: 5_000, overshoot: 0.1, slack: 20};
+const REGIONS = ['east', 'north', 'west'];
+const ACCOUNTS = 79;
+const REQUESTS_PER_SECOND = 341;
+/** Parts of an account's requests by region; they move on by one region every `MOVE_MS`. */
+const MIX = [0.6, 0.3, 0.1];
+const MOVE_MS = 12_000;
+const STEP_MS = 10;
+const LENGTH_MS = 60_000;
+const FAULT_MS = 30_000;
+/** Time until entries know that others are down or out of reach. */
+const DETECTION_MS = 2_000;
+/** Time until a lost entry is not announced any more. */
+const LEASE_MS = 10_000;
+const EXCHANGE_MS = 500;
+const START_MS = 500;
+const SURGE_MS = 6_000;
+const SURGE_FACTOR = 7;
+/** Quota of an account, as a multiple of its usual rate. */
+const QUOTA_FACTOR = 1.6;
+
+/** Simulates one minute. */
+export class QuotaSimulation {
+  readonly #run: QuotaRun;
+  readonly #random: SeededRandom;
+  readonly #entries: SimulatedEntry[];
+  readonly #accounts: SimulatedAccount[];
+  readonly #choices = new Map<string, GrantingEntryChoice>();
+  readonly #asked = new Set<string>();
+  #nowMs = 0;
+  #messages = 0;
+  #crossRegion = 0;
+
+  constructor(run: QuotaRun) {
+    this.#run = run;
+    this.#random = new SeededRandom(run.seed);
+    this.#entries = Array.from({length: run.entries}, (_, index) => ({
+      name: `entry-${index}`,
+      region: REGIONS[index % REGIONS.length],
+      grants: new Map(),
+      reserves: new Map(),
+      isUp: true,
+      group: 0,
+      readyAtMs: 0,
+    }));
+    const weights = Array.from({length: ACCOUNTS}, (_, i) => 1 / (i + 3));
+    const sum = weights.reduce((total, weight) => total + weight, 0);
+    this.#accounts = weights.map((weight, turn) => {
+      const usualPerSecond = (REQUESTS_PER_SECOND * weight) / sum;
+      const requestsPerSecond = usualPerSecond * QUOTA_FACTOR;
+      const quota = {requestsPerSecond, burst: requestsPerSecond * 2};
+      const reference = new QuotaBucket(quota.burst, 0);
+      reference.apply(requestsPerSecond, quota.burst, 0);
+      const passed = new Int16Array(LENGTH_MS / STEP_MS);
+      const name = `account-${turn}`;
+      return {name, usualPerSecond, quota, reference, passed, turn, sinceMs: 0};
+    });
+  }
+
+  run(): QuotaResult {
+    let within = 0;
+    let refused = 0;
+    for (; this.#nowMs < LENGTH_MS; this.#nowMs += STEP_MS) {
+      if (this.#nowMs === FAULT_MS) {
+        this.#fail();
+      }
+      this.#asked.clear();
+      for (const account of this.#accounts) {
+        for (const [index, region] of REGIONS.entries()) {
+          const count = this.#poisson(this.#perStep(account, index));
+          for (let request = 0; request < count; request++) {
+            const isWithin =
+              account.reference.take(1, this.#nowMs).granted === 1;
+            const isPassed = this.#call(account, region);
+            account.passed[this.#nowMs / STEP_MS] += Number(isPassed);
+            within += Number(isWithin);
+            refused += Number(isWithin && !isPassed);
+          }
+        }
+      }
+      if (this.#run.design === 'shares' && this.#nowMs % EXCHANGE_MS === 0) {
+        this.#exchange();
+      }
+    }
+    return {
+      worstPart: Math.max(...this.#accounts.map(worstPart)),
+      within,
+      refused,
+      messagesPerSecond: (this.#messages * 1_000) / LENGTH_MS,
+      crossRegionPerSecond: (this.#crossRegion * 1_000) / LENGTH_MS,
+    };
+  }
+
+  #perStep({usualPerSecond, turn}: SimulatedAccount, region: number): number {
+    const moves = Math.floor(this.#nowMs / MOVE_MS);
+    const part = MIX[(region + turn + moves) % MIX.length];
+    const sinceMs = this.#nowMs - FAULT_MS;
+    const isSurging = this.#run.fault === 'surge' && turn === 0 && sinceMs >= 0;
+    const factor = isSurging && sinceMs < SURGE_MS ? SURGE_FACTOR : 1;
+    return (usualPerSecond * factor * part * STEP_MS) / 1_000;
+  }
+
+  #fail(): void {
+    const {fault} = this.#run;
+    const [largest] = this.#accounts;
+    const lost =
+      fault === 'entry lost'
+        ? this.#entries[0].name
+        : fault === 'granting entry lost'
+          ? this.#choose(this.#entries[0], this.#entries[0].region, largest)[0]
+          : undefined;
+    for (const [index, entry] of this.#entries.entries()) {
+      entry.isUp = entry.name !== lost;
+      entry.group = fault === 'half cut off' ? (index >> 1) & 1 : 0;
+      if (fault === 'all restarted') {
+        entry.grants.clear();
+        entry.reserves.clear();
+        entry.readyAtMs = this.#nowMs + START_MS;
+      }
+    }
+    if (fault === 'limit lowered') {
+      const {requestsPerSecond, burst} = largest.quota;
+      const quota = {
+        requestsPerSecond: requestsPerSecond / 10,
+        burst: burst / 10,
+      };
+      largest.quota = quota;
+      largest.sinceMs = this.#nowMs;
+      largest.reference.apply(
+        quota.requestsPerSecond,
+        quota.burst,
+        this.#nowMs,
+      );
+    }
+  }
+
+  /** A request; one that no entry could decide on goes to another entry once. */
+  #call(account: SimulatedAccount, region: string): boolean {
+    const own = this.#entries.filter(
+      entry => entry.region === region && entry.isUp,
+    );
+    for (let attempt = 0; attempt < 2; attempt++) {
+      const entry = own[this.#random.nextBelow(own.length)];
+      const grant = this.#ask(entry, account);
+      if (grant !== undefined) {
+        return grant.granted > 0;
+      }
+      const reserve =
+        entry.reserves.get(account) ??
+        new QuotaReserve(TOLERANCE, this.#random);
+      entry.reserves.set(account, reserve);
+      if (reserve.take(account.quota, this.#run.entries, this.#nowMs)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  #ask(entry: SimulatedEntry, account: SimulatedAccount): Grant {
+    const [first, second] = this.#choose(entry, entry.region, account);
+    const grant = this.#query(entry, first, account);
+    if (grant !== undefined || second === undefined) {
+      return grant;
+    }
+    const helper = this.#reach(entry, second);
+    return helper === undefined
+      ? undefined
+      : (this.#query(helper, first, account) ??
+          this.#query(entry, second, account));
+  }
+
+  #query(from: SimulatedEntry, name: string, account: SimulatedAccount): Grant {
+    const entry = this.#reach(from, name);
+    const scope = entry && this.#scope(entry);
+    if (entry === undefined || scope === undefined || scope.part === 0) {
+      return undefined;
+    }
+    const pair = `${from.name} ${name}`;
+    if (entry !== from && !this.#asked.has(pair)) {
+      this.#asked.add(pair);
+      this.#count(from, entry);
+    }
+    const isEqual = this.#run.design === 'equal';
+    const {requestsPerSecond, burst} = account.quota;
+    const parts = isEqual ? REGIONS.length : 1;
+    const quota = {
+      requestsPerSecond: requestsPerSecond / parts,
+      burst: burst / parts,
+    };
+    const tolerance = {...TOLERANCE, slack: TOLERANCE.slack / parts};
+    const granting =
+      entry.grants.get(account) ?? new AccountGranting(tolerance, this.#nowMs);
+    if (!entry.grants.has(account)) {
+      entry.grants.set(account, granting);
+      if (this.#run.design === 'shares') {
+        this.#tell(entry, account, granting);
+      }
+    }
+    return granting.ask(1, quota, scope, this.#nowMs);
+  }
+
+  #exchange(): void {
+    for (const entry of this.#entries) {
+      for (const [account, granting] of entry.grants) {
+        const isOwn =
+          this.#choose(entry, entry.region, account)[0] === entry.name;
+        if (!isOwn && this.#nowMs - granting.askedAtMs > 1_000) {
+          entry.grants.delete(account);
+        } else if (entry.isUp) {
+          this.#tell(entry, account, granting);
+        }
+      }
+    }
+  }
+
+  #tell(
+    entry: SimulatedEntry,
+    account: SimulatedAccount,
+    {demand}: AccountGranting,
+  ): void {
+    const isStart = !demand.isStarted;
+    const news = demand.takeNews(account.quota, REGIONS.length, this.#nowMs);
+    if (news === undefined) {
+      return;
+    }
+    const known: number[] = [];
+    for (const region of REGIONS.filter(other => other !== entry.region)) {
+      const [name] = this.#choose(entry, region, account);
+      const other = name === undefined ? undefined : this.#reach(entry, name);
+      if (other !== undefined) {
+        this.#count(entry, other);
+        const heard = other.grants.get(account)?.demand;
+        const former = isStart ? (heard?.heardOf(entry.region) ?? 0) : 0;
+        known.push(Math.max(news, former));
+        heard?.onHeard(entry.region, Math.max(news, former));
+        demand.onHeard(region, heard?.applied ?? 0);
+      }
+    }
+    if (known.length === REGIONS.length - 1) {
+      if (isStart) {
+        demand.start(Math.min(...known));
+      } else {
+        demand.onAllAnswered(news);
+      }
+    }
+  }
+
+  #count(from: SimulatedEntry, to: SimulatedEntry): void {
+    this.#messages += 1;
+    this.#crossRegion += Number(from.region !== to.region);
+  }
+
+  #reach(from: SimulatedEntry, name: string): SimulatedEntry | undefined {
+    const entry = this.#entries.find(candidate => candidate.name === name);
+    const isReached =
+      entry?.isUp === true &&
+      entry.group === from.group &&
+      entry.readyAtMs <= this.#nowMs;
+    return isReached ? entry : undefined;
+  }
+
+  /** Whether an entry believes that another one is up. */
+  #isSeen(from: SimulatedEntry, other: SimulatedEntry): boolean {
+    const isDetected = this.#nowMs >= FAULT_MS + DETECTION_MS;
+    return !isDetected || (other.isUp && other.group === from.group);
+  }
+
+  #scope(entry: SimulatedEntry): GrantingScope {
+    const isOne = this.#run.design === 'single';
+    const own = this.#entries.filter(
+      ({region}) => isOne || region === entry.region,
+    );
+    const isExpired = this.#nowMs >= FAULT_MS + LEASE_MS;
+    const announced = own.filter(({isUp}) => isUp || !isExpired);
+    const seen = own.filter(other => this.#isSeen(entry, other));
+    return {
+      otherRegions:
+        this.#run.design === 'shares'
+          ? REGIONS.filter(region => region !== entry.region)
+          : [],
+      part: grantingPart(seen.length, announced.length),
+    };
+  }
+
+  #choose(
+    entry: SimulatedEntry,
+    region: string,
+    account: SimulatedAccount,
+  ): readonly string[] {
+    const isOne = this.#run.design === 'single';
+    const isDetected = this.#nowMs >= FAULT_MS + DETECTION_MS;
+    const key = `${isOne || region} ${entry.group} ${isDetected}`;
+    const known = this.#choices.get(key) ?? new GrantingEntryChoice();
+    if (!this.#choices.has(key)) {
+      this.#choices.set(key, known);
+      known.applyEntries(
+        this.#entries
+          .filter(other => isOne || other.region === region)
+          .filter(other => this.#isSeen(entry, other))
+          .map(({name}) => name),
+      );
+    }
+    return known.choose(account.name);
+  }
+
+  #poisson(mean: number): number {
+    const limit = Math.exp(-mean);
+    let count = 0;
+    let product = this.#random.nextBelow(1e9) / 1e9;
+    while (product > limit) {
+      count += 1;
+      product *= this.#random.nextBelow(1e9) / 1e9;
+    }
+    return count;
+  }
+}
+
+/** Highest part of the bound that was reached in a window; requests before the quota was in force don't count. */
+function worstPart({passed, quota, sinceMs}: SimulatedAccount): number {
+  const counted = passed.subarray(sinceMs / STEP_MS);
+  const steps = TOLERANCE.windowMs / STEP_MS;
+  let sum = 0;
+  let worst = 0;
+  for (const [step, count] of counted.entries()) {
+    sum += count - (step >= steps ? counted[step - steps] : 0);
+    worst = Math.max(worst, sum);
+  }
+  return worst / quotaBound(quota, TOLERANCE);
+}
--- a/packages/balancer/src/balancer-settings.ts
+++ b/packages/balancer/src/balancer-settings.ts
@@ -53,6 +53,16 @@
     slack: amountSchema,
     window: durationSchema,
   }),
+  /** By how much all entries together may exceed the quota of an account; `DEFAULT_QUOTA_TOLERANCE` unless set. */
+  quotas: z.optional(
+    z.object({
+      window: durationSchema,
+      /** Share of the requests that the quota allows in a window. */
+      overshoot: amountSchema,
+      /** Requests per window. */
+      slack: amountSchema,
+    }),
+  ),
   /** Maximum load queries per second to one upstream, over all entries. */
   loadQueriesPerSecond: amountSchema,
   /** Cost of transferring a megabyte, as a number of responses in time. */
--- a/packages/balancer/src/balancer.ts
+++ b/packages/balancer/src/balancer.ts
@@ -5,8 +5,8 @@
 import {
   LivenessTracker,
   SeededRandom,
-  TokenBucket,
   type RandomSource,
+  type TokenBucket,
 } from '@wasabidyke/policy';
 import {MetricRegistry, SystemClock, type Clock} from '@wasabidyke/shared';
 import {registerGauges} from './balancer-gauges.js';
@@ -17,15 +17,18 @@
 import {FollowerRecordStore} from './feed/follower-record-store.js';
 import {FeedServer} from './feed/feed-server.js';
 import {RecordHistory} from './feed/record-history.js';
+import {createLoadQueryBudget} from './load-query-budget.js';
 import {LimitNotifier} from './limits/limit-notifier.js';
 import {EntryMonitor} from './members/entry-monitor.js';
 import {EntryRoster} from './members/entry-roster.js';
+import {toOwnRecord} from './members/own-record.js';
 import {
   distanceTo,
   ROUND_TRIPS_MS,
   UpstreamRegistry,
   type Locality,
 } from './members/upstream-registry.js';
+import {QuotaParts} from './quotas/quota-parts.js';
 import {RelayReceiver} from './relay/relay-receiver.js';
 import {RelaySender} from './relay/relay-sender.js';
 import type {DecisionLog} from './reporting/decision-log.js';
@@ -36,6 +39,7 @@
 import {UpstreamSelector} from './serving/upstream-selector.js';
 import {DiscoveryServer} from './serving/discovery-server.js';
 import {RouteState} from './serving/route-state.js';
+import {DRAINING_SHARE, EXIT_MARGIN_MS, LAST_ANSWERS_MS} from './stop-times.js';
 import {EntryAnnouncer} from './store/entry-announcer.js';
 import {StoreWatcher} from './store/store-watcher.js';
 import {SuspectParts} from './suspects/suspect-parts.js';
@@ -46,18 +50,6 @@
 /** Time between removals of vanished records and updates of the load query rate, in milliseconds. */
 const TICK_INTERVAL_MS = 250;
 
-/** Share of the shutdown time in which callers with an older list of entries are still served. */
-const DRAINING_SHARE = 0.5;
-
-/** The process exits by itself this long before it would be killed, in milliseconds. */
-const EXIT_MARGIN_MS = 400;
-
-/** Time for the last answers to be written, in milliseconds: a part of `EXIT_MARGIN_MS`. */
-const LAST_ANSWERS_MS = 100;
-
-/** Burst of load queries that may accumulate, in milliseconds at the allowed rate. */
-const LOAD_QUERY_BURST_MS = 2_000;
-
 const SEED_BOUND = 2 ** 31;
 
 /** A balancer process. */
@@ -82,6 +74,7 @@
   readonly #history = new RecordHistory();
   readonly #store: FollowerRecordStore;
   readonly #limitNotifier: LimitNotifier;
+  readonly #quotas: QuotaParts;
   readonly #feedServer: FeedServer;
   readonly #storeWatcher: StoreWatcher;
   readonly #announcer: EntryAnnouncer;
@@ -109,14 +102,7 @@
     this.#log = log;
     this.#clock = clock;
     this.#random = new SeededRandom(randomInt(SEED_BOUND));
-    const ownRecord = {
-      feedAddress: settings.listen.feed.text,
-      tellsEra: true,
-      name: settings.name,
-      address: settings.listen.callers.text,
-      region: settings.region,
-      zone: settings.zone,
-    };
+    const ownRecord = toOwnRecord(settings);
     this.#liveness = new LivenessTracker(
       {...ownRecord, sequence: Math.round(clock.wallTime())},
       this.#random,
@@ -160,6 +146,17 @@
       clock,
       log,
     });
+    this.#quotas = new QuotaParts({
+      settings: () => this.#settings,
+      own: ownRecord,
+      roster: this.#entries,
+      table: () => this.#clusterState.table,
+      storeAgeMs: () => this.#store.ageMs,
+      metrics,
+      clock,
+      random: this.#random,
+      log,
+    });
     this.#feedServer = new FeedServer({
       onFault: error => log.record('message.fault', {cause: String(error)}),
       history: this.#history,
@@ -169,6 +166,7 @@
       onUpstreamCheck: message =>
         this.#suspects.upstreamCheck.onMessage(message),
       onLimits: message => this.#limitNotifier.onMessage(message),
+      quotas: this.#quotas,
       relay: {
         serve: (request, response) =>
           this.#relayReceiver.serve(request, response),
@@ -202,12 +200,7 @@
       random: this.#random,
       log,
     });
-    this.#loadQueryBudget = new TokenBucket({
-      ratePerSecond: 0,
-      capacityMs: LOAD_QUERY_BURST_MS,
-      minimumCapacity: 1,
-      nowMs: clock.now(),
-    });
+    this.#loadQueryBudget = createLoadQueryBudget(clock.now());
     this.#upstreamSelector = this.#createUpstreamSelector();
     this.#relaySender = this.#createRelaySender();
     const dispatching = this.#createDispatcherOptions();
@@ -245,6 +238,7 @@
     await this.#discoveryServer.listen([entries, readiness, metrics]);
     await this.#feedServer.listen(feed);
     this.#entryMonitor.start();
+    this.#quotas.start();
     this.#tickTimer = setInterval(() => this.#onTick(), TICK_INTERVAL_MS);
     this.#log.record('process.started', {
       address: callers.text,
@@ -278,6 +272,7 @@
     });
     this.#entries.unlistSelf();
     this.#entryMonitor.leave();
+    this.#quotas.leave();
     this.#callerServer.closeConnections();
     const withdrawn = this.#announcer.stop(withinMs);
     await sleep(this.#settings.stopWithin * DRAINING_SHARE);
@@ -292,6 +287,7 @@
     await Promise.race([finished, sleep(LAST_ANSWERS_MS)]);
     this.#storeWatcher.stop();
     this.#entryMonitor.stop();
+    this.#quotas.stop();
     this.#suspects.announcer.stop();
     this.#suspects.processWatch.stop();
     clearInterval(this.#tickTimer);
@@ -388,6 +384,7 @@
       crashMonitor: this.#suspects.monitor,
       processWatch: this.#suspects.processWatch,
       relay: this.#relaySender,
+      quotas: this.#quotas.gate,
       bodyMemory: createBodyMemory(),
       endsAtMs: () => this.#endsAtMs,
       table: () => this.#clusterState.table,
--- a/packages/balancer/src/feed/feed-server.ts
+++ b/packages/balancer/src/feed/feed-server.ts
@@ -28,6 +28,11 @@
 import {RELAY_PATH} from '../relay/relay-messages.js';
 import {readBody} from '../serving/body-reader.js';
 import {LIMITS_PATH, MAXIMUM_LIMITS_BYTES} from '../limits/limit-messages.js';
+import {
+  MAXIMUM_QUOTA_BYTES,
+  QUOTA_DEMAND_PATH,
+  QUOTA_PATH,
+} from '../quotas/quota-messages.js';
 import {
   CHECK_PATH,
   LIVENESS_PATH,
@@ -66,6 +71,8 @@
   [CHECK_PATH]: MAXIMUM_LIVENESS_BYTES,
   [LIMITS_PATH]: MAXIMUM_LIMITS_BYTES,
   [UPSTREAM_CHECK_PATH]: MAXIMUM_UPSTREAM_CHECK_BYTES,
+  [QUOTA_PATH]: MAXIMUM_QUOTA_BYTES,
+  [QUOTA_DEMAND_PATH]: MAXIMUM_QUOTA_BYTES,
 };
 
 /** Answers the messages by which entries check each other; undefined if a message can't be read. */
@@ -74,6 +81,12 @@
   onCheck(message: unknown): Promise<string | undefined>;
 }
 
+/** Answers the messages on quotas of accounts; undefined if a message can't be read. */
+export interface QuotaMessageResponder {
+  onQuery(message: unknown): Promise<string | undefined>;
+  onDemand(message: unknown): string | undefined;
+}
+
 /** Options of `FeedServer`. */
 export interface FeedServerOptions {
   readonly history: RecordHistory;
@@ -89,6 +102,8 @@
   readonly onLimits?: (message: unknown) => string | undefined;
   /** Checks an upstream for another entry; returns undefined if the message can't be read. */
   readonly onUpstreamCheck?: (message: unknown) => Promise<string | undefined>;
+  /** Without one, this entry takes no messages on quotas. */
+  readonly quotas?: QuotaMessageResponder;
   /** Takes requests of other entries. */
   readonly relay?: RelayResponder;
   /** Called when a message can't be answered because of a fault in this entry. */
@@ -211,7 +226,7 @@
 
   /** Returns the answer to a message; undefined if it can't be read. */
   async #answer(path: string, message: unknown): Promise<string | undefined> {
-    const {liveness, onLimits, onUpstreamCheck} = this.#options;
+    const {liveness, onLimits, onUpstreamCheck, quotas} = this.#options;
     switch (path) {
       case LIVENESS_PATH:
         return liveness?.onStatements(message);
@@ -221,6 +236,10 @@
         return onLimits?.(message);
       case UPSTREAM_CHECK_PATH:
         return onUpstreamCheck?.(message);
+      case QUOTA_PATH:
+        return quotas?.onQuery(message);
+      case QUOTA_DEMAND_PATH:
+        return quotas?.onDemand(message);
       default:
         return this.#takeSuspects(message);
     }
--- a/packages/balancer/src/index.ts
+++ b/packages/balancer/src/index.ts
@@ -16,6 +16,7 @@
 export * from './members/upstream-record.js';
 export * from './members/upstream-registry.js';
 export * from './members/upstream-roster.js';
+export * from './quotas/quota-messages.js';
 export * from './relay/relay-messages.js';
 export * from './reporting/decision-log.js';
 export * from './reporting/line-destination.js';
--- a/packages/balancer/src/members/entry-record.ts
+++ b/packages/balancer/src/members/entry-record.ts
@@ -16,6 +16,8 @@
   sequence: z.optional(startTimeSchema),
   /** Whether the entry tells its followers the era of the store. Builds up to d49f6ce don't. */
   tellsEra: z.catch(z.optional(z.boolean()), undefined),
+  /** Whether the entry grants requests of accounts with a quota. Builds up to 0bf06d7 don't. */
+  grantsQuotas: z.catch(z.optional(z.boolean()), undefined),
 });
 
 /** Announcement of an entry. */
--- a/packages/balancer/src/members/entry-roster.ts
+++ b/packages/balancer/src/members/entry-roster.ts
@@ -116,6 +116,16 @@
       .sort();
   }
 
+  /** All entries, and whether each is up; this one is unless it is stopping. */
+  listMembers(): ReadonlyArray<{record: EntryRecord; isUp: boolean}> {
+    const own = {record: this.#ownRecord, isUp: this.#isSelfListed};
+    const others = [...this.#members.values()]
+      .map(({record}) => record)
+      .filter(({name}) => name !== this.#ownRecord.name)
+      .map(record => ({record, isUp: !this.#liveness.isDown(record.name)}));
+    return [own, ...others];
+  }
+
   /** The other entries that take messages from entries. */
   listPeers(): readonly EntryRecord[] {
     return [...this.#members.values()]
--- /dev/null
+++ b/packages/balancer/src/quotas/quota-parts.ts
@@ -0,0 +1,157 @@
+/** The parts that keep the quotas of accounts over all entries. */
+
+import {
+  DEFAULT_QUOTA_TOLERANCE,
+  type QuotaTolerance,
+  type RandomSource,
+} from '@wasabidyke/policy';
+import type {Clock, MetricRegistry} from '@wasabidyke/shared';
+import type {BalancerSettings} from '../balancer-settings.js';
+import {EntryClient} from '../feed/entry-client.js';
+import type {EntryRecord} from '../members/entry-record.js';
+import type {EntryRoster} from '../members/entry-roster.js';
+import type {DecisionLog} from '../reporting/decision-log.js';
+import type {RoutingTable} from '../routing/routing-table.js';
+import {QuotaClient} from './quota-client.js';
+import {registerQuotaCounters} from './quota-counters.js';
+import {QuotaDemandExchange} from './quota-demand-exchange.js';
+import {QuotaGate} from './quota-gate.js';
+import {QuotaGranter} from './quota-granter.js';
+import {QuotaMembers} from './quota-members.js';
+import {QuotaResponder} from './quota-responder.js';
+
+/** Options of `QuotaParts`. */
+export interface QuotaPartsOptions {
+  readonly settings: () => BalancerSettings;
+  readonly own: EntryRecord;
+  readonly roster: EntryRoster;
+  readonly table: () => RoutingTable | undefined;
+  /** Time since the store itself confirmed that no record is missing, in milliseconds. */
+  readonly storeAgeMs: () => number;
+  readonly metrics: MetricRegistry;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly log: DecisionLog;
+}
+
+/** Time between looks at which entries are up, in milliseconds. */
+const TICK_INTERVAL_MS = 100;
+
+/** Time without the store and other regions after which an entry stops granting, in milliseconds. Source: the lease of announcements, after which others no longer count it. */
+const CUT_OFF_MS = 10_000;
+
+/** Creates and connects the parts. */
+export class QuotaParts {
+  readonly gate: QuotaGate;
+  readonly #responder: QuotaResponder;
+  readonly #exchange: QuotaDemandExchange;
+  readonly #options: QuotaPartsOptions;
+  /** Has connections of its own: those of the liveness checks are closed when their targets change. */
+  readonly #client = new EntryClient();
+  readonly #members: QuotaMembers;
+  readonly #granter: QuotaGranter;
+  readonly #quotaClient: QuotaClient;
+  #timer: NodeJS.Timeout | undefined;
+
+  constructor(options: QuotaPartsOptions) {
+    this.#options = options;
+    const {clock, random, log, metrics, roster, own} = options;
+    const counters = registerQuotaCounters(metrics);
+    const members = new QuotaMembers(roster, own);
+    const client = this.#client;
+    const tolerance = () => this.#tolerance;
+    this.#members = members;
+    this.#exchange = new QuotaDemandExchange({
+      members,
+      granter: () => this.#granter,
+      client,
+      counters,
+      clock,
+    });
+    this.#granter = new QuotaGranter({
+      members,
+      findQuota: name => this.#findQuota(name),
+      tolerance,
+      isCutOff: () => this.#isCutOff,
+      onBegin: () => this.#exchange.tellSoon(),
+      clock,
+      log,
+    });
+    const granter = this.#granter;
+    this.#quotaClient = new QuotaClient({members, client, counters, clock});
+    this.#responder = new QuotaResponder({
+      members,
+      granter,
+      client: this.#quotaClient,
+      counters,
+    });
+    this.gate = new QuotaGate({
+      members,
+      granter,
+      responder: this.#responder,
+      counters,
+      tolerance,
+      clock,
+      random,
+      log,
+    });
+  }
+
+  start(): void {
+    this.#exchange.start();
+    this.#timer = setInterval(() => this.#onTick(), TICK_INTERVAL_MS);
+  }
+
+  /** Answers another entry; undefined if the message can't be read. */
+  onQuery(message: unknown): Promise<string | undefined> {
+    return this.#responder.onQuery(message);
+  }
+
+  /** Takes the demand of another region; undefined if the message can't be read. */
+  onDemand(message: unknown): string | undefined {
+    return this.#exchange.onDemand(message);
+  }
+
+  /** Stops granting; this entry still asks others for its own requests. */
+  leave(): void {
+    this.#granter.stop();
+  }
+
+  stop(): void {
+    clearInterval(this.#timer);
+    this.#exchange.stop();
+    this.#client.close();
+  }
+
+  #onTick(): void {
+    const nowMs = this.#options.clock.now();
+    if (this.#options.table() !== undefined) {
+      this.#granter.onConfigured();
+    }
+    this.#members.update(nowMs);
+    this.#granter.onTick(nowMs);
+    this.#quotaClient.onTick(nowMs);
+  }
+
+  #findQuota(name: string) {
+    const account = this.#options.table()?.findAccount(name);
+    return account?.requestsPerSecond === 0 ? undefined : account;
+  }
+
+  get #isCutOff(): boolean {
+    const {clock, storeAgeMs} = this.#options;
+    const silentMs = clock.now() - this.#exchange.heardAtMs;
+    return (
+      storeAgeMs() > CUT_OFF_MS &&
+      silentMs > CUT_OFF_MS &&
+      this.#members.scope.otherRegions.length > 0
+    );
+  }
+
+  get #tolerance(): QuotaTolerance {
+    const {quotas} = this.#options.settings();
+    return quotas === undefined
+      ? DEFAULT_QUOTA_TOLERANCE
+      : {...quotas, windowMs: quotas.window};
+  }
+}
--- a/packages/balancer/src/serving/caller-server.ts
+++ b/packages/balancer/src/serving/caller-server.ts
@@ -17,16 +17,19 @@
 } from '@wasabidyke/shared';
 import type {CompleteAnswer} from '../exchange/exchange.js';
 import type {WireProtocol} from '../exchange/wire-protocol.js';
+import type {QuotaGate} from '../quotas/quota-gate.js';
 import type {DecisionLog} from '../reporting/decision-log.js';
 import type {CallerLimits} from '../routing/routing-configuration.js';
 import type {RoutingTable} from '../routing/routing-table.js';
 import {canBeFinished} from './attempt-timing.js';
 import {readBody, type BodyResult} from './body-reader.js';
+import {awaitChargedBody} from './charged-body.js';
 import {refuseMalformed} from './malformed-request.js';
 import type {RequestDispatcherOptions} from './dispatcher-options.js';
 import {headerBytesOf} from './request-head.js';
 import {onceClosed} from './response-close.js';
 import {STOPPING_RETRY_AFTER_MS} from './refusals.js';
+import {toRefusalFields, type RefusedRequest} from './refusal-fields.js';
 import {RequestRouter} from './request-router.js';
 import {RequestDispatcher} from './request-dispatcher.js';
 import {statusOf, type Refusal, type RoutedRequest} from './routed-request.js';
@@ -36,6 +39,7 @@
   /** Returns the current routing table; undefined before the first configuration. */
   readonly table: () => RoutingTable | undefined;
   readonly protocol: WireProtocol;
+  readonly quotas: QuotaGate;
   readonly metrics: MetricRegistry;
   readonly log: DecisionLog;
   readonly clock: Clock;
@@ -218,11 +222,20 @@
       this.#refuseStopping(response, requestId);
       return;
     }
-    const bodyResult = await readBody(request, {
+    const charge = this.#options.quotas.charge(account);
+    const reading = readBody(request, {
       limitBytes: table.limits.bodyBytes,
       memory: this.#options.bodyMemory,
       withinMs: ownDeadlineMs - this.#options.clock.now(),
     });
+    const bodyResult = await awaitChargedBody(request, reading, charge);
+    if (bodyResult.kind === 'refused') {
+      const configurationVersion = table.version;
+      const refused = {route, service, account, configurationVersion};
+      const {refusal} = bodyResult;
+      this.#refuse(response, requestId, refusal, {...refused, arrivedAtMs});
+      return;
+    }
     if (bodyResult.kind !== 'body') {
       this.#refuseBody(response, requestId, bodyResult.kind);
       return;
@@ -314,30 +327,18 @@
     response: ServerResponse,
     requestId: string | undefined,
     refusal: Refusal,
-    request?: RoutedRequest,
+    request?: RefusedRequest,
   ): void {
-    const status = statusOf(refusal);
-    this.#options.log.record('request.refused', {
-      request: requestId,
-      reason: refusal.reason,
-      status,
-      isNotRun: refusal.isNotRun,
-      comeBackMs: round(refusal.retryAfterMs),
-      route: request?.route.name,
-      account: request?.account?.name,
-      service: request?.service,
-      version: request?.configurationVersion,
-      upstream: refusal.lastUpstream?.upstreamId,
-      estimateMs: round(refusal.lastUpstream?.estimateMs),
-      reportAgeMs: round(refusal.lastUpstream?.reportAgeMs),
-      freeSlots: refusal.lastUpstream?.freeSlots,
-      tookMs: round(request && this.#options.clock.now() - request.arrivedAtMs),
-    });
+    const {log, clock} = this.#options;
+    log.record(
+      'request.refused',
+      toRefusalFields(requestId, refusal, request, clock.now()),
+    );
     const headers: Record<string, string> = {};
     if (refusal.retryAfterMs !== undefined) {
       headers['retry-after'] = (refusal.retryAfterMs / SECOND_MS).toFixed(3);
     }
-    this.#send(response, status, headers);
+    this.#send(response, statusOf(refusal), headers);
   }
 
   #refuseStopping(
@@ -390,7 +391,3 @@
     }
   }
 }
-
-function round(value: number | undefined): number | undefined {
-  return value === undefined ? undefined : Math.round(value);
-}
--- /dev/null
+++ b/packages/policy/src/granting-entry.ts
@@ -0,0 +1,53 @@
+/** Chooses the entries that grant requests of an account. */
+
+import {rendezvousHash} from './rendezvous-hash.js';
+
+/** Entries that are asked for one account, in this order. */
+const CHOSEN_ENTRIES = 2;
+
+/** Remembered choices: more than there are accounts in use at one entry. */
+const MAXIMUM_REMEMBERED = 20_000;
+
+/** Chooses by a hash of the account and the entry, so that entries that know the same others choose alike. */
+export class GrantingEntryChoice {
+  #entries: readonly string[] = [];
+  readonly #chosen = new Map<string, readonly string[]>();
+
+  /** Sets the entries that may be chosen. */
+  applyEntries(entries: readonly string[]): void {
+    if (entries.join('\n') !== this.#entries.join('\n')) {
+      this.#entries = entries;
+      this.#chosen.clear();
+    }
+  }
+
+  /** Returns the entry that grants for an account and the one that is asked if it doesn't answer. */
+  choose(account: string): readonly string[] {
+    const known = this.#chosen.get(account);
+    if (known !== undefined) {
+      return known;
+    }
+    const chosen = this.#entries
+      .map(name => ({name, hash: rendezvousHash(name, account)}))
+      .sort((left, right) => left.hash - right.hash)
+      .slice(0, CHOSEN_ENTRIES)
+      .map(({name}) => name);
+    if (this.#chosen.size >= MAXIMUM_REMEMBERED) {
+      this.#chosen.clear();
+    }
+    this.#chosen.set(account, chosen);
+    return chosen;
+  }
+}
+
+/**
+ * Returns the part of a region's share that may be granted by entries that see
+ * `up` of the `announced` entries of their region. Of two groups that can't see
+ * each other, only the larger one grants; two equal ones get half each.
+ */
+export function grantingPart(up: number, announced: number): number {
+  if (2 * up > announced) {
+    return 1;
+  }
+  return 2 * up === announced ? 0.5 : 0;
+}
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,10 +1,12 @@
 /** Load balancing decisions. They do no I/O and read no clock: callers pass the time in. */
 
+export * from './account-granting.js';
 export * from './admission-queue.js';
 export * from './crash-guard.js';
 export type {Crash} from './crash.js';
 export * from './create-selection.js';
 export * from './expected-loss.js';
+export * from './granting-entry.js';
 export * from './group-failure-share.js';
 export * from './hedge-plan.js';
 export * from './hedge-reserve.js';
@@ -15,8 +17,12 @@
 export * from './load-report.js';
 export * from './locality.js';
 export * from './overload-admission.js';
+export * from './quota-bucket.js';
+export * from './quota-reserve.js';
+export * from './quota-tolerance.js';
 export * from './random-selection.js';
 export * from './random.js';
+export * from './region-demand.js';
 export * from './rendezvous-hash.js';
 export * from './relay-choice.js';
 export * from './repeat-budget.js';
