--- a/features/balancer/builds.feature
+++ b/features/balancer/builds.feature
@@ -52,6 +52,10 @@
       | relay request  | 5191b2f |
       | feed           | ad08e2f |
       | entry record   | ad08e2f |
+      | entry record   | quotas  |
+      | quota query    | quotas  |
+      | quota answer   | quotas  |
+      | quota demand   | quotas  |
 
   # Guards against a change of a message or record by which landed builds can't read it any more.
   Scenario Outline: What is written has all that builds read: <message> by <build>
@@ -68,3 +72,7 @@
       | relay request  | 5191b2f |
       | feed           | ad08e2f |
       | entry record   | ad08e2f |
+      | entry record   | quotas  |
+      | quota query    | quotas  |
+      | quota answer   | quotas  |
+      | quota demand   | quotas  |
--- a/features/support/balancer-site.ts
+++ b/features/support/balancer-site.ts
@@ -97,6 +97,8 @@
   keepsIds = true;
   /** Limit of the bodies of requests, in bytes. */
   maximumBodyBytes = 100_000;
+  /** Client accounts of the configuration, as the platform writes them; undefined if there are none. */
+  accounts: object | undefined;
   readonly #hasLinks: boolean;
   #entries: SiteEntry[] = [];
   #started = 0;
@@ -154,16 +156,16 @@
   }
 
   /** Starts an entry. */
-  async addEntry(zone = 'home-a'): Promise<void> {
+  async addEntry(zone = 'home-a', region = 'home'): Promise<void> {
     const ports = await findFreePorts(4);
     const [callers, entries, metrics, feed] = ports;
     this.#started += 1;
     const settings = parseBalancerSettings(
       JSON.stringify({
         name: `entry-${this.#started}`,
-        region: 'home',
+        region,
         zone,
-        regionByZone: {'home-a': 'home', 'home-b': 'home'},
+        regionByZone: {'home-a': 'home', 'home-b': 'home', 'far-a': 'far'},
         listen: {
           callers: `127.0.0.1:${callers}`,
           entries: `127.0.0.1:${entries}`,
@@ -230,6 +232,7 @@
         ...changes,
       },
       services: {shop: {health_path: '/load', max_connections: 200}},
+      tenants: this.accounts,
       limits: {
         max_header_bytes: 8192,
         max_body_bytes: this.maximumBodyBytes,
--- a/features/support/quota-simulation.ts
+++ b/features/support/quota-simulation.ts
@@ -71,23 +71,34 @@
   sinceMs: number;
 }
 
+interface Loan {
+  readonly granting: AccountGranting;
+  readonly count: number;
+  readonly arrivesAtMs: number;
+}
+
 type Grant = {readonly granted: number} | undefined;
 
 const TOLERANCE: QuotaTolerance = {windowMs: 5_000, overshoot: 0.1, slack: 20};
 const REGIONS = ['east', 'north', 'west'];
 const ACCOUNTS = 79;
 const REQUESTS_PER_SECOND = 341;
-/** Parts of an account's requests by region; they move on by one region every `MOVE_MS`. */
+/** Parts of an account's requests by region. Every `MOVE_MS` they move on by one region, within `MOVING_MS`. */
 const MIX = [0.6, 0.3, 0.1];
 const MOVE_MS = 12_000;
+const MOVING_MS = 3_000;
 const STEP_MS = 10;
 const LENGTH_MS = 60_000;
+/** Refusals before that are those of a start of all entries, which is a case of its own. */
+const COUNTED_FROM_MS = 10_000;
 const FAULT_MS = 30_000;
 /** Time until entries know that others are down or out of reach. */
 const DETECTION_MS = 2_000;
 /** Time until a lost entry is not announced any more. */
 const LEASE_MS = 10_000;
 const EXCHANGE_MS = 500;
+/** Time until borrowed tokens arrive from another region; other messages arrive at once. */
+const ROUND_TRIP_MS = 50;
 const START_MS = 500;
 const SURGE_MS = 6_000;
 const SURGE_FACTOR = 7;
@@ -102,6 +113,8 @@
   readonly #accounts: SimulatedAccount[];
   readonly #choices = new Map<string, GrantingEntryChoice>();
   readonly #asked = new Set<string>();
+  /** Tokens on their way to other regions. */
+  readonly #loans: Loan[] = [];
   #nowMs = 0;
   #messages = 0;
   #crossRegion = 0;
@@ -140,6 +153,10 @@
         this.#fail();
       }
       this.#asked.clear();
+      while ((this.#loans.at(0)?.arrivesAtMs ?? Infinity) <= this.#nowMs) {
+        const loan = this.#loans.shift();
+        loan?.granting.onLent(loan.count, this.#nowMs);
+      }
       for (const account of this.#accounts) {
         for (const [index, region] of REGIONS.entries()) {
           const count = this.#poisson(this.#perStep(account, index));
@@ -148,8 +165,9 @@
               account.reference.take(1, this.#nowMs).granted === 1;
             const isPassed = this.#call(account, region);
             account.passed[this.#nowMs / STEP_MS] += Number(isPassed);
-            within += Number(isWithin);
-            refused += Number(isWithin && !isPassed);
+            const isCounted = isWithin && this.#nowMs >= COUNTED_FROM_MS;
+            within += Number(isCounted);
+            refused += Number(isCounted && !isPassed);
           }
         }
       }
@@ -168,7 +186,11 @@
 
   #perStep({usualPerSecond, turn}: SimulatedAccount, region: number): number {
     const moves = Math.floor(this.#nowMs / MOVE_MS);
-    const part = MIX[(region + turn + moves) % MIX.length];
+    const index = region + turn + moves;
+    const moved = Math.min(1, (this.#nowMs % MOVE_MS) / MOVING_MS);
+    const part =
+      MIX[index % MIX.length] * moved +
+      MIX[(index + MIX.length - 1) % MIX.length] * (1 - moved);
     const sinceMs = this.#nowMs - FAULT_MS;
     const isSurging = this.#run.fault === 'surge' && turn === 0 && sinceMs >= 0;
     const factor = isSurging && sinceMs < SURGE_MS ? SURGE_FACTOR : 1;
@@ -271,7 +293,34 @@
         this.#tell(entry, account, granting);
       }
     }
-    return granting.ask(1, quota, scope, this.#nowMs);
+    const grant = granting.ask(1, quota, scope, this.#nowMs);
+    const wanted = granting.takeWant(this.#nowMs);
+    if (wanted > 0 && scope.otherRegions.length > 0) {
+      this.#borrow(entry, account, granting, wanted);
+    }
+    return grant;
+  }
+
+  #borrow(
+    entry: SimulatedEntry,
+    account: SimulatedAccount,
+    granting: AccountGranting,
+    wanted: number,
+  ): void {
+    for (const region of REGIONS.filter(other => other !== entry.region)) {
+      const [name] = this.#choose(entry, region, account);
+      const lender = name === undefined ? undefined : this.#reach(entry, name);
+      if (lender !== undefined) {
+        this.#count(entry, lender);
+        const {quota} = account;
+        const scope = this.#scope(lender);
+        const lent = lender.grants
+          .get(account)
+          ?.lend(wanted, quota, scope, this.#nowMs);
+        const arrivesAtMs = this.#nowMs + ROUND_TRIP_MS;
+        this.#loans.push({granting, count: lent ?? 0, arrivesAtMs});
+      }
+    }
   }
 
   #exchange(): void {
@@ -291,15 +340,17 @@
   #tell(
     entry: SimulatedEntry,
     account: SimulatedAccount,
-    {demand}: AccountGranting,
+    granting: AccountGranting,
   ): void {
+    const {demand} = granting;
     const isStart = !demand.isStarted;
-    const news = demand.takeNews(account.quota, REGIONS.length, this.#nowMs);
+    const others = REGIONS.filter(region => region !== entry.region);
+    const news = granting.takeNews(account.quota, others, this.#nowMs);
     if (news === undefined) {
       return;
     }
     const known: number[] = [];
-    for (const region of REGIONS.filter(other => other !== entry.region)) {
+    for (const region of others) {
       const [name] = this.#choose(entry, region, account);
       const other = name === undefined ? undefined : this.#reach(entry, name);
       if (other !== undefined) {
--- a/features/support/recorded-messages.ts
+++ b/features/support/recorded-messages.ts
@@ -10,7 +10,13 @@
   limitsSchema,
   parseRequest,
   parseSuspect,
+  quotaAnswerSchema,
+  quotaDemandSchema,
+  quotaQuerySchema,
   serializeFeed,
+  serializeQuotaAnswer,
+  serializeQuotaDemand,
+  serializeQuotaQuery,
   serializeLimits,
   serializeRequest,
   serializeStatements,
@@ -27,6 +33,9 @@
   | 'suspect record'
   | 'statements'
   | 'limits'
+  | 'quota query'
+  | 'quota answer'
+  | 'quota demand'
   | 'relay request';
 
 const change = {key: 'servers/i-1', value: 'e30=', revision: 7};
@@ -66,6 +75,22 @@
 };
 /** A limit of an upstream. */
 export const limit = {upstream: 'i-1', requestsPerSecond: 20, ageMs: 5};
+/** Messages on the quota of an account. */
+const quotaQuery = {asks: [{account: 'a-1', count: 3}], isForwarded: true};
+const quotaAnswer = {grants: [{account: 'a-1', granted: 2, comeBackMs: 40}]};
+const quotaDemand = {
+  region: 'home',
+  demands: [
+    {
+      account: 'a-1',
+      perSecond: 4.5,
+      isStart: true,
+      wanted: 3,
+      lent: 2,
+      knownPerSecond: 4.5,
+    },
+  ],
+};
 /** A request that another entry is to send. */
 export const relayed = {
   requestId: 'r-1',
@@ -107,6 +132,17 @@
     }),
     'entry record': JSON.stringify({...entry, sequence: 5, tellsEra: true}),
   },
+  quotas: {
+    'entry record': JSON.stringify({
+      ...entry,
+      sequence: 5,
+      tellsEra: true,
+      grantsQuotas: true,
+    }),
+    'quota query': JSON.stringify(quotaQuery),
+    'quota answer': JSON.stringify(quotaAnswer),
+    'quota demand': JSON.stringify(quotaDemand),
+  },
 };
 
 const suspectKey = toSuspectKey(suspect);
@@ -120,6 +156,11 @@
     'suspect record': text =>
       parseSuspect(suspectKey, Buffer.from(text)) !== undefined,
     statements: text => statementsSchema.safeParse(JSON.parse(text)).success,
+    'quota query': text => quotaQuerySchema.safeParse(JSON.parse(text)).success,
+    'quota answer': text =>
+      quotaAnswerSchema.safeParse(JSON.parse(text)).success,
+    'quota demand': text =>
+      quotaDemandSchema.safeParse(JSON.parse(text)).success,
     limits: text => limitsSchema.safeParse(JSON.parse(text)).success,
     'relay request': text =>
       parseRequest(Buffer.from(text))?.body?.toString() === 'body',
@@ -132,7 +173,16 @@
     const changes = [{...change, value}];
     return serializeFeed({changes, revision: 7, era: 3}, 12, [departed]);
   },
-  'entry record': () => JSON.stringify({...entry, sequence: 5, tellsEra: true}),
+  'entry record': () =>
+    JSON.stringify({
+      ...entry,
+      sequence: 5,
+      tellsEra: true,
+      grantsQuotas: true,
+    }),
+  'quota query': () => serializeQuotaQuery(quotaQuery),
+  'quota answer': () => serializeQuotaAnswer(quotaAnswer),
+  'quota demand': () => serializeQuotaDemand(quotaDemand),
   'suspect record': () => serializeSuspect(suspect).toString(),
   statements: () => serializeStatements([statement]),
   limits: () => serializeLimits({limits: [limit]}),
@@ -150,6 +200,7 @@
   }),
 );
 const nonNegative = z.number().check(z.minimum(0));
+const optionalNonNegative = z.optional(nonNegative);
 
 /** What landed builds need, by build and message. */
 export const NEEDED: Readonly<
@@ -210,6 +261,35 @@
     feed: z.object({revision: z.int(), era: z.int(), changes: fedChanges}),
     'entry record': z.object({tellsEra: z.optional(z.boolean())}),
   },
+  quotas: {
+    'entry record': z.object({grantsQuotas: z.optional(z.boolean())}),
+    'quota query': z.object({
+      asks: z.array(z.object({account: z.string(), count: z.int()})),
+      isForwarded: z.optional(z.boolean()),
+    }),
+    'quota answer': z.object({
+      grants: z.array(
+        z.object({
+          account: z.string(),
+          granted: z.optional(z.int()),
+          comeBackMs: optionalNonNegative,
+        }),
+      ),
+    }),
+    'quota demand': z.object({
+      region: z.string(),
+      demands: z.array(
+        z.object({
+          account: z.string(),
+          perSecond: nonNegative,
+          isStart: z.optional(z.boolean()),
+          wanted: z.optional(z.int()),
+          lent: z.optional(z.int()),
+          knownPerSecond: optionalNonNegative,
+        }),
+      ),
+    }),
+  },
   '5191b2f': {
     'relay request': z.object({
       requestId: z.optional(z.string()),
--- a/packages/balancer/src/quotas/quota-demand-exchange.ts
+++ b/packages/balancer/src/quotas/quota-demand-exchange.ts
@@ -8,6 +8,7 @@
 import type {QuotaMembers} from './quota-members.js';
 import {
   MAXIMUM_ACCOUNTS,
+  MAXIMUM_COUNT,
   QUOTA_DEMAND_PATH,
   quotaDemandSchema,
   serializeQuotaDemand,
@@ -79,6 +80,17 @@
     }, 0);
   }
 
+  /** Borrows tokens of an account from each other region. */
+  borrow(name: string, account: AccountGranting, wanted: number): void {
+    const {members} = this.#options;
+    for (const region of members.scope.otherRegions) {
+      const entry = members.findGranting(region, name);
+      if (entry !== undefined) {
+        void this.#borrowFrom(entry, name, account, wanted);
+      }
+    }
+  }
+
   /** Takes the demand of another region; undefined if the message can't be read. */
   onDemand(message: unknown): string | undefined {
     const parsed = quotaDemandSchema.safeParse(message);
@@ -88,13 +100,15 @@
     const {region, demands} = parsed.data;
     const {members, granter} = this.#options;
     this.#heardAtMs = this.#options.clock.now();
-    const answers = demands.map(({account, perSecond, isStart = false}) => {
+    const answers = demands.map(demand => {
+      const {account, perSecond, isStart = false, wanted = 0} = demand;
       const granting = granter().find(account);
       const former = isStart ? (granting?.demand.heardOf(region) ?? 0) : 0;
       const knownPerSecond = Math.max(perSecond, former);
       granting?.demand.onHeard(region, knownPerSecond);
       const own = granting?.demand.applied ?? 0;
-      return {account, perSecond: own, knownPerSecond};
+      const lent = wanted > 0 ? granter().lend(account, wanted) : undefined;
+      return {account, perSecond: own, knownPerSecond, lent};
     });
     return serializeQuotaDemand({region: members.region, demands: answers});
   }
@@ -105,8 +119,7 @@
     const nowMs = clock.now();
     const news: News[] = [];
     for (const [name, account, quota] of granter().list()) {
-      const regions = otherRegions.length + 1;
-      const perSecond = account.demand.takeNews(quota, regions, nowMs);
+      const perSecond = account.takeNews(quota, otherRegions, nowMs);
       if (perSecond !== undefined) {
         const silent = new Set(otherRegions);
         const isStart = !account.demand.isStarted;
@@ -151,12 +164,39 @@
     region: string,
     news: readonly News[],
   ): Promise<void> {
-    const {members, client, counters, clock} = this.#options;
     const demands = news.map(({name, perSecond, isStart}) => ({
       account: name,
       perSecond,
       isStart: isStart || undefined,
     }));
+    const answer = await this.#send(entry, demands);
+    if (answer !== undefined) {
+      this.#onAnswer(region, news, answer);
+    }
+  }
+
+  async #borrowFrom(
+    entry: string,
+    name: string,
+    account: AccountGranting,
+    wanted: number,
+  ): Promise<void> {
+    const {clock} = this.#options;
+    const perSecond = account.demand.told;
+    const answer = await this.#send(entry, [
+      {account: name, perSecond, wanted: Math.min(wanted, MAXIMUM_COUNT)},
+    ]);
+    const lent = answer?.demands.at(0)?.lent ?? 0;
+    if (lent > 0) {
+      account.onLent(lent, clock.now());
+    }
+  }
+
+  async #send(
+    entry: string,
+    demands: QuotaDemandMessage['demands'],
+  ): Promise<QuotaDemandMessage | undefined> {
+    const {members, client, counters, clock} = this.#options;
     counters.demandsSent.add();
     const answer = await client.postKept({
       address: members.addressOf(entry) ?? '',
@@ -165,10 +205,11 @@
       timeoutMs: ANSWER_TIMEOUT_MS,
     });
     const parsed = quotaDemandSchema.safeParse(bodyOf(answer));
-    if (parsed.success) {
-      this.#heardAtMs = clock.now();
-      this.#onAnswer(region, news, parsed.data);
+    if (!parsed.success) {
+      return undefined;
     }
+    this.#heardAtMs = clock.now();
+    return parsed.data;
   }
 
   #onAnswer(
--- a/packages/balancer/src/quotas/quota-granter.ts
+++ b/packages/balancer/src/quotas/quota-granter.ts
@@ -21,6 +21,12 @@
   readonly isCutOff: () => boolean;
   /** Called when this entry begins to grant for an account. */
   readonly onBegin: () => void;
+  /** Called when this entry needs tokens of other regions. */
+  readonly onShort: (
+    name: string,
+    account: AccountGranting,
+    wanted: number,
+  ) => void;
   readonly clock: Clock;
   readonly log: DecisionLog;
 }
@@ -88,7 +94,21 @@
       return undefined;
     }
     const {account} = this.#accounts.get(name) ?? this.#begin(name);
-    return account.ask(count, quota, members.scope, clock.now());
+    const grant = account.ask(count, quota, members.scope, clock.now());
+    const wanted = account.takeWant(clock.now());
+    if (wanted > 0) {
+      this.#options.onShort(name, account, wanted);
+    }
+    return grant;
+  }
+
+  /** Lends at most `count` tokens of an account to another region. */
+  lend(name: string, count: number): number {
+    const {findQuota, clock, members} = this.#options;
+    const quota = findQuota(name);
+    return quota === undefined || !this.isReady
+      ? 0
+      : (this.find(name)?.lend(count, quota, members.scope, clock.now()) ?? 0);
   }
 
   /** The state of an account; undefined if this entry doesn't grant for it. */
--- a/packages/balancer/src/quotas/quota-messages.ts
+++ b/packages/balancer/src/quotas/quota-messages.ts
@@ -12,7 +12,7 @@
 export const MAXIMUM_ACCOUNTS = 128;
 
 /** Maximum number of requests asked for at once for one account. */
-const MAXIMUM_COUNT = 10_000;
+export const MAXIMUM_COUNT = 10_000;
 
 /** Maximum size of a message, in bytes: that many accounts with long names. */
 export const MAXIMUM_QUOTA_BYTES = 65_536;
@@ -54,6 +54,10 @@
         perSecond: amountSchema,
         /** Set by an entry that has just begun to grant: what its region told before still counts. */
         isStart: z.optional(z.boolean()),
+        /** Tokens that the telling region wants to borrow. */
+        wanted: z.optional(countSchema),
+        /** In answers: tokens that the region lends. */
+        lent: z.optional(countSchema),
         /** In answers: the demand of the telling region that counts now. */
         knownPerSecond: z.optional(amountSchema),
       }),
--- a/packages/balancer/src/quotas/quota-parts.ts
+++ b/packages/balancer/src/quotas/quota-parts.ts
@@ -74,6 +74,8 @@
       tolerance,
       isCutOff: () => this.#isCutOff,
       onBegin: () => this.#exchange.tellSoon(),
+      onShort: (name, account, wanted) =>
+        this.#exchange.borrow(name, account, wanted),
       clock,
       log,
     });
--- a/packages/policy/src/account-granting.ts
+++ b/packages/policy/src/account-granting.ts
@@ -1,5 +1,6 @@
 /** The granting side of one account in one region: its part of the rate and of the burst. */
 
+import {SECOND_MS} from '@wasabidyke/shared';
 import {QuotaBucket, type QuotaGrant} from './quota-bucket.js';
 import {
   extraBurst,
@@ -20,6 +21,15 @@
 /** Smallest capacity, in tokens: less could never be granted. */
 const MINIMUM_CAPACITY = 1;
 
+/** Tokens below which a region borrows from others, in milliseconds at its demand: several round trips between regions. */
+const LOW_MS = 400;
+
+/** The same in tokens, at least: accounts of one request per second send two in a row now and then. */
+const MINIMUM_LOW = 2;
+
+/** Time between two attempts to borrow, in milliseconds: over its quota, an account finds nothing to borrow. */
+const BORROWING_INTERVAL_MS = 300;
+
 /** Grants requests of one account. */
 export class AccountGranting {
   readonly demand: RegionDemand;
@@ -27,6 +37,7 @@
   #bucket: QuotaBucket | undefined;
   #askedAtMs: number;
   #perSecond = 0;
+  #borrowsAtMs = -Infinity;
 
   constructor(tolerance: QuotaTolerance, nowMs: number) {
     this.#tolerance = tolerance;
@@ -44,6 +55,15 @@
     return this.#perSecond;
   }
 
+  /** Returns the demand to be told to the other regions, per second; undefined if there is no news. */
+  takeNews(
+    quota: Quota,
+    others: readonly string[],
+    nowMs: number,
+  ): number | undefined {
+    return this.demand.takeNews(quota, this.#tolerance, others, nowMs);
+  }
+
   /** Grants as many of `count` requests as the region's share allows. */
   ask(
     count: number,
@@ -65,12 +85,49 @@
     return this.#bucket.take(count, nowMs);
   }
 
+  /** Returns how many tokens are to be borrowed from each other region now; 0 if none. */
+  takeWant(nowMs: number): number {
+    const available = this.#bucket?.available(nowMs) ?? Infinity;
+    const low = this.#low(nowMs);
+    if (!this.demand.isStarted || nowMs < this.#borrowsAtMs) {
+      return 0;
+    }
+    if (available >= low) {
+      return 0;
+    }
+    this.#borrowsAtMs = nowMs + BORROWING_INTERVAL_MS;
+    return Math.ceil(2 * low - available);
+  }
+
+  /** Takes tokens that another region lent. */
+  onLent(count: number, nowMs: number): void {
+    this.#bucket?.deposit(count, nowMs);
+  }
+
+  /** Lends at most `count` tokens to another region; what this region needs soon stays. */
+  lend(
+    count: number,
+    quota: Quota,
+    scope: GrantingScope,
+    nowMs: number,
+  ): number {
+    this.apply(quota, scope, nowMs);
+    return this.#bucket?.lend(count, this.#low(nowMs), nowMs) ?? 0;
+  }
+
+  #low(nowMs: number): number {
+    const soon = (this.demand.perSecond(nowMs) * LOW_MS) / SECOND_MS;
+    return Math.max(MINIMUM_LOW, soon);
+  }
+
   /** Applies a changed quota or share; a lower one holds at once. */
   apply(quota: Quota, scope: GrantingScope, nowMs: number): void {
     const allocated = this.demand.allocate(quota, scope.otherRegions);
     const share = allocated / quota.requestsPerSecond;
+    const regions = scope.otherRegions.length + 1;
+    // Half of it follows demand; the other half is there when callers arrive from elsewhere.
     const extra =
-      extraBurst(quota, this.#tolerance) / (scope.otherRegions.length + 1);
+      (extraBurst(quota, this.#tolerance) * (share + 1 / regions)) / 2;
     const capacity = (quota.burst * share + extra) * scope.part;
     this.#perSecond = allocated * scope.part;
     this.#bucket?.apply(
--- a/packages/policy/src/granting-entry.ts
+++ b/packages/policy/src/granting-entry.ts
@@ -40,14 +40,20 @@
   }
 }
 
+/** Smallest part of the entries of a region that may grant all of its share, as numerator and denominator. Source: one of three availability zones may be lost. */
+const MAJORITY_PARTS = 2;
+const PARTS = 3;
+
 /**
  * Returns the part of a region's share that may be granted by entries that see
- * `up` of the `announced` entries of their region. Of two groups that can't see
- * each other, only the larger one grants; two equal ones get half each.
+ * `up` of the `announced` entries of their region. Two groups that can't see
+ * each other never grant more than the share between them: two similar ones
+ * grant in proportion to their sizes, else only the larger one grants.
  */
 export function grantingPart(up: number, announced: number): number {
-  if (2 * up > announced) {
+  if (up * PARTS >= announced * MAJORITY_PARTS) {
     return 1;
   }
-  return 2 * up === announced ? 0.5 : 0;
+  const isSmall = up * PARTS <= announced * (PARTS - MAJORITY_PARTS);
+  return isSmall ? 0 : up / announced;
 }
--- a/packages/policy/src/quota-bucket.ts
+++ b/packages/policy/src/quota-bucket.ts
@@ -3,11 +3,14 @@
 import {SECOND_MS} from '@wasabidyke/shared';
 
 /** Longest time to come back that is named, in milliseconds: by then the share of the region may be another. */
-const MAXIMUM_COME_BACK_MS = 5_000;
+const MAXIMUM_COME_BACK_MS = 2_000;
 
 /** Shortest time to come back that is named, in milliseconds: a round trip of a nearby caller. */
 const MINIMUM_COME_BACK_MS = 20;
 
+/** Time in which borrowed tokens are used, in milliseconds. */
+const BORROWED_MS = 2_000;
+
 /** What a granting entry answers. */
 export interface QuotaGrant {
   readonly granted: number;
@@ -21,6 +24,9 @@
   #capacity = 0;
   #tokens: number;
   #filledAtMs: number;
+  /** Tokens of other regions; they count for no share of this one, and are used first. */
+  #borrowed = 0;
+  #borrowedUntilMs = -Infinity;
   /** When the last one of those that were told to come back finds a token. */
   #promisedUntilMs = -Infinity;
 
@@ -38,11 +44,36 @@
     this.#tokens = Math.min(this.#tokens, capacity);
   }
 
+  /** Tokens that can be taken at present. */
+  available(nowMs: number): number {
+    this.#fill(nowMs);
+    return this.#tokens + this.#borrowed;
+  }
+
+  /** Adds tokens that were taken from the bucket of another region. */
+  deposit(count: number, nowMs: number): void {
+    this.#fill(nowMs);
+    this.#borrowed += count;
+    this.#borrowedUntilMs = nowMs + BORROWED_MS;
+  }
+
+  /** Takes at most `count` tokens for another region, and leaves `kept`. */
+  lend(count: number, kept: number, nowMs: number): number {
+    this.#fill(nowMs);
+    const spare = Math.max(0, Math.floor(this.#tokens - kept));
+    const lent = Math.min(count, spare);
+    this.#tokens -= lent;
+    return lent;
+  }
+
   /** Takes as many of `count` tokens as there are. */
   take(count: number, nowMs: number): QuotaGrant {
     this.#fill(nowMs);
-    const granted = Math.min(count, Math.floor(this.#tokens));
-    this.#tokens -= granted;
+    const borrowed = Math.min(count, this.#borrowed);
+    const own = Math.min(count - borrowed, Math.floor(this.#tokens));
+    this.#borrowed -= borrowed;
+    this.#tokens -= own;
+    const granted = borrowed + own;
     const comeBackMs = granted === count ? 0 : this.#promise(nowMs);
     return {granted, comeBackMs};
   }
@@ -67,5 +98,8 @@
       Math.max(this.#capacity, this.#tokens),
     );
     this.#filledAtMs = nowMs;
+    if (nowMs >= this.#borrowedUntilMs) {
+      this.#borrowed = 0;
+    }
   }
 }
--- a/packages/policy/src/quota-tolerance.ts
+++ b/packages/policy/src/quota-tolerance.ts
@@ -25,14 +25,14 @@
   slack: 20,
 };
 
-/** Share of the tolerance for entries that get no answer; all of them together stay within it. */
-const RESERVE_SHARE = 0.5;
+/** Share of the tolerance for entries that get no answer; all of them together stay within it. Source: half of it would serve hardly more with 116 entries, and the granting entries need it to start. */
+const RESERVE_SHARE = 0.1;
 
 /** Share of the tolerance that enlarges the bursts of the regions: a region has only its part of the burst, but as much chance as the whole. */
-const BURST_SHARE = 0.4;
+const BURST_SHARE = 0.6;
 
-/** Share of the tolerance with which granting entries start: they don't know what the former ones granted. */
-const START_SHARE = 0.1;
+/** Share of the tolerance with which granting entries start: they don't know what the former ones granted. With a tenth, accounts of one request per second were refused 5 in 100 after a start. */
+const START_SHARE = 0.3;
 
 function tolerated(quota: Quota, tolerance: QuotaTolerance): number {
   return (
--- a/packages/policy/src/region-demand.ts
+++ b/packages/policy/src/region-demand.ts
@@ -7,7 +7,11 @@
  */
 
 import {SECOND_MS} from '@wasabidyke/shared';
-import type {Quota} from './quota-tolerance.js';
+import {
+  extraBurst,
+  type Quota,
+  type QuotaTolerance,
+} from './quota-tolerance.js';
 
 /** Time over which demand is averaged, in milliseconds: callers move between zones within seconds. */
 const AVERAGING_MS = 1_500;
@@ -18,12 +22,18 @@
 /** Demand below this share of the rate's equal part counts as none and is not told. */
 const TOLD_SHARE = 0.1;
 
-/** Change of demand that is told, as a share of what was told last and of the rate. Less is covered by the bursts. */
-const CHANGE_SHARE = 0.15;
-const RATE_CHANGE_SHARE = 0.05;
+/** Change of demand that is told, as a share of what was told last and of the rate. Regions borrow from each other for less; half of these values doubled the messages and refused as many. */
+const CHANGE_SHARE = 0.5;
+const RATE_CHANGE_SHARE = 0.2;
 
-/** Time after which demand is told again although it has not changed, in milliseconds: a new granting entry elsewhere doesn't know it. */
-const REPEAT_MS = 5_000;
+/** Part of its share from which a region is short of requests, and tells smaller changes. */
+const SHORT_SHARE = 0.8;
+
+/** Time for which the extra burst of a region covers a change that is not told, in milliseconds. Accounts of a few requests per second would be told of all the time otherwise. */
+const COVERED_MS = 2_000;
+
+/** Time after which demand is told again although it has not changed, in milliseconds: a new granting entry elsewhere asks by itself, so that this only repairs what it got wrong. */
+const REPEAT_MS = 15_000;
 
 /** Demand for one account, as the granting entry of one region knows it. */
 export class RegionDemand {
@@ -44,6 +54,11 @@
     return this.#applied ?? 0;
   }
 
+  /** Demand that was told last, per second. */
+  get told(): number {
+    return this.#told;
+  }
+
   /** Whether the other regions have answered once. */
   get isStarted(): boolean {
     return this.#applied !== undefined;
@@ -80,18 +95,27 @@
 
   /** Returns the demand to be told to the other regions, per second; undefined if there is no news. */
   takeNews(
-    {requestsPerSecond}: Quota,
-    regions: number,
+    quota: Quota,
+    tolerance: QuotaTolerance,
+    others: readonly string[],
     nowMs: number,
   ): number | undefined {
+    const regions = others.length + 1;
+    const {requestsPerSecond} = quota;
+    const extra = extraBurst(quota, tolerance) / regions;
     const measured = this.perSecond(nowMs);
     const isLittle = measured < (requestsPerSecond / regions) * TOLD_SHARE;
     const demand = isLittle ? 0 : measured;
     const change = Math.abs(demand - this.#told);
-    const threshold = Math.max(
+    const smallest = Math.max(
       this.#told * CHANGE_SHARE,
       requestsPerSecond * RATE_CHANGE_SHARE,
     );
+    const isShort =
+      demand > this.#told &&
+      demand > this.allocate(quota, others) * SHORT_SHARE;
+    const covered = isShort ? 0 : (extra * SECOND_MS) / COVERED_MS;
+    const threshold = Math.max(smallest, covered);
     const isDue = nowMs - this.#toldAtMs >= REPEAT_MS;
     const isAnyTold = demand > 0 || this.#told > 0;
     const isNew = this.#applied === undefined || this.#told !== this.#applied;
