--- a/features/support/older-entry.ts
+++ b/features/support/older-entry.ts
@@ -17,6 +17,8 @@
   readonly name: string;
   build: OlderBuild;
   sequence = Date.now();
+  /** Whether it takes messages and answers none. */
+  isSilent = false;
   /** Paths of the messages that it got. */
   readonly messages: string[] = [];
   readonly #server: Server;
@@ -30,6 +32,9 @@
       const isKnown = KNOWN_PATHS[this.build].includes(path);
       request.resume();
       request.on('end', () => {
+        if (this.isSilent) {
+          return;
+        }
         response.writeHead(isKnown ? 200 : 404, {
           'content-type': 'application/json',
         });
