feat(balancer): ask a second entry for a quota that the granting one doesn't answer

Queries that an entry passes on held up others on the same connection, and requests that arrived while a lost entry was asked waited for a query of their own. The second entry is now asked 60 ms after the oldest query without an answer, on a connection of its own. Measured with 4 entries in one process and a granting entry that answers nothing.

--- a/features/balancer/quotas.feature
+++ b/features/balancer/quotas.feature
@@ -61,7 +61,8 @@
   # Guards against accounts that no one grants for since the chosen entry doesn't know the message, and against one that
   # counts as down for that.
   Scenario: An entry of a build that doesn't grant is not asked, and one that doesn't know the message harms no one
-    Given an announced entry "old" of build "9812e0f"
+    Given 20 accounts send 2 requests per second to all entries for 1000 ms
+    And an announced entry "old" of build "9812e0f"
     And an announced entry "back" of build "9812e0f" that says that it grants
     When 20 accounts send 2 requests per second to all entries for 3000 ms
     Then all requests were answered
@@ -71,7 +72,8 @@
 
   # Guards against requests that wait for a granting entry which is lost until it is known to be down.
   Scenario: A granting entry that falls silent is replaced
-    Given an announced entry "lost" of build "9812e0f" that says that it grants
+    Given 20 accounts send 2 requests per second to all entries for 1000 ms
+    And an announced entry "lost" of build "9812e0f" that says that it grants
     And entry "lost" falls silent
     When 20 accounts send 2 requests per second to all entries for 3000 ms
     Then all requests were answered
--- a/features/steps/account-quotas.steps.ts
+++ b/features/steps/account-quotas.steps.ts
@@ -135,9 +135,12 @@
   ) {
     const {entries} = this.balancerSite;
     const sent = await Promise.all(
-      Array.from({length: count}, (_, index) =>
-        send(this, `a-${index + 1}`, rate, forMs, n => (n + index) % entries),
-      ),
+      Array.from({length: count}, async (_, index) => {
+        // All of them at once would measure how fast one process runs several entries.
+        await sleep((index * SECOND_MS) / rate / count);
+        const entryOf: EntryOf = n => (n + index) % entries;
+        return send(this, `a-${index + 1}`, rate, forMs, entryOf);
+      }),
     );
     this.sent = sent.flat();
   },
--- a/packages/balancer/src/quotas/quota-client.ts
+++ b/packages/balancer/src/quotas/quota-client.ts
@@ -16,11 +16,12 @@
 import type {QuotaCounters} from './quota-counters.js';
 import type {QuotaMembers} from './quota-members.js';
 
-/** Time for the answer to a query, in milliseconds: four round trips between availability zones. */
-const ANSWER_TIMEOUT_MS = 45;
-
-/** Time for the answer to a query that the entry may have to pass on, in milliseconds. */
-const PASSED_ON_TIMEOUT_MS = 100;
+/** Time for the answer of an entry, by how it is asked, in milliseconds. One that is only asked again in place of another entry is given a few round trips between availability zones. */
+const ANSWER_TIMEOUTS_MS: Readonly<Record<QueryKind, number>> = {
+  first: 140,
+  second: 85,
+  forwarded: 35,
+};
 
 /** Time for which an entry that didn't answer is not asked, in milliseconds: every request would wait for it until it is known to be down. */
 const SILENT_MS = 500;
@@ -42,6 +43,7 @@
 /** Requests for one entry that wait for a query. */
 interface Line {
   isInFlight: boolean;
+  sentAtMs: number;
   waiting: Map<string, Waiter[]>;
 }
 
@@ -49,6 +51,8 @@
 export interface QuotaClientOptions {
   readonly members: QuotaMembers;
   readonly client: EntryClient;
+  /** For queries that are passed on: others would wait behind them on the same connection. */
+  readonly passingClient: EntryClient;
   readonly counters: QuotaCounters;
   readonly clock: Clock;
 }
@@ -69,6 +73,14 @@
     return this.#options.clock.now() < untilMs;
   }
 
+  /** Time since a query was sent to a granting entry that it has not answered, in milliseconds; 0 if there is none. */
+  unansweredMs(entry: string): number {
+    const line = this.#lines.get(`first ${entry}`);
+    return line?.isInFlight === true
+      ? Math.max(0, this.#options.clock.now() - line.sentAtMs)
+      : 0;
+  }
+
   /** Asks an entry for requests of an account. Undefined: it didn't answer, or doesn't grant for the account. */
   ask(
     entry: string,
@@ -82,6 +94,7 @@
     const key = `${kind} ${entry}`;
     const line = this.#lines.get(key) ?? {
       isInFlight: false,
+      sentAtMs: Infinity,
       waiting: new Map<string, Waiter[]>(),
     };
     this.#lines.set(key, line);
@@ -114,9 +127,15 @@
     while (line.waiting.size > 0) {
       const asked = new Map([...line.waiting].slice(0, MAXIMUM_ACCOUNTS));
       asked.forEach((_, account) => line.waiting.delete(account));
-      const answer = this.isSilent(entry)
-        ? undefined
-        : await this.#query(entry, kind, asked);
+      line.sentAtMs = this.#options.clock.now();
+      const answer = await this.#query(entry, kind, asked);
+      if (answer === undefined) {
+        // Those that arrived meanwhile have waited as well.
+        for (const [account, waiters] of line.waiting) {
+          asked.set(account, [...(asked.get(account) ?? []), ...waiters]);
+        }
+        line.waiting.clear();
+      }
       const grants = new Map(
         answer?.grants.map(grant => [grant.account, grant]),
       );
@@ -132,7 +151,11 @@
     kind: QueryKind,
     asked: ReadonlyMap<string, readonly Waiter[]>,
   ): Promise<QuotaAnswer | undefined> {
-    const {members, client, counters, clock} = this.#options;
+    const {members, counters, clock} = this.#options;
+    const isPassedOn = kind === 'second';
+    const client = isPassedOn
+      ? this.#options.passingClient
+      : this.#options.client;
     const address = members.addressOf(entry);
     if (address === undefined) {
       return undefined;
@@ -149,9 +172,9 @@
         asks,
         isForwarded: kind === 'forwarded' ? true : undefined,
       }),
-      timeoutMs: kind === 'second' ? PASSED_ON_TIMEOUT_MS : ANSWER_TIMEOUT_MS,
+      timeoutMs: ANSWER_TIMEOUTS_MS[kind],
     });
-    if (answer.kind === 'silent') {
+    if (answer.kind === 'silent' && !isPassedOn) {
       this.#silentUntilMs.set(entry, clock.now() + SILENT_MS);
     }
     const parsed = quotaAnswerSchema.safeParse(bodyOf(answer));
--- a/packages/balancer/src/quotas/quota-parts.ts
+++ b/packages/balancer/src/quotas/quota-parts.ts
@@ -48,6 +48,7 @@
   readonly #options: QuotaPartsOptions;
   /** Has connections of its own: those of the liveness checks are closed when their targets change. */
   readonly #client = new EntryClient();
+  readonly #passingClient = new EntryClient();
   readonly #members: QuotaMembers;
   readonly #granter: QuotaGranter;
   readonly #quotaClient: QuotaClient;
@@ -80,7 +81,13 @@
       log,
     });
     const granter = this.#granter;
-    this.#quotaClient = new QuotaClient({members, client, counters, clock});
+    this.#quotaClient = new QuotaClient({
+      members,
+      client,
+      passingClient: this.#passingClient,
+      counters,
+      clock,
+    });
     this.#responder = new QuotaResponder({
       members,
       granter,
@@ -123,6 +130,7 @@
     clearInterval(this.#timer);
     this.#exchange.stop();
     this.#client.close();
+    this.#passingClient.close();
   }
 
   #onTick(): void {
--- a/packages/balancer/src/quotas/quota-responder.ts
+++ b/packages/balancer/src/quotas/quota-responder.ts
@@ -7,6 +7,9 @@
 import type {QuotaMembers} from './quota-members.js';
 import {quotaQuerySchema, serializeQuotaAnswer} from './quota-messages.js';
 
+/** Time after which the second entry is asked as well, in milliseconds: five round trips between availability zones. If both answer, the quota is charged twice, never too little. */
+const SECOND_AFTER_MS = 60;
+
 /** Options of `QuotaResponder`. */
 export interface QuotaResponderOptions {
   readonly members: QuotaMembers;
@@ -62,16 +65,20 @@
     second: string | undefined,
   ): Promise<QuotaGrant | undefined> {
     const {members, client} = this.#options;
-    const grant =
-      first === members.self
-        ? undefined
-        : await client.ask(first, account, 1, 'first');
-    if (grant !== undefined || second === undefined) {
-      return grant;
+    const askSecond = async () => {
+      if (second === undefined) {
+        return undefined;
+      }
+      return second === members.self
+        ? this.#options.granter.grant(account, 1)
+        : client.ask(second, account, 1, 'second');
+    };
+    if (first === members.self) {
+      return askSecond();
     }
-    return second === members.self
-      ? this.#options.granter.grant(account, 1)
-      : client.ask(second, account, 1, 'second');
+    const afterMs = Math.max(0, SECOND_AFTER_MS - client.unansweredMs(first));
+    const asked = client.ask(first, account, 1, 'first');
+    return askInTurn(asked, askSecond, afterMs);
   }
 
   /** An entry that is asked although another one was chosen asks that one first: only its own link may have failed the asker. */
@@ -91,3 +98,27 @@
     return granter.grant(account, count);
   }
 }
+
+/** Returns the first grant; asks the second entry when the first one has none, or doesn't answer soon. */
+function askInTurn(
+  first: Promise<QuotaGrant | undefined>,
+  askSecond: () => Promise<QuotaGrant | undefined>,
+  afterMs: number,
+): Promise<QuotaGrant | undefined> {
+  return new Promise((resolve, reject) => {
+    let second: Promise<QuotaGrant | undefined> | undefined;
+    const turn = () => {
+      second ??= askSecond();
+      return second;
+    };
+    const timer = setTimeout(() => {
+      turn().then(grant => grant && resolve(grant), reject);
+    }, afterMs);
+    first
+      .then(grant => {
+        clearTimeout(timer);
+        return grant ?? turn();
+      })
+      .then(resolve, reject);
+  });
+}
