--- a/features/balancer/quotas.feature
+++ b/features/balancer/quotas.feature
@@ -48,7 +48,9 @@
 
   # Guards against a refusal that waits for the body, and against a connection that can't be used after it.
   Scenario: A refusal doesn't wait for the body
-    Given account "a-1" sends 100 requests per second to all entries for 1500 ms
+    Given the quota is lowered to 1 requests per second and a burst of 1
+    And 1000 ms pass at the site
+    And account "a-1" sends 100 requests per second to all entries for 1500 ms
     When account "a-1" sends half of the body of a request, 5 times
     Then each of them was answered within 400 ms, most with 429
 
--- a/packages/balancer/src/quotas/quota-counters.ts
+++ b/packages/balancer/src/quotas/quota-counters.ts
@@ -15,20 +15,33 @@
 
 /** Registers the counters. */
 export function registerQuotaCounters(metrics: MetricRegistry): QuotaCounters {
-  const counter = (name: string, help: string) =>
-    metrics.counter(`wasabidyke_quota_${name}_total`, help);
   return {
-    granted: counter('granted', 'Requests within the quota of their account.'),
-    refused: counter('refused', 'Requests beyond the quota of their account.'),
-    unknown: counter('unknown', 'Requests refused for want of an answer.'),
-    reserved: counter('reserved', 'Requests let through by the reserve.'),
-    queriesSent: counter('queries_sent', 'Queries to granting entries.'),
-    queriesAnswered: counter(
-      'queries_answered',
+    granted: metrics.counter(
+      'wasabidyke_quota_granted_total',
+      'Requests within the quota of their account.',
+    ),
+    refused: metrics.counter(
+      'wasabidyke_quota_refused_total',
+      'Requests beyond the quota of their account.',
+    ),
+    unknown: metrics.counter(
+      'wasabidyke_quota_unknown_total',
+      'Requests refused for want of an answer.',
+    ),
+    reserved: metrics.counter(
+      'wasabidyke_quota_reserved_total',
+      'Requests let through by the reserve.',
+    ),
+    queriesSent: metrics.counter(
+      'wasabidyke_quota_queries_sent_total',
+      'Queries to granting entries.',
+    ),
+    queriesAnswered: metrics.counter(
+      'wasabidyke_quota_queries_answered_total',
       'Queries that this entry answered for others.',
     ),
-    demandsSent: counter(
-      'demands_sent',
+    demandsSent: metrics.counter(
+      'wasabidyke_quota_demands_sent_total',
       'Messages that told other regions the demand of this one.',
     ),
   };
--- a/packages/policy/src/quota-tolerance.ts
+++ b/packages/policy/src/quota-tolerance.ts
@@ -25,7 +25,7 @@
   slack: 20,
 };
 
-/** Share of the tolerance for entries that get no answer; all of them together stay within it. Source: half of it would serve hardly more with 116 entries, and the granting entries need it to start. */
+/** Share of the tolerance for entries that get no answer; all of them together stay within it. Source: with 116 entries, half of it gives an entry a request every few minutes as well, and the granting entries need it. */
 const RESERVE_SHARE = 0.1;
 
 /** Share of the tolerance that enlarges the bursts of the regions: a region has only its part of the burst, but as much chance as the whole. */
--- a/review/lib/site.mjs
+++ b/review/lib/site.mjs
@@ -236,7 +236,13 @@
 }
 
 function fillIn(template, fields) {
-  return template.replace(/\{\{([\w.]+)(\|json)?\}\}/g, (_, path, isJson) => {
+  const sections = /\{\{#([\w.]+)\}\}([^]*?)\{\{\/\1\}\}/g;
+  const chosen = template.replace(sections, (_, path, section) =>
+    path.split('.').reduce((known, key) => known?.[key], fields) === undefined
+      ? ''
+      : section,
+  );
+  return chosen.replace(/\{\{([\w.]+)(\|json)?\}\}/g, (_, path, isJson) => {
     const value = path.split('.').reduce((known, key) => known?.[key], fields);
     return isJson ? JSON.stringify(value) : String(value ?? '');
   });
