--- a/features/support/quota-simulation.ts
+++ b/features/support/quota-simulation.ts
@@ -4,14 +4,19 @@
   AccountGranting,
   GrantingEntryChoice,
   grantingPart,
-  QuotaBucket,
-  quotaBound,
   QuotaReserve,
   SeededRandom,
   type GrantingScope,
-  type Quota,
-  type QuotaTolerance,
 } from '@wasabidyke/policy';
+import {
+  FAULT_MS,
+  LENGTH_MS,
+  QuotaLoad,
+  STEP_MS,
+  TOLERANCE,
+  worstPart,
+  type SimulatedAccount,
+} from './quota-load.js';
 
 /** How quotas are kept: as designed, by equal fixed shares of the regions, or by one entry for all regions. */
 export type QuotaDesign = 'shares' | 'equal' | 'single';
@@ -58,19 +63,6 @@
   readyAtMs: number;
 }
 
-interface SimulatedAccount {
-  readonly name: string;
-  readonly usualPerSecond: number;
-  quota: Quota;
-  /** Sees all requests; tells which are within the quota. */
-  readonly reference: QuotaBucket;
-  /** Requests let through, by step. */
-  readonly passed: Int16Array;
-  readonly turn: number;
-  /** From when on the quota has been in force. */
-  sinceMs: number;
-}
-
 interface Loan {
   readonly granting: AccountGranting;
   readonly count: number;
@@ -79,19 +71,9 @@
 
 type Grant = {readonly granted: number} | undefined;
 
-const TOLERANCE: QuotaTolerance = {windowMs: 5_000, overshoot: 0.1, slack: 20};
 const REGIONS = ['east', 'north', 'west'];
-const ACCOUNTS = 79;
-const REQUESTS_PER_SECOND = 341;
-/** Parts of an account's requests by region. Every `MOVE_MS` they move on by one region, within `MOVING_MS`. */
-const MIX = [0.6, 0.3, 0.1];
-const MOVE_MS = 12_000;
-const MOVING_MS = 3_000;
-const STEP_MS = 10;
-const LENGTH_MS = 60_000;
 /** Refusals before that are those of a start of all entries, which is a case of its own. */
 const COUNTED_FROM_MS = 10_000;
-const FAULT_MS = 30_000;
 /** Time until entries know that others are down or out of reach. */
 const DETECTION_MS = 2_000;
 /** Time until a lost entry is not announced any more. */
@@ -100,17 +82,13 @@
 /** Time until borrowed tokens arrive from another region; other messages arrive at once. */
 const ROUND_TRIP_MS = 50;
 const START_MS = 500;
-const SURGE_MS = 6_000;
-const SURGE_FACTOR = 7;
-/** Quota of an account, as a multiple of its usual rate. */
-const QUOTA_FACTOR = 1.6;
 
 /** Simulates one minute. */
 export class QuotaSimulation {
   readonly #run: QuotaRun;
   readonly #random: SeededRandom;
   readonly #entries: SimulatedEntry[];
-  readonly #accounts: SimulatedAccount[];
+  readonly #load: QuotaLoad;
   readonly #choices = new Map<string, GrantingEntryChoice>();
   readonly #asked = new Set<string>();
   /** Tokens on their way to other regions. */
@@ -131,18 +109,7 @@
       group: 0,
       readyAtMs: 0,
     }));
-    const weights = Array.from({length: ACCOUNTS}, (_, i) => 1 / (i + 3));
-    const sum = weights.reduce((total, weight) => total + weight, 0);
-    this.#accounts = weights.map((weight, turn) => {
-      const usualPerSecond = (REQUESTS_PER_SECOND * weight) / sum;
-      const requestsPerSecond = usualPerSecond * QUOTA_FACTOR;
-      const quota = {requestsPerSecond, burst: requestsPerSecond * 2};
-      const reference = new QuotaBucket(quota.burst, 0);
-      reference.apply(requestsPerSecond, quota.burst, 0);
-      const passed = new Int16Array(LENGTH_MS / STEP_MS);
-      const name = `account-${turn}`;
-      return {name, usualPerSecond, quota, reference, passed, turn, sinceMs: 0};
-    });
+    this.#load = new QuotaLoad(run.fault === 'surge', this.#random);
   }
 
   run(): QuotaResult {
@@ -157,9 +124,9 @@
         const loan = this.#loans.shift();
         loan?.granting.onLent(loan.count, this.#nowMs);
       }
-      for (const account of this.#accounts) {
+      for (const account of this.#load.accounts) {
         for (const [index, region] of REGIONS.entries()) {
-          const count = this.#poisson(this.#perStep(account, index));
+          const count = this.#load.arrivals(account, index, this.#nowMs);
           for (let request = 0; request < count; request++) {
             const isWithin =
               account.reference.take(1, this.#nowMs).granted === 1;
@@ -176,7 +143,7 @@
       }
     }
     return {
-      worstPart: Math.max(...this.#accounts.map(worstPart)),
+      worstPart: Math.max(...this.#load.accounts.map(worstPart)),
       within,
       refused,
       messagesPerSecond: (this.#messages * 1_000) / LENGTH_MS,
@@ -184,22 +151,9 @@
     };
   }
 
-  #perStep({usualPerSecond, turn}: SimulatedAccount, region: number): number {
-    const moves = Math.floor(this.#nowMs / MOVE_MS);
-    const index = region + turn + moves;
-    const moved = Math.min(1, (this.#nowMs % MOVE_MS) / MOVING_MS);
-    const part =
-      MIX[index % MIX.length] * moved +
-      MIX[(index + MIX.length - 1) % MIX.length] * (1 - moved);
-    const sinceMs = this.#nowMs - FAULT_MS;
-    const isSurging = this.#run.fault === 'surge' && turn === 0 && sinceMs >= 0;
-    const factor = isSurging && sinceMs < SURGE_MS ? SURGE_FACTOR : 1;
-    return (usualPerSecond * factor * part * STEP_MS) / 1_000;
-  }
-
   #fail(): void {
     const {fault} = this.#run;
-    const [largest] = this.#accounts;
+    const [largest] = this.#load.accounts;
     const lost =
       fault === 'entry lost'
         ? this.#entries[0].name
@@ -428,28 +382,4 @@
     }
     return known.choose(account.name);
   }
-
-  #poisson(mean: number): number {
-    const limit = Math.exp(-mean);
-    let count = 0;
-    let product = this.#random.nextBelow(1e9) / 1e9;
-    while (product > limit) {
-      count += 1;
-      product *= this.#random.nextBelow(1e9) / 1e9;
-    }
-    return count;
-  }
-}
-
-/** Highest part of the bound that was reached in a window; requests before the quota was in force don't count. */
-function worstPart({passed, quota, sinceMs}: SimulatedAccount): number {
-  const counted = passed.subarray(sinceMs / STEP_MS);
-  const steps = TOLERANCE.windowMs / STEP_MS;
-  let sum = 0;
-  let worst = 0;
-  for (const [step, count] of counted.entries()) {
-    sum += count - (step >= steps ? counted[step - steps] : 0);
-    worst = Math.max(worst, sum);
-  }
-  return worst / quotaBound(quota, TOLERANCE);
 }
