--- a/features/balancer/builds.feature
+++ b/features/balancer/builds.feature
@@ -54,6 +54,10 @@
       | entry record   | ad08e2f |
       | relay request  | 0bf06d7 |
       | relay request  | 21d107c |
+      | entry record   | quotas  |
+      | quota query    | quotas  |
+      | quota answer   | quotas  |
+      | quota demand   | quotas  |
 
   # Guards against a change of a message or record by which landed builds can't read it any more.
   Scenario Outline: What is written has all that builds read: <message> by <build>
@@ -72,3 +76,7 @@
       | entry record   | ad08e2f |
       | relay request  | 0bf06d7 |
       | relay request  | 21d107c |
+      | entry record   | quotas  |
+      | quota query    | quotas  |
+      | quota answer   | quotas  |
+      | quota demand   | quotas  |
--- a/features/support/balancer-site.ts
+++ b/features/support/balancer-site.ts
@@ -90,6 +90,7 @@
   'home-a': 'home',
   'home-b': 'home',
   'away-a': 'away',
+  'far-a': 'far',
 };
 
 /** What the routes of the configuration let a caller wait, in milliseconds. */
@@ -169,14 +170,14 @@
   }
 
   /** Starts an entry. */
-  async addEntry(zone = 'home-a'): Promise<void> {
+  async addEntry(zone = 'home-a', region = 'home'): Promise<void> {
     const ports = await findFreePorts(4);
     const [callers, entries, metrics, feed] = ports;
     this.#started += 1;
     const settings = parseBalancerSettings(
       JSON.stringify({
         name: `entry-${this.#started}`,
-        region: REGION_BY_ZONE[zone] ?? 'home',
+        region: REGION_BY_ZONE[zone] ?? region,
         zone,
         regionByZone: REGION_BY_ZONE,
         listen: {
--- a/features/support/older-entry.ts
+++ b/features/support/older-entry.ts
@@ -17,6 +17,8 @@
   readonly name: string;
   build: OlderBuild;
   sequence = Date.now();
+  /** Whether it takes messages and answers none. */
+  isSilent = false;
   /** Paths of the messages that it got. */
   readonly messages: string[] = [];
   /** Their bodies. */
@@ -34,6 +36,9 @@
       request.on('data', (chunk: Buffer) => chunks.push(chunk));
       request.on('end', () => {
         this.bodies.push(Buffer.concat(chunks).toString('latin1'));
+        if (this.isSilent) {
+          return;
+        }
         response.writeHead(isKnown ? 200 : 404, {
           'content-type': 'application/json',
         });
--- a/packages/balancer/src/members/upstream-registry.ts
+++ b/packages/balancer/src/members/upstream-registry.ts
@@ -34,7 +34,7 @@
 }
 
 /** Round-trip times by distance, in milliseconds. Source: one-way latencies of about 1 ms within and 20 ms between regions of the sites. */
-export const ROUND_TRIPS_MS: Readonly<Record<Distance, number>> = {
+const ROUND_TRIPS_MS: Readonly<Record<Distance, number>> = {
   'same-zone': 0.5,
   'same-region': 2.5,
   'other-region': 41,
@@ -348,6 +348,15 @@
   }
 }
 
+/** Location of the entry that has these settings. */
+export function toLocality({
+  region,
+  zone,
+  regionByZone,
+}: Pick<Locality, 'region' | 'zone' | 'regionByZone'>): Locality {
+  return {region, zone, regionByZone, roundTripsMs: ROUND_TRIPS_MS};
+}
+
 /** Returns the distance from this entry to an availability zone. */
 export function distanceTo(zone: string, locality: Locality): Distance {
   if (zone === locality.zone) {
