feat(soak): evacuations of zones

One evacuation of 9 s for each run, unless an older build runs. The check 'evacuated' finds requests that reach workers of the zone 5 s after its record was written, from entries in contact with the store; it excuses spans in which entries are cut off from workers, since the entry that relays isn't known.

--- a/features/balancer/regions.feature
+++ b/features/balancer/regions.feature
@@ -75,6 +75,8 @@
     And worker "w3" in the availability zone "away-a"
     And worker "w1" asks for a rest of "3"
     And worker "w2" asks for a rest of "3"
+    # By these the entry learns of the rests.
+    And 2 look-ups are sent to each entry
     When 10 look-ups are sent to each entry
     Then all of them were answered
     And worker "w3" got some of them
--- a/features/soak/soak.feature
+++ b/features/soak/soak.feature
@@ -34,6 +34,7 @@
       | reach         | an entry that was cut off served nobody              |
       | rest          | a worker that asked for rest got requests            |
       | left          | a worker that said it leaves got requests            |
+      | evacuated     | a worker of an evacuated zone got a request          |
       | unfinished    | an order that a stopping entry took was broken off   |
       | recover       | nothing was served after the last fault              |
       | exits         | an entry ended by itself                             |
--- a/features/steps/soak.steps.ts
+++ b/features/steps/soak.steps.ts
@@ -197,6 +197,12 @@
     const {call} = addServed(history, order, {service: 'writes'});
     call.status = 504;
   },
+  'a worker of an evacuated zone got a request': history => {
+    const evacuation = {zone: 'z', fromMs: LONG_MS, toMs: 2 * LONG_MS};
+    history.evacuations.push(evacuation);
+    history.zones.set('w6', 'z');
+    addServed(history, {sentAtMs: LONG_MS + 6_000}, {worker: 'w6'});
+  },
   'nothing was served after the last fault': history => {
     for (const call of history.calls) {
       call.status = call.sentAtMs > CALM_FROM_MS ? 502 : call.status;
--- a/packages-private/soak/src/acts-on-records.ts
+++ b/packages-private/soak/src/acts-on-records.ts
@@ -54,6 +54,21 @@
   }
 }
 
+/** Evacuates the zone of a worker until the time is over. */
+export async function evacuateZone(
+  {entries, program, operator, workers}: Site,
+  {forMs, subject}: Step,
+): Promise<void> {
+  if (entries.some(entry => entry.program !== program)) {
+    // Older builds know nothing of evacuations.
+    return;
+  }
+  const {worker} = workers[subject % workers.length];
+  const takeBack = operator.evacuateZoneOf(worker.id);
+  await sleep(forMs);
+  takeBack();
+}
+
 /** Writes configurations in quick succession, and kills the entry that reads the store again and again. */
 export async function changeBesideKills(site: Site, step: Step): Promise<void> {
   const changes = changeOften(site, step);
--- a/packages-private/soak/src/acts.ts
+++ b/packages-private/soak/src/acts.ts
@@ -7,6 +7,7 @@
 import {
   announceLate,
   changeBesideKills,
+  evacuateZone,
   leaveOddRecords,
 } from './acts-on-records.js';
 import {drillStore, silenceWatches} from './acts-on-store.js';
@@ -104,6 +105,8 @@
     await announceLate(site, step);
   } else if (step.act === 'configurations-and-kills') {
     await changeBesideKills(site, step);
+  } else if (step.act === 'zone-evacuate') {
+    await evacuateZone(site, step);
   } else if (step.act === 'stop-beside-orders') {
     await stopBesideLongOrders(site, step);
   } else if (step.act === 'watches-silent') {
--- a/packages-private/soak/src/checks.ts
+++ b/packages-private/soak/src/checks.ts
@@ -6,11 +6,13 @@
   type ConfigurationRecord,
   type History,
 } from './history.js';
+import {checkEvacuated} from './checks-evacuated.js';
 import {checkLimit} from './checks-limit.js';
 import {checkListed} from './checks-listed.js';
 import {checkReach} from './checks-reach.js';
 import {checkUnfinished} from './checks-stop.js';
 import {checkLeft, checkRest} from './checks-rest.js';
+import {isInTouch, STABLE_WINDOW_MS} from './checks-touch.js';
 import {toAnswer} from './worker-stand-in.js';
 
 /** A promise that was broken. */
@@ -21,7 +23,7 @@
 
 /** Bounds of the platform's sites, in milliseconds. */
 export const BOUNDS = {
-  stableWindowMs: 3_000,
+  stableWindowMs: STABLE_WINDOW_MS,
   drainMs: 2_500,
   configApplyMs: 2_500,
   downgradeSlackMs: 250,
@@ -77,6 +79,7 @@
     reach: checkReach,
     rest: checkRest,
     left: checkLeft,
+    evacuated: checkEvacuated,
     unfinished: checkUnfinished,
     recover: checkRecover,
     exits: ({exits}) =>
@@ -372,23 +375,6 @@
   );
 }
 
-/** Whether the entry and the store were left alone long enough before a change and until its effect. */
-function isInTouch(
-  history: History,
-  entry: string,
-  changedAtMs: number,
-  atMs: number,
-): boolean {
-  const from = changedAtMs - BOUNDS.stableWindowMs;
-  return (
-    history.isCalm(entry, from, atMs) &&
-    history.isCalm('store', from, atMs) &&
-    !history.starts.some(
-      start => start.entry === entry && start.atMs > from && start.atMs < atMs,
-    )
-  );
-}
-
 function isNotRun(status: CallRecord['status']): boolean {
   return status !== undefined && NOT_RUN_STATUSES.includes(status);
 }
--- a/packages-private/soak/src/history.ts
+++ b/packages-private/soak/src/history.ts
@@ -113,6 +113,13 @@
   readonly atMs: number;
 }
 
+/** A span in which the store held the evacuation record of a zone. */
+export interface Evacuation {
+  readonly zone: string;
+  readonly fromMs: number;
+  toMs: number;
+}
+
 /** Everything that was seen in one run. */
 export class History {
   readonly calls: CallRecord[] = [];
@@ -126,6 +133,9 @@
   readonly cuts: Cut[] = [];
   readonly rests: Rest[] = [];
   readonly leavingAnswers: LeavingAnswer[] = [];
+  readonly evacuations: Evacuation[] = [];
+  /** Availability zones of workers, by their ids. */
+  readonly zones = new Map<string, string>();
   /** Starts of entries, by name. */
   readonly starts: Array<{
     readonly entry: string;
--- a/packages-private/soak/src/operator.ts
+++ b/packages-private/soak/src/operator.ts
@@ -75,6 +75,7 @@
     state: 'ready' | 'draining' = 'ready',
   ): void {
     this.#sequence += 1;
+    this.#history.zones.set(id, zone);
     const announcement = {
       address,
       info: {service, version: 'v1', zone, slots: 4},
@@ -96,6 +97,19 @@
     }
   }
 
+  /** Evacuates the zone of a worker; returns how to take it back. */
+  evacuateZoneOf(id: string): () => void {
+    const zone = this.#history.zones.get(id) ?? '';
+    const key = `op/evacuate/${zone}`;
+    this.#store.set(key, {});
+    const evacuation = {zone, fromMs: nowMs(), toMs: Infinity};
+    this.#history.evacuations.push(evacuation);
+    return () => {
+      evacuation.toMs = nowMs();
+      this.#store.set(key, undefined);
+    };
+  }
+
   /** Removes a worker's announcement. */
   withdraw(id: string): void {
     const isKnown = this.#history.leavings.some(({worker}) => worker === id);
--- a/packages-private/soak/src/schedule.ts
+++ b/packages-private/soak/src/schedule.ts
@@ -30,7 +30,7 @@
   'move-route',
 ] as const;
 
-/** One kind of act. The others are no part of a series: a request that crashes workers, the loss of all entries at once, an entry that joins, one that stands still for long, workers that name a limit, entries that lose their links to workers, workers that ask for rest, one that says only in its answers that it leaves, bursts of configurations, the loss or a pause of an entry that reads the store, the replacement of an older build, odd records of other writers, announcements that are written after a departure, configurations beside kills of the entry that reads the store, a store that comes back from an older copy, a stop with two signals beside long orders, watches of the store that fall silent, and workers that answer in tiny chunks without end. */
+/** One kind of act. The others are no part of a series: a request that crashes workers, the loss of all entries at once, an entry that joins, one that stands still for long, workers that name a limit, entries that lose their links to workers, workers that ask for rest, one that says only in its answers that it leaves, bursts of configurations, the loss or a pause of an entry that reads the store, the replacement of an older build, odd records of other writers, announcements that are written after a departure, configurations beside kills of the entry that reads the store, a store that comes back from an older copy, a stop with two signals beside long orders, watches of the store that fall silent, workers that answer in tiny chunks without end, and evacuations of zones. */
 export type Act =
   | (typeof ACTS)[number]
   | 'crashing-request'
@@ -53,7 +53,8 @@
   | 'store-drill'
   | 'stop-beside-orders'
   | 'watches-silent'
-  | 'worker-tiny-chunks';
+  | 'worker-tiny-chunks'
+  | 'zone-evacuate';
 
 /** One act of a run. */
 export interface Step {
@@ -102,6 +103,7 @@
   'store-drill': 3_500,
   'stop-beside-orders': 7_000,
   'worker-tiny-chunks': 2_000,
+  'zone-evacuate': 9_000,
 };
 
 /** Draws the steps of one run. @param acts Those to draw from. */
@@ -171,6 +173,7 @@
     'watches-silent',
     'worker-tiny-chunks',
     'worker-tiny-chunks',
+    'zone-evacuate',
   ];
   const drawn = [...acts, ...others].map(draw);
   // What entries have missed in the last one, nothing that follows tells them.
