--- a/features/balancer/place-decisions.feature
+++ b/features/balancer/place-decisions.feature
@@ -67,6 +67,16 @@
       | home-a    | 0           |
       | home-b    | 1           |
 
+  # Guards against an evacuation that comes while load reports are awaited, and holds from the next request on only.
+  Scenario Outline: The zone is checked again after load reports were awaited: <evacuated>
+    When "<evacuated>" is evacuated while the load of an upstream in "home-a" is queried
+    Then <selected> is selected
+
+    Examples:
+      | evacuated | selected      |
+      | home-a    | no upstream   |
+      | home-b    | that upstream |
+
   # Guards against lists of entries that follow one route and lead the callers of another one astray.
   Scenario Outline: Routes of one host that allow <lists>
     Then a host whose routes allow "<lists>" is served in "<regions>"
--- a/features/steps/place-decisions.steps.ts
+++ b/features/steps/place-decisions.steps.ts
@@ -5,13 +5,17 @@
 import {
   Placement,
   RoutingTable,
+  UpstreamSelector,
   UpstreamSender,
   type AllowedRegions,
   type RoutedRequest,
   type SelectedUpstream,
+  type SelectionCriteria,
   type UpstreamHandle,
+  type UpstreamSelectorOptions,
   type UpstreamSenderOptions,
 } from '@wasabidyke/balancer';
+import {SeededRandom, UpstreamStatistics} from '@wasabidyke/policy';
 import {SystemClock} from '@wasabidyke/shared';
 import {MemoryLog} from '../support/balancer-site.js';
 
@@ -21,6 +25,7 @@
   takenBack: string[];
   selected: UpstreamHandle;
   connectionsTaken: number;
+  result: SelectedUpstream | undefined;
 }
 
 const HOST = 'shop.example';
@@ -131,6 +136,55 @@
   },
 );
 
+When(
+  '{string} is evacuated while the load of an upstream in {string} is queried',
+  async function (this: DecisionWorld, evacuated: string, zone: string) {
+    const {placement} = this;
+    const group = {onAttempt: () => {}, share: () => 0};
+    const reach = {onHeard: () => {}};
+    const handle = {
+      record: {zone},
+      limit: {requestsPerSecond: undefined},
+      statistics: new UpstreamStatistics(
+        'same-zone',
+        1,
+        4,
+        group as unknown as ConstructorParameters<typeof UpstreamStatistics>[3],
+        reach as unknown as ConstructorParameters<typeof UpstreamStatistics>[4],
+      ),
+      isDraining: false,
+      isResting: () => false,
+      isResponsive: () => true,
+      hasConnection: () => true,
+      queryLoad: async () => placement.evacuations.apply(evacuated, true),
+    };
+    const selector = new UpstreamSelector({
+      registry: {list: () => [handle], groupFailureShare: () => group},
+      placement,
+      clock: new SystemClock(),
+      random: new SeededRandom(1),
+      costs: {crossZonePerMegabyte: 0, crossRegionPerMegabyte: 0},
+      queryBudget: {take: () => true},
+    } as unknown as UpstreamSelectorOptions);
+    const criteria: Partial<SelectionCriteria> = {
+      excluded: new Set(),
+      allowedRegions: undefined,
+      workEstimate: {workMs: 10} as SelectionCriteria['workEstimate'],
+      targetAtMs: Infinity,
+      deadlineMs: Infinity,
+      bodyBytes: 0,
+    };
+    this.result = await selector.select(criteria as SelectionCriteria);
+  },
+);
+
+Then(
+  /^(no|that) upstream is selected$/,
+  function (this: DecisionWorld, which: string) {
+    assert.equal(this.result !== undefined, which === 'that');
+  },
+);
+
 When('the request is sent to it', function (this: DecisionWorld) {
   const request = {allowedRegions: undefined} as unknown as RoutedRequest;
   const options = {placement: this.placement, clock: new SystemClock()};
