--- a/packages-private/soak/src/checks-touch.ts
+++ b/packages-private/soak/src/checks-touch.ts
@@ -1,8 +1,10 @@
-/** Spans in which an entry must have learned of a change. */
+/** Whether an entry had the means to know of a change. */
 
-import {BOUNDS} from './checks.js';
 import type {History} from './history.js';
 
+/** Time without a disturbance before a change, in milliseconds, after which its bound holds. Source: the rules. */
+export const STABLE_WINDOW_MS = 3_000;
+
 /** Whether the entry and the store were left alone long enough before a change and until its effect. */
 export function isInTouch(
   history: History,
@@ -10,7 +12,7 @@
   changedAtMs: number,
   atMs: number,
 ): boolean {
-  const from = changedAtMs - BOUNDS.stableWindowMs;
+  const from = changedAtMs - STABLE_WINDOW_MS;
   return (
     history.isCalm(entry, from, atMs) &&
     history.isCalm('store', from, atMs) &&
--- a/packages-private/soak/src/checks.ts
+++ b/packages-private/soak/src/checks.ts
@@ -6,13 +6,14 @@
   type ConfigurationRecord,
   type History,
 } from './history.js';
+import {checkEvacuated} from './checks-evacuated.js';
 import {checkKeys, checkUnauthorized} from './checks-keys.js';
 import {checkLimit} from './checks-limit.js';
 import {checkListed} from './checks-listed.js';
 import {checkReach} from './checks-reach.js';
 import {checkUnfinished} from './checks-stop.js';
 import {checkLeft, checkRest} from './checks-rest.js';
-import {isInTouch} from './checks-touch.js';
+import {isInTouch, STABLE_WINDOW_MS} from './checks-touch.js';
 import {toAnswer} from './worker-stand-in.js';
 
 /** A promise that was broken. */
@@ -23,7 +24,7 @@
 
 /** Bounds of the platform's sites, in milliseconds. */
 export const BOUNDS = {
-  stableWindowMs: 3_000,
+  stableWindowMs: STABLE_WINDOW_MS,
   drainMs: 2_500,
   configApplyMs: 2_500,
   keyMs: 3_000,
@@ -80,6 +81,7 @@
     reach: checkReach,
     rest: checkRest,
     left: checkLeft,
+    evacuated: checkEvacuated,
     unfinished: checkUnfinished,
     keys: checkKeys,
     unauthorized: checkUnauthorized,
--- a/packages/balancer/src/members/upstream-registry.ts
+++ b/packages/balancer/src/members/upstream-registry.ts
@@ -34,7 +34,7 @@
 }
 
 /** Round-trip times by distance, in milliseconds. Source: one-way latencies of about 1 ms within and 20 ms between regions of the sites. */
-const ROUND_TRIPS_MS: Readonly<Record<Distance, number>> = {
+export const ROUND_TRIPS_MS: Readonly<Record<Distance, number>> = {
   'same-zone': 0.5,
   'same-region': 2.5,
   'other-region': 41,
