--- a/features/support/warm-up-simulation.ts
+++ b/features/support/warm-up-simulation.ts
@@ -94,27 +94,24 @@
     }
   }
 
-  /** Restarts all entries: each knows itself only, then those that it reads before it is whole. */
+  /** Restarts all entries: each reads its own announcement first, then those of some others, then of all. */
   restart(withinMs: number): void {
+    const all = toList(this.entries);
     this.#pending = [];
     for (const entry of this.entries) {
       this.#reset(entry);
-      entry.lists.apply([{...entry.listed, isAnnounced: false}], this.nowMs);
-    }
-    const announcedAt = this.entries.map(entry => ({
-      entry,
-      atMs: this.nowMs + this.#random.nextBelow(withinMs),
-    }));
-    announcedAt.sort((left, right) => left.atMs - right.atMs);
-    announcedAt.forEach(({atMs}, index) => {
-      const list = toList(
-        announcedAt.slice(0, index + 1).map(one => one.entry),
+      entry.lists.apply([entry.listed], this.nowMs);
+      const some = all.filter(
+        listed => listed === entry.listed || this.#random.nextBelow(2) === 0,
       );
-      for (const {entry} of announcedAt.slice(0, index + 1)) {
-        const seenAtMs = atMs + this.#random.nextBelow(withinMs);
-        this.#pending.push({atMs: seenAtMs, entry, list});
-      }
-    });
+      const someAtMs = this.nowMs + this.#random.nextBelow(withinMs / 2);
+      const allAtMs =
+        this.nowMs + withinMs - this.#random.nextBelow(withinMs / 2);
+      this.#pending.push(
+        {atMs: someAtMs, entry, list: some},
+        {atMs: allAtMs, entry, list: all},
+      );
+    }
   }
 
   /** Removes an entry. */
