fix(balancer): query an upstream in doubt however new its load report is

Cause: an upstream whose connection was lost within 40 ms of a load report was not queried, so entries that hold no part of its rate could not use it until the report was older. Change: reports of upstreams in doubt are always renewed. The decoder test reads the remaining warm-up of odd headers as well.

--- a/features/support/decoders.ts
+++ b/features/support/decoders.ts
@@ -289,6 +289,7 @@
       'server-limit': '12.5',
       'server-leaving': '1',
       'retry-after': '2.5',
+      'wasabidyke-warmup-remaining-ms': '1500',
       'wasabidyke-instance-id': 'i-1',
       connection: 'keep-alive',
     },
@@ -301,6 +302,7 @@
         ...protocol.readOccupancy(headers),
         restMs: protocol.readRestMs(503, headers),
         limit: protocol.readLimit(headers),
+        warmUpLeftMs: protocol.readWarmUpLeftMs(headers),
       };
     },
   },
--- a/packages/balancer/src/members/warm-up-tracker.ts
+++ b/packages/balancer/src/members/warm-up-tracker.ts
@@ -32,7 +32,7 @@
   readonly onBegin: (source: WarmUpSource) => void;
 }
 
-/** Statuses of answers that mean something without naming the warm-up. */
+/** Answers with this status or a higher one say nothing of a warm-up that they do not name. Source: HTTP; 200 to 299 are successes. */
 const FIRST_FAILED_STATUS = 300;
 
 /** Tracks the warm-up of one upstream. */
--- a/packages/balancer/src/serving/upstream-selector.ts
+++ b/packages/balancer/src/serving/upstream-selector.ts
@@ -290,7 +290,9 @@
     const loadQueries = handles
       .slice(0, maximumQueries)
       .filter(
-        ({statistics}) => statistics.reportAgeMs(nowMs) > FRESH_REPORT_AGE_MS,
+        ({statistics, warmUp}) =>
+          warmUp.warmUp.isDoubtful ||
+          statistics.reportAgeMs(nowMs) > FRESH_REPORT_AGE_MS,
       )
       .filter(handle => handle.isResponsive(nowMs))
       .filter(() => queryBudget.take(1, nowMs))
