--- a/packages/balancer/src/quotas/quota-parts.ts
+++ b/packages/balancer/src/quotas/quota-parts.ts
@@ -37,6 +37,9 @@
 /** Time between looks at which entries are up, in milliseconds. */
 const TICK_INTERVAL_MS = 100;
 
+/** The same in deployments without accounts, in milliseconds: the entries are known when the first account is configured. */
+const IDLE_INTERVAL_MS = 1_000;
+
 /** Time without the store and other regions after which an entry stops granting, in milliseconds. Source: the lease of announcements, after which others no longer count it. */
 const CUT_OFF_MS = 10_000;
 
@@ -52,6 +55,7 @@
   readonly #members: QuotaMembers;
   readonly #granter: QuotaGranter;
   readonly #quotaClient: QuotaClient;
+  #idleUntilMs = -Infinity;
   #timer: NodeJS.Timeout | undefined;
 
   constructor(options: QuotaPartsOptions) {
@@ -135,9 +139,14 @@
 
   #onTick(): void {
     const nowMs = this.#options.clock.now();
-    if (this.#options.table() !== undefined) {
+    const table = this.#options.table();
+    if (table !== undefined) {
       this.#granter.onConfigured();
     }
+    if (table?.hasAccounts !== true && nowMs < this.#idleUntilMs) {
+      return;
+    }
+    this.#idleUntilMs = nowMs + IDLE_INTERVAL_MS;
     this.#members.update(nowMs);
     this.#granter.onTick(nowMs);
     this.#quotaClient.onTick(nowMs);
