feat(policy): admit requests of several priorities by value

Cause: while a service has too little capacity, its most urgent requests were refused as often as the others, since an entry of a large fleet hardly sees two requests at a time and so orders nothing. Change: ValueAdmission reserves the last free slots that load reports show for more urgent priorities while slots are scarce, keeps a floor for each priority, and has the more urgent come back earlier. RouteState uses it for services at which requests of several priorities can arrive by the configuration in force; others keep OverloadAdmission.

--- /dev/null
+++ b/features/policy/value-admission.feature
@@ -0,0 +1,87 @@
+Feature: In an overload of requests of several priorities, those are delayed or refused that cost callers least
+
+  # Guards against urgent requests that share the shortage with others, against slots that are kept free for nobody, and against priorities that are starved.
+  Scenario Outline: <load> comes to <entries> entries that admit by value
+    Given <entries> entries that admit by value
+    When <load> comes
+    Then at least 0.95 of the most urgent are answered in time
+    And at least 0.85 of the credit that the capacity allows is earned
+    And each priority is served at least a quarter as often as all
+
+    Examples:
+      | entries | load                             |
+      | 15      | too much of all priorities       |
+      | 100     | too much of all priorities       |
+      | 312     | too much of all priorities       |
+      | 15      | too much of the least urgent     |
+      | 100     | too much of the least urgent     |
+      | 312     | too much of the least urgent     |
+      | 15      | a burst of 2.4 times for 7 s     |
+      | 100     | a burst of 2.4 times for 7 s     |
+      | 312     | a burst of 2.4 times for 7 s     |
+      | 15      | work of 4 s beside work of 0.1 s |
+      | 100     | work of 4 s beside work of 0.1 s |
+      | 312     | work of 4 s beside work of 0.1 s |
+
+  # Guards against a floor that starves the most urgent or the least urgent requests when the most urgent alone are too many.
+  Scenario Outline: Too much of the most urgent comes to <entries> entries that admit by value
+    Given <entries> entries that admit by value
+    When too much of the most urgent comes
+    Then each priority is served at least a quarter as often as all
+    And no priority is served less often than a less urgent one
+
+    Examples:
+      | entries |
+      | 15      |
+      | 100     |
+      | 312     |
+
+  # Guards against less earned than the capacity allows when the most urgent alone don't fit.
+  Scenario Outline: Credit of too much of the most urgent at <entries> entries
+    Given <entries> entries that admit by value
+    When too much of the most urgent comes
+    Then at least 0.85 of the credit that the capacity allows is earned
+
+    Examples:
+      | entries |
+      | 15      |
+      | 100     |
+      | 312     |
+
+  # Guards against refusals where upstreams have room.
+  Scenario Outline: Much less than too much comes to <entries> entries that admit by value
+    Given <entries> entries that admit by value
+    When 0.6 of what upstreams can run comes
+    Then at most 1 in 100 requests is refused by entries that admit by value
+
+    Examples:
+      | entries |
+      | 15      |
+      | 100     |
+      | 312     |
+
+  # Guards against refused requests that come back before more urgent ones, when they have no chance.
+  Scenario: More urgent requests are told to come back earlier
+    Given an entry that admits by value, at which requests of priorities 0, 1 and 2 arrive
+    When 300 requests are refused over 3 s at random priorities
+    Then the mean time to come back of priority 0 is at most 0.6 of that of priority 2
+
+  # Guards against a request that is held while a slot is free for it.
+  Scenario: A free slot is used while slots are not scarce
+    Given an entry that admits by value, at which requests of priorities 0, 1 and 2 arrive
+    Then a request of priority 2 is sent while 4 of 24 slots are free
+    And a request of priority 2 is sent while 1 of 24 slots is free after it waited
+
+  # Guards against less urgent requests that take the last slots when the more urgent find few.
+  Scenario: The last slots are reserved while slots are scarce
+    Given an entry that admits by value, at which requests of priorities 0, 1 and 2 arrive
+    When slots have been scarce for 3 s
+    Then a request of priority 2 waits while 2 of 24 slots are free
+    And a request of priority 0 is sent while 2 of 24 slots are free
+
+  # Guards against a kind of request that is never served because it is never in time.
+  Scenario: A request that can't be in time uses a free slot that nobody else needs
+    Given an entry that admits by value, at which requests of priorities 0, 1 and 2 arrive
+    Then a request of priority 1 that can't be in time is sent while 10 of 24 slots are free
+    When slots have been scarce for 3 s
+    Then a request of priority 1 that can't be in time is refused while 10 of 24 slots are free
--- a/features/support/overload-simulation.ts
+++ b/features/support/overload-simulation.ts
@@ -4,14 +4,8 @@
  * neighbours are busy; callers that are refused come back.
  */
 
-import {
-  expectedLoss,
-  OverloadAdmission,
-  SeededRandom,
-  UpstreamStatistics,
-  WorkEstimate,
-  type RandomSource,
-} from '@wasabidyke/policy';
+import {SeededRandom, type RandomSource} from '@wasabidyke/policy';
+import {SimulatedEntry} from './overload-entry.js';
 import {
   NEIGHBOUR_PERIOD_MS,
   SimulatedUpstream,
@@ -33,9 +27,13 @@
   /**
    * `late-queue` sends whatever can be answered before its deadline. `informed`
    * is what can be reached: one entry that knows the load of all upstreams at
-   * each moment, and callers that do not come back.
+   * each moment, and callers that do not come back. `value` and
+   * `informed-value` admit by value instead.
    */
-  readonly manner: 'late-queue' | 'admission' | 'informed';
+  readonly manner:
+    'late-queue' | 'admission' | 'informed' | 'value' | 'informed-value';
+  /** Part of the requests at a time in milliseconds that upstreams reject although they have room, from 0 to 1. */
+  readonly rejectedShare?: (atMs: number) => number;
 }
 
 /** What became of one caller's request. */
@@ -49,24 +47,21 @@
 
 interface Run extends SimulatedRun {
   readonly request: SimulatedRequest;
-  readonly entry: Entry;
+  readonly entry: SimulatedEntry;
   readonly estimateMs: number;
   readonly workEstimateMs: number;
   readonly sentAtMs: number;
 }
 
-interface Entry {
-  readonly statistics: readonly UpstreamStatistics[];
-  readonly admission: OverloadAdmission;
-  readonly work: ReadonlyMap<SimulatedKind, WorkEstimate>;
-}
-
 /** A request at one entry. */
 interface CallerAttempt {
   readonly request: SimulatedRequest;
-  readonly entry: Entry;
+  readonly entry: SimulatedEntry;
   readonly arrivedAtMs: number;
   waitedSinceMs: number | undefined;
+  /** Set while the request waits. */
+  endWait: (() => void) | undefined;
+  isCounted: boolean;
   sends: number;
   readonly refuse: (comeBackMs: number) => void;
 }
@@ -82,8 +77,6 @@
 const PAUSE_MS = 10;
 const ATTEMPTS = 3;
 const CALLER_RETRIES = 1;
-const TIE_MARGIN = 0.01;
-const COSTS = {crossZonePerMegabyte: 0, crossRegionPerMegabyte: 0};
 
 const SECOND_MS = 1_000;
 const DRAWS = 10_000;
@@ -95,12 +88,12 @@
   readonly #isInformed: boolean;
   readonly #random: RandomSource;
   readonly #upstreams: Array<SimulatedUpstream<Run>>;
-  readonly #entries: Entry[];
+  readonly #entries: SimulatedEntry[];
   readonly #events = new Map<number, Array<() => void>>();
   #nowMs = 0;
 
   constructor(options: OverloadOptions, seed: number) {
-    this.#isInformed = options.manner === 'informed';
+    this.#isInformed = options.manner.startsWith('informed');
     this.#options = this.#isInformed ? {...options, entries: 1} : options;
     this.#random = new SeededRandom(seed);
     this.#upstreams = Array.from(
@@ -135,16 +128,22 @@
     return asked.filter(isTimely).length / Math.max(1, asked.length);
   }
 
-  #createEntry(): Entry {
-    const {kinds, slots, upstreams} = this.#options;
-    return {
-      statistics: Array.from(
-        {length: upstreams},
-        () => new UpstreamStatistics('same-region', ROUND_TRIP_MS, slots),
-      ),
-      admission: new OverloadAdmission(this.#random),
-      work: new Map(kinds.map(kind => [kind, new WorkEstimate(kind.targetMs)])),
-    };
+  /** Sum of the values of the requests that began in a time and were answered within their target. */
+  credit(fromMs: number, untilMs: number): number {
+    return this.requests
+      .filter(({startedAtMs}) => startedAtMs >= fromMs && startedAtMs < untilMs)
+      .filter(isTimely)
+      .reduce((sum, {kind}) => sum + (kind.value ?? 1), 0);
+  }
+
+  #createEntry(): SimulatedEntry {
+    const {manner} = this.#options;
+    return new SimulatedEntry({
+      ...this.#options,
+      roundTripMs: ROUND_TRIP_MS,
+      isValueBased: manner === 'value' || manner === 'informed-value',
+      random: this.#random,
+    });
   }
 
   #changeNeighbours(): void {
@@ -178,7 +177,7 @@
     request.answeredAtMs ??= this.#nowMs;
   }
 
-  #report(entry: Entry, index: number): void {
+  #report(entry: SimulatedEntry, index: number): void {
     const {running, waiting, slots, neighbourSlowdown} = this.#upstreams[index];
     entry.statistics[index].onReport(
       {
@@ -223,6 +222,8 @@
       entry: this.#entries[entryIndex],
       arrivedAtMs: this.#nowMs,
       waitedSinceMs: undefined,
+      endWait: undefined,
+      isCounted: false,
       sends: 0,
       refuse: comeBackMs => {
         request.refusals += 1;
@@ -262,8 +263,9 @@
     const {kind} = request;
     const deadlineMs = request.startedAtMs + kind.deadlineMs;
     const nowMs = this.#nowMs;
-    const workMs = entry.work.get(kind)?.workMs ?? kind.workMs;
-    const index = this.#select(entry, indices, workMs, {
+    const {index, workMs, considered} = entry.select(indices, {
+      nowMs,
+      kind,
       targetRemainingMs: arrivedAtMs + kind.targetMs - nowMs,
       remainingMs: deadlineMs - nowMs,
     });
@@ -275,11 +277,17 @@
       attempt.refuse(excessMs);
       return;
     }
+    const demand = {priority: kind.priority, workMs};
     if (this.#options.manner !== 'late-queue') {
+      if (!attempt.isCounted) {
+        attempt.isCounted = true;
+        entry.admission.onArrival(demand, nowMs);
+      }
       const decision = entry.admission.decide({
         nowMs,
+        ...demand,
+        considered,
         slowingSlots: statistics.slowingSlots,
-        priority: kind.priority,
         estimateMs,
         freeSlotEstimateMs: statistics.freeSlotEstimateMs({nowMs, workMs}),
         freeSlots,
@@ -287,16 +295,21 @@
         maximumWaitMs: kind.targetMs * MAXIMUM_WAIT_SHARE,
         waitedMs: nowMs - (attempt.waitedSinceMs ?? nowMs),
       });
+      if (decision !== 'wait') {
+        attempt.endWait?.();
+        attempt.endWait = undefined;
+      }
       if (decision === 'wait') {
         attempt.waitedSinceMs ??= nowMs;
+        attempt.endWait ??= entry.admission.onWait(kind.priority);
         this.#after(PAUSE_MS, () => this.#attempt(attempt));
         return;
       }
       if (decision === 'refuse') {
-        attempt.refuse(entry.admission.refuse(excessMs, nowMs));
+        attempt.refuse(entry.admission.refuse(excessMs, nowMs, kind.priority));
         return;
       }
-      entry.admission.onSend();
+      entry.admission.onSend(demand, nowMs, attempt.sends > 0);
     }
     this.#send(attempt, index, estimateMs, workMs);
   }
@@ -319,7 +332,7 @@
       sentAtMs: this.#nowMs,
       leftMs: this.#drawWork(request.kind),
     };
-    if (this.#upstreams[index].add(run)) {
+    if (!this.#isRejected() && this.#upstreams[index].add(run)) {
       return;
     }
     statistics.onEnd('refused', this.#nowMs);
@@ -331,31 +344,6 @@
     }
   }
 
-  #select(
-    entry: Entry,
-    indices: readonly number[],
-    workMs: number,
-    times: {targetRemainingMs: number; remainingMs: number},
-  ): number {
-    const nowMs = this.#nowMs;
-    const losses = indices.map(index => {
-      const statistics = entry.statistics[index];
-      return expectedLoss({
-        ...times,
-        estimateMs: statistics.estimateMs({nowMs, workMs}),
-        failureShare: statistics.failureShare(nowMs),
-        distance: 'same-region',
-        bytes: 0,
-        costs: COSTS,
-      });
-    });
-    const smallest = Math.min(...losses);
-    const tied = indices.filter(
-      (_, position) => losses[position] <= smallest + TIE_MARGIN,
-    );
-    return tied[this.#random.nextBelow(tied.length)];
-  }
-
   /** Some of the upstreams that run, in a random order. */
   #candidates(): number[] {
     const running = this.#options.running(this.#nowMs);
@@ -364,6 +352,13 @@
     return Array.from({length: count}, (_, step) => (first + step) % running);
   }
 
+  #isRejected(): boolean {
+    const {rejectedShare} = this.#options;
+    return (
+      rejectedShare !== undefined && this.#draw() < rejectedShare(this.#nowMs)
+    );
+  }
+
   #drawWork({workMs}: SimulatedKind): number {
     return workMs * (0.6 + 0.8 * this.#draw());
   }
--- a/features/support/overload-upstream.ts
+++ b/features/support/overload-upstream.ts
@@ -22,6 +22,8 @@
   readonly workMs: number;
   readonly targetMs: number;
   readonly deadlineMs: number;
+  /** What an answer within the target is worth; 1 if undefined. */
+  readonly value?: number;
 }
 
 /** A request at an upstream. */
--- a/packages/balancer/src/balancer.ts
+++ b/packages/balancer/src/balancer.ts
@@ -373,10 +373,12 @@
   }
 
   #createDispatcherOptions() {
-    const routeState = new RouteState(
-      this.#random,
-      () => this.#entryShare.repeats,
-    );
+    const routeState = new RouteState({
+      random: this.#random,
+      repeatBudgetOptions: () => this.#entryShare.repeats,
+      hasSeveralPriorities: service =>
+        this.#clusterState.table?.hasSeveralPriorities(service) ?? false,
+    });
     return {
       selector: this.#upstreamSelector,
       routeState,
--- a/packages/balancer/src/routing/routing-table.ts
+++ b/packages/balancer/src/routing/routing-table.ts
@@ -7,6 +7,7 @@
   RoutingConfiguration,
   ServiceConfiguration,
 } from './routing-configuration.js';
+import {findPrioritiesByService} from './service-priorities.js';
 
 /** Routes and services of one configuration version. */
 export class RoutingTable {
@@ -15,6 +16,7 @@
   readonly #routesByHost = new Map<string, Route[]>();
   readonly #services: ReadonlyMap<string, ServiceConfiguration>;
   readonly #accounts: ReadonlyMap<string, ClientAccount>;
+  readonly #prioritiesByService: ReadonlyMap<string, ReadonlySet<number>>;
   readonly #accountsByKey = new Map<string, ClientAccount>();
   /** Whether requests on routes that aren't public need the key of a client account. */
   readonly hasAccounts: boolean;
@@ -25,6 +27,7 @@
     this.#services = new Map(
       configuration.services.map(service => [service.name, service]),
     );
+    this.#prioritiesByService = findPrioritiesByService(configuration);
     const accounts = configuration.accounts ?? [];
     this.hasAccounts = configuration.accounts !== undefined;
     this.#accounts = new Map(accounts.map(account => [account.name, account]));
@@ -62,6 +65,11 @@
     return this.#accountsByKey.get(key);
   }
 
+  /** Whether requests of more than one priority can arrive at a service. */
+  hasSeveralPriorities(service: string): boolean {
+    return (this.#prioritiesByService.get(service)?.size ?? 0) > 1;
+  }
+
   /** Finds a service by its name. */
   findService(name: string): ServiceConfiguration | undefined {
     return this.#services.get(name);
--- a/packages/balancer/src/serving/attempt-admission.ts
+++ b/packages/balancer/src/serving/attempt-admission.ts
@@ -1,7 +1,11 @@
 /** Selects the upstream of an attempt, and decides whether the attempt may start there. */
 
 import {setTimeout as sleep} from 'node:timers/promises';
-import type {AdmissionDecision, RandomSource} from '@wasabidyke/policy';
+import type {
+  AdmissionDecision,
+  RandomSource,
+  RequestDemand,
+} from '@wasabidyke/policy';
 import type {Clock} from '@wasabidyke/shared';
 import type {UpstreamHandle} from '../members/upstream-handle.js';
 import {canBeFinished, isAttemptInTime} from './attempt-timing.js';
@@ -39,6 +43,8 @@
   readonly #options: AttemptAdmissionOptions;
   #waitingSinceMs: number | undefined;
   #endWait: (() => void) | undefined;
+  #isCounted = false;
+  #sentCount = 0;
 
   constructor(request: RoutedRequest, options: AttemptAdmissionOptions) {
     this.#request = request;
@@ -84,9 +90,15 @@
     if (mayHaveRun) {
       return {kind: 'send'};
     }
+    const demand = this.#demand;
+    if (!this.#isCounted) {
+      this.#isCounted = true;
+      this.#admission.onArrival(demand, nowMs);
+    }
     const decision = this.#admission.decide({
+      ...demand,
       nowMs,
-      priority: this.#request.priority,
+      considered: selected.considered,
       estimateMs: selected.estimateMs,
       freeSlotEstimateMs: selected.freeSlotEstimateMs,
       freeSlots: selected.freeSlots,
@@ -118,10 +130,18 @@
   /** Called when an attempt is sent. */
   onSend(): void {
     this.endWait();
-    this.#admission.onSend();
+    const nowMs = this.#options.clock.now();
+    this.#admission.onSend(this.#demand, nowMs, this.#sentCount > 0);
+    this.#sentCount += 1;
+  }
+
+  get #demand(): RequestDemand {
+    const {route, priority} = this.#request;
+    const {workMs} = this.#options.routeState.workEstimate(route);
+    return {priority, workMs};
   }
 
   get #admission() {
-    return this.#options.routeState.overloadAdmission(this.#request.service);
+    return this.#options.routeState.admission(this.#request.service);
   }
 }
--- a/packages/balancer/src/serving/refusals.ts
+++ b/packages/balancer/src/serving/refusals.ts
@@ -97,9 +97,10 @@
 
   #fullDelayMs(selected: SelectedUpstream | undefined): number {
     const {routeState, clock} = this.#options;
+    const {service, priority} = this.#request;
     return routeState
-      .overloadAdmission(this.#request.service)
-      .refuse(this.#freeSlotDelayMs(selected), clock.now());
+      .admission(service)
+      .refuse(this.#freeSlotDelayMs(selected), clock.now(), priority);
   }
 
   /** Estimates when an upstream has a free slot, in milliseconds from now. */
--- a/packages/balancer/src/serving/route-state.ts
+++ b/packages/balancer/src/serving/route-state.ts
@@ -4,15 +4,25 @@
   LimitedAdmission,
   OverloadAdmission,
   RepeatBudget,
+  ValueAdmission,
   WeightedRoundRobin,
   WorkEstimate,
   type RandomSource,
   type RepeatBudgetOptions,
+  type ServiceAdmission,
 } from '@wasabidyke/policy';
 import type {Route} from '../routing/routing-configuration.js';
 
 const PERMILLE = 1_000;
 
+/** Options of `RouteState`. */
+export interface RouteStateOptions {
+  readonly random: RandomSource;
+  readonly repeatBudgetOptions: () => RepeatBudgetOptions;
+  /** Whether requests of several priorities can arrive at a service, by the configuration in force. */
+  readonly hasSeveralPriorities: (service: string) => boolean;
+}
+
 /** A route's rotation over its services, valid while the route's targets stay the same. */
 interface RouteRotation {
   readonly targetsKey: string;
@@ -26,15 +36,11 @@
   readonly #repeatBudgets = new Map<string, RepeatBudget>();
   readonly #limitedAdmissions = new Map<string, LimitedAdmission>();
   readonly #overloadAdmissions = new Map<string, OverloadAdmission>();
-  readonly #random: RandomSource;
-  readonly #repeatBudgetOptions: () => RepeatBudgetOptions;
+  readonly #valueAdmissions = new Map<string, ValueAdmission>();
+  readonly #options: RouteStateOptions;
 
-  constructor(
-    random: RandomSource,
-    repeatBudgetOptions: () => RepeatBudgetOptions,
-  ) {
-    this.#random = random;
-    this.#repeatBudgetOptions = repeatBudgetOptions;
+  constructor(options: RouteStateOptions) {
+    this.#options = options;
   }
 
   /** Selects the service for the next request of a route; undefined if several targets all have weight 0. */
@@ -48,7 +54,7 @@
       return existing.rotation.next();
     }
     // Entries with equal phases would send to the same services in step.
-    const phase = this.#random.nextBelow(PERMILLE) / PERMILLE;
+    const phase = this.#options.random.nextBelow(PERMILLE) / PERMILLE;
     const rotation = new WeightedRoundRobin(route.targets, phase);
     this.#rotations.set(route.name, {targetsKey, rotation});
     return rotation.next();
@@ -71,18 +77,39 @@
     if (existing !== undefined) {
       return existing;
     }
-    const limitedAdmission = new LimitedAdmission(this.#random);
+    const limitedAdmission = new LimitedAdmission(this.#options.random);
     this.#limitedAdmissions.set(service, limitedAdmission);
     return limitedAdmission;
   }
 
-  /** Admission of a service's requests while its upstreams are full. */
-  overloadAdmission(service: string): OverloadAdmission {
+  /** Admission of a service's requests while its upstreams are full: by value if they are of several priorities. */
+  admission(service: string): ServiceAdmission {
+    return this.#options.hasSeveralPriorities(service)
+      ? this.#valueAdmission(service)
+      : this.#overloadAdmission(service);
+  }
+
+  /** Admissions by value that were used since the start, by service. */
+  get valueAdmissions(): ReadonlyMap<string, ValueAdmission> {
+    return this.#valueAdmissions;
+  }
+
+  #valueAdmission(service: string): ValueAdmission {
+    const existing = this.#valueAdmissions.get(service);
+    if (existing !== undefined) {
+      return existing;
+    }
+    const valueAdmission = new ValueAdmission(this.#options.random);
+    this.#valueAdmissions.set(service, valueAdmission);
+    return valueAdmission;
+  }
+
+  #overloadAdmission(service: string): OverloadAdmission {
     const existing = this.#overloadAdmissions.get(service);
     if (existing !== undefined) {
       return existing;
     }
-    const overloadAdmission = new OverloadAdmission(this.#random);
+    const overloadAdmission = new OverloadAdmission(this.#options.random);
     this.#overloadAdmissions.set(service, overloadAdmission);
     return overloadAdmission;
   }
@@ -91,10 +118,10 @@
   repeatBudget(service: string): RepeatBudget {
     const existing = this.#repeatBudgets.get(service);
     if (existing !== undefined) {
-      existing.apply(this.#repeatBudgetOptions());
+      existing.apply(this.#options.repeatBudgetOptions());
       return existing;
     }
-    const repeatBudget = new RepeatBudget(this.#repeatBudgetOptions());
+    const repeatBudget = new RepeatBudget(this.#options.repeatBudgetOptions());
     this.#repeatBudgets.set(service, repeatBudget);
     return repeatBudget;
   }
--- a/packages/balancer/src/serving/upstream-selector.ts
+++ b/packages/balancer/src/serving/upstream-selector.ts
@@ -8,6 +8,7 @@
 import {
   expectedLoss,
   isOtherRegionWorthQuerying,
+  type ConsideredCapacity,
   type Distance,
   type RandomSource,
   type TokenBucket,
@@ -51,6 +52,8 @@
   readonly freeSlots: number;
   /** Share of requests that are expected to fail, from 0 to 1. */
   readonly failureShare: number;
+  /** Capacity of all upstreams that it was selected from. */
+  readonly considered: ConsideredCapacity;
 }
 
 /** Dependencies and limits of upstream selection. */
@@ -171,9 +174,13 @@
     criteria: SelectionCriteria,
   ): SelectedUpstream | undefined {
     const nowMs = this.#options.clock.now();
-    const candidates = handles
-      .filter(handle => isUsable(handle, criteria, nowMs))
-      .map(handle => this.#evaluate(handle, criteria));
+    const considered = handles.filter(handle =>
+      isUsable(handle, criteria, nowMs),
+    );
+    const capacity = toCapacity(considered, criteria, nowMs);
+    const candidates = considered.map(handle =>
+      this.#evaluate(handle, criteria, capacity),
+    );
     if (candidates.length === 0) {
       return undefined;
     }
@@ -187,6 +194,7 @@
   #evaluate(
     handle: UpstreamHandle,
     criteria: SelectionCriteria,
+    considered: ConsideredCapacity,
   ): SelectedUpstream {
     const nowMs = this.#options.clock.now();
     const {statistics} = handle;
@@ -213,6 +221,7 @@
       slowdown: statistics.slowdown(nowMs),
       freeSlots: statistics.freeSlots(nowMs),
       failureShare,
+      considered,
     };
   }
 
@@ -243,6 +252,23 @@
   }
 }
 
+/** Adds up the slots of upstreams, and those that are free for the request. */
+function toCapacity(
+  handles: readonly UpstreamHandle[],
+  {workEstimate, targetAtMs}: SelectionCriteria,
+  nowMs: number,
+): ConsideredCapacity {
+  const {workMs} = workEstimate;
+  const targetRemainingMs = targetAtMs - nowMs;
+  let slots = 0;
+  let freeSlots = 0;
+  for (const {statistics} of handles) {
+    slots += statistics.slots;
+    freeSlots += statistics.usableSlots({nowMs, workMs, targetRemainingMs});
+  }
+  return {slots, freeSlots};
+}
+
 function isInRegion(distance: Distance): boolean {
   return distance !== 'other-region';
 }
--- a/packages/policy/src/upstream-statistics.ts
+++ b/packages/policy/src/upstream-statistics.ts
@@ -29,6 +29,12 @@
   readonly workMs: number;
 }
 
+/** Options of `usableSlots`. */
+export interface UsableSlotsQuery extends EstimateQuery {
+  /** Remaining milliseconds until the target latency. */
+  readonly targetRemainingMs: number;
+}
+
 /** Time constant of the decay of a reported slowdown, in milliseconds: noisy neighbours come and go about this fast. */
 const SLOWDOWN_TIME_CONSTANT_MS = 600;
 
@@ -221,6 +227,13 @@
     return isFullBetter ? 0 : this.slots - usualSlots;
   }
 
+  /** Returns the estimated number of free slots in which a request is answered within its target latency, without those whose use slows the other requests more than it serves; 0 or more. */
+  usableSlots(query: UsableSlotsQuery): number {
+    const isInTime = this.freeSlotEstimateMs(query) <= query.targetRemainingMs;
+    const freeSlots = this.freeSlots(query.nowMs) - this.slowingSlots;
+    return isInTime ? Math.max(0, freeSlots) : 0;
+  }
+
   /** Returns the estimated duration of work there, as a multiple of the usual duration. */
   slowdown(nowMs: number): number {
     const cold = nowMs < this.#warmUpEndsAtMs ? WARM_UP_SLOWDOWN : 1;
--- /dev/null
+++ b/packages/policy/src/value-admission.ts
@@ -0,0 +1,182 @@
+/**
+ * Decides on requests of several priorities at one service. A less urgent
+ * request may not take the last free slots, which are reserved for more urgent
+ * ones while these find few. All entries read the free slots from the load
+ * reports of the same upstreams, so that they come to the same threshold
+ * without a message, also an entry that sees one request a second.
+ */
+
+import {SECOND_MS} from '@wasabidyke/shared';
+import {OverloadSpan} from './overload-span.js';
+import {spreadReturnMs} from './return-delay.js';
+import type {RandomSource} from './selection.js';
+import {ServedShares} from './served-shares.js';
+import {
+  ServiceAdmission,
+  type AdmissionDecision,
+  type DemandQuery,
+  type RequestDemand,
+} from './service-admission.js';
+import {WaitingRequests} from './waiting-requests.js';
+
+/** Largest share of the time until the target that the estimate of a queued request may take: what is ahead of it in the queue is known less well than its own work. */
+const QUEUED_ESTIMATE_SHARE = 0.6;
+
+/** The same for a request that takes a slot at once. */
+const SLOT_ESTIMATE_SHARE = 0.9;
+
+/** Share of the slots considered that is reserved for each more urgent priority under full pressure: those that other entries take until a report is renewed. With 0.2, 0.953 of the most urgent were in time at 15 entries under 1.5 times the load that fits, with 0.3, 0.968 (six seeds). */
+const RESERVED_SHARE = 0.3;
+
+/** Share of the slots considered up to which free slots are scarce: below what is reserved, so that the pressure falls once more is free than the more urgent need. */
+const SCARCE_SHARE = 0.2;
+
+/** Share of the slots considered that stays reserved when a request has waited for as long as it may, until refusals of its priority last. Without this step, more than 1 in 100 requests were refused at 0.6 of the capacity with 100 entries. */
+const LAST_RESERVED_SHARE = 0.1;
+
+/** Largest share of the slots that is reserved in all. */
+const MAXIMUM_RESERVED_SHARE = 0.5;
+
+/** Time constant of the pressure, in milliseconds: an entry that sees one request a second judges by the newest one mainly. */
+const PRESSURE_MS = SECOND_MS;
+
+/** Pressure below which no slot is reserved. */
+const NEGLIGIBLE_PRESSURE = 0.2;
+
+/** How often each priority is sent at least, as a part of how often all are. The design page asks for a quarter; with just that as the aim, 0.245 was served at 15 entries, since a request is raised only after its priority has fallen below. */
+const FLOOR_SHARE = 0.3;
+
+/** Work as a multiple of the mean of its priority from which on a request gives way to the others of its priority. */
+const HEAVY_WORK_FACTOR = 2;
+
+/** Admission by priority and work. The work of a decision grows with the number of priorities only. */
+export class ValueAdmission extends ServiceAdmission {
+  readonly #random: RandomSource;
+  readonly #waiting = new WaitingRequests();
+  readonly #shares = new ServedShares();
+  /** Overloads by priority. */
+  readonly #overloads = new Map<number, OverloadSpan>();
+  #pressure = 0;
+  #pressureAtMs = 0;
+
+  constructor(random: RandomSource) {
+    super();
+    this.#random = random;
+  }
+
+  /** How scarce free slots were lately, from 0 (many) to 1 (fewer than are reserved). */
+  get pressure(): number {
+    return this.#pressure;
+  }
+
+  override onArrival(demand: RequestDemand, nowMs: number): void {
+    this.#shares.onArrival(demand, nowMs);
+  }
+
+  override decide(query: DemandQuery): AdmissionDecision {
+    const {nowMs, priority, considered, slowingSlots} = query;
+    const level = this.#level(priority);
+    const moreUrgent = this.#waiting.countMoreUrgent(level);
+    const freeSlots = query.freeSlots - moreUrgent;
+    const hasSlot = freeSlots > slowingSlots;
+    if (query.freeSlotEstimateMs > query.targetRemainingMs) {
+      return hasSlot && this.#mayBeLate(query, level) ? 'send' : 'refuse';
+    }
+    this.#updatePressure(query);
+    const reserved = this.#reservedSlots(level, query);
+    if (considered.freeSlots - moreUrgent > reserved) {
+      if (hasSlot || this.#isQueuedInTime(query, freeSlots, level)) {
+        return 'send';
+      }
+    }
+    if (query.waitedMs < query.maximumWaitMs) {
+      return 'wait';
+    }
+    const lastReserved = considered.slots * LAST_RESERVED_SHARE;
+    const mayUseReserved =
+      considered.freeSlots > lastReserved &&
+      !this.#overload(priority).isLasting(nowMs);
+    return hasSlot && mayUseReserved ? 'send' : 'refuse';
+  }
+
+  override onWait(priority: number): () => void {
+    return this.#waiting.add(priority);
+  }
+
+  override onSend(
+    demand: RequestDemand,
+    _nowMs: number,
+    isRepeat: boolean,
+  ): void {
+    this.#overload(demand.priority).onSend();
+    if (!isRepeat) {
+      this.#shares.onSend(demand);
+    }
+  }
+
+  /** The more urgent come back earlier: their own overload is shorter, and counts for less. */
+  override refuse(
+    slotDelayMs: number,
+    nowMs: number,
+    priority: number,
+  ): number {
+    const lastedMs = this.#overload(priority).onRefusal(nowMs);
+    const delayMs = slotDelayMs + lastedMs * this.#shares.rank(priority);
+    return spreadReturnMs(delayMs, this.#random);
+  }
+
+  /** Whether a request that is late anywhere may take a slot: nobody else needs it yet, or its priority is served too rarely. */
+  #mayBeLate({priority, nowMs}: DemandQuery, level: number): boolean {
+    const isScarce =
+      this.#pressure > NEGLIGIBLE_PRESSURE ||
+      this.#overload(priority).isLasting(nowMs);
+    return level !== priority || !isScarce;
+  }
+
+  /** Whether a request is in time in a queue, or in a slot whose use slows the others. */
+  #isQueuedInTime(
+    query: DemandQuery,
+    freeSlots: number,
+    level: number,
+  ): boolean {
+    const share = freeSlots > 0 ? SLOT_ESTIMATE_SHARE : QUEUED_ESTIMATE_SHARE;
+    return (
+      query.estimateMs <= query.targetRemainingMs * share &&
+      !this.#overload(level).isLasting(query.nowMs)
+    );
+  }
+
+  /** Returns the priority by which a request is admitted: the most urgent one if its own is served too rarely. */
+  #level(priority: number): number {
+    const isBelowFloor =
+      this.#shares.isBelowAll(priority, FLOOR_SHARE) ||
+      this.#shares.isBelowLessUrgent(priority);
+    return isBelowFloor ? this.#shares.mostUrgent(priority) : priority;
+  }
+
+  /** Number of the slots considered that are reserved for requests that go before this one. */
+  #reservedSlots(
+    level: number,
+    {priority, workMs, considered}: DemandQuery,
+  ): number {
+    const meanMs = this.#shares.meanWorkMs(priority) ?? workMs;
+    const isHeavy = workMs > meanMs * HEAVY_WORK_FACTOR;
+    const levels = this.#shares.countMoreUrgent(level) + (isHeavy ? 1 / 2 : 0);
+    const pressure = this.#pressure > NEGLIGIBLE_PRESSURE ? this.#pressure : 0;
+    const share = Math.min(levels * RESERVED_SHARE, MAXIMUM_RESERVED_SHARE);
+    return considered.slots * share * pressure;
+  }
+
+  #updatePressure({considered, nowMs}: DemandQuery): void {
+    const isScarce = considered.freeSlots <= considered.slots * SCARCE_SHARE;
+    const weight = 1 - Math.exp((this.#pressureAtMs - nowMs) / PRESSURE_MS);
+    this.#pressure += weight * (Number(isScarce) - this.#pressure);
+    this.#pressureAtMs = nowMs;
+  }
+
+  #overload(priority: number): OverloadSpan {
+    const overload = this.#overloads.get(priority) ?? new OverloadSpan();
+    this.#overloads.set(priority, overload);
+    return overload;
+  }
+}
