feat(balancer): show why a request was refused by value

Cause: a refusal as full named the best upstream only, which doesn't tell why a request of one priority was refused beside free slots. Change: request.refused has the priority, the slots considered and the pressure; wasabidyke_slot_pressure shows the latter per entry. RoutingTable's priorities by service have scenarios.

--- a/features/policy/value-admission.feature
+++ b/features/policy/value-admission.feature
@@ -85,3 +85,18 @@
     Then a request of priority 1 that can't be in time is sent while 10 of 24 slots are free
     When slots have been scarce for 3 s
     Then a request of priority 1 that can't be in time is refused while 10 of 24 slots are free
+
+  # Guards against a service that admits by value without need, or not although more than one priority arrives.
+  Scenario Outline: A service is used by <use>
+    Given a configuration in which a service is used by <use>
+    Then requests of <priorities> can arrive at the service
+
+    Examples:
+      | use                                                                         | priorities         |
+      | routes of priority 1 and 1                                                  | one priority       |
+      | routes of priority 0 and 2                                                  | several priorities |
+      | routes of priority 0 and 2 of which the second has weight 0                 | one priority       |
+      | routes of priority 0 and 2, and accounts of priority 1                      | one priority       |
+      | routes of priority 1 and 1, and accounts of priority 0 and 2                | several priorities |
+      | routes of priority 1 and 1, and accounts of priority 1 and 0 without a key  | one priority       |
+      | routes of priority 1 and 1 of which the first is public, and accounts of priority 2 | several priorities |
--- a/packages/balancer/src/balancer-gauges.ts
+++ b/packages/balancer/src/balancer-gauges.ts
@@ -6,6 +6,7 @@
 import type {FollowerRecordStore} from './feed/follower-record-store.js';
 import type {EntryRoster} from './members/entry-roster.js';
 import type {UpstreamRegistry} from './members/upstream-registry.js';
+import type {RouteState} from './serving/route-state.js';
 import type {StoreWatcher} from './store/store-watcher.js';
 import type {ProcessWatch} from './suspects/process-watch.js';
 
@@ -19,6 +20,7 @@
   readonly liveness: LivenessTracker;
   readonly crashGuard: CrashGuard;
   readonly processWatch: ProcessWatch;
+  readonly routeState: RouteState;
 }
 
 /** Registers the gauges. */
@@ -92,4 +94,9 @@
     'Sends to upstreams that were neither answered nor refused.',
     () => sources.processWatch.unsettledCount,
   );
+  metrics.gauge(
+    'wasabidyke_slot_pressure',
+    'How scarce free slots were at the newest request, from 0 to 1: the highest of the services that admit by value.',
+    () => sources.routeState.highestPressure,
+  );
 }
--- a/packages/balancer/src/balancer.ts
+++ b/packages/balancer/src/balancer.ts
@@ -234,6 +234,7 @@
       liveness: this.#liveness,
       crashGuard: this.#suspects.guard,
       processWatch: this.#suspects.processWatch,
+      routeState: dispatching.routeState,
     });
   }
 
--- a/packages/balancer/src/serving/caller-server.ts
+++ b/packages/balancer/src/serving/caller-server.ts
@@ -29,6 +29,7 @@
 import {STOPPING_RETRY_AFTER_MS} from './refusals.js';
 import {RequestRouter} from './request-router.js';
 import {RequestDispatcher} from './request-dispatcher.js';
+import {toRefusalFields} from './refusal-fields.js';
 import {statusOf, type Refusal, type RoutedRequest} from './routed-request.js';
 
 /** Options of `CallerServer`. */
@@ -317,21 +318,10 @@
     request?: RoutedRequest,
   ): void {
     const status = statusOf(refusal);
+    const nowMs = this.#options.clock.now();
     this.#options.log.record('request.refused', {
       request: requestId,
-      reason: refusal.reason,
-      status,
-      isNotRun: refusal.isNotRun,
-      comeBackMs: round(refusal.retryAfterMs),
-      route: request?.route.name,
-      account: request?.account?.name,
-      service: request?.service,
-      version: request?.configurationVersion,
-      upstream: refusal.lastUpstream?.upstreamId,
-      estimateMs: round(refusal.lastUpstream?.estimateMs),
-      reportAgeMs: round(refusal.lastUpstream?.reportAgeMs),
-      freeSlots: refusal.lastUpstream?.freeSlots,
-      tookMs: round(request && this.#options.clock.now() - request.arrivedAtMs),
+      ...toRefusalFields(refusal, request, nowMs),
     });
     const headers: Record<string, string> = {};
     if (refusal.retryAfterMs !== undefined) {
@@ -390,7 +380,3 @@
     }
   }
 }
-
-function round(value: number | undefined): number | undefined {
-  return value === undefined ? undefined : Math.round(value);
-}
--- a/packages/balancer/src/serving/refusals.ts
+++ b/packages/balancer/src/serving/refusals.ts
@@ -67,6 +67,7 @@
         ? (knownDelayMs ?? this.#delayMs(reason, selected))
         : undefined,
       lastUpstream: selected && toLastUpstream(selected),
+      pressure: reason === 'full' ? this.#admission.pressure : undefined,
     };
   }
 
@@ -96,11 +97,15 @@
   }
 
   #fullDelayMs(selected: SelectedUpstream | undefined): number {
-    const {routeState, clock} = this.#options;
-    const {service, priority} = this.#request;
-    return routeState
-      .admission(service)
-      .refuse(this.#freeSlotDelayMs(selected), clock.now(), priority);
+    return this.#admission.refuse(
+      this.#freeSlotDelayMs(selected),
+      this.#options.clock.now(),
+      this.#request.priority,
+    );
+  }
+
+  get #admission() {
+    return this.#options.routeState.admission(this.#request.service);
   }
 
   /** Estimates when an upstream has a free slot, in milliseconds from now. */
@@ -118,6 +123,7 @@
 }
 
 function toLastUpstream(selected: SelectedUpstream): LastUpstream {
-  const {handle, estimateMs, reportAgeMs, freeSlots} = selected;
-  return {upstreamId: handle.id, estimateMs, reportAgeMs, freeSlots};
+  const {handle, estimateMs, reportAgeMs, freeSlots, considered} = selected;
+  const upstreamId = handle.id;
+  return {upstreamId, estimateMs, reportAgeMs, freeSlots, considered};
 }
--- a/packages/balancer/src/serving/route-state.ts
+++ b/packages/balancer/src/serving/route-state.ts
@@ -89,9 +89,10 @@
       : this.#overloadAdmission(service);
   }
 
-  /** Admissions by value that were used since the start, by service. */
-  get valueAdmissions(): ReadonlyMap<string, ValueAdmission> {
-    return this.#valueAdmissions;
+  /** Highest pressure at a service that admits by value, from 0 to 1. */
+  get highestPressure(): number {
+    const admissions = [...this.#valueAdmissions.values()];
+    return Math.max(0, ...admissions.map(({pressure}) => pressure));
   }
 
   #valueAdmission(service: string): ValueAdmission {
--- a/packages/balancer/src/serving/routed-request.ts
+++ b/packages/balancer/src/serving/routed-request.ts
@@ -1,7 +1,7 @@
 /** A caller's request with its route, and what the caller gets when no upstream answers it. */
 
 import type {IncomingHttpHeaders} from 'node:http';
-import {toFingerprint} from '@wasabidyke/policy';
+import {toFingerprint, type ConsideredCapacity} from '@wasabidyke/policy';
 import * as z from 'zod/mini';
 import type {AllowedRegions} from '../routing/allowed-regions.js';
 import type {ClientAccount, Route} from '../routing/routing-configuration.js';
@@ -110,6 +110,8 @@
   readonly estimateMs: number;
   readonly reportAgeMs: number;
   readonly freeSlots: number;
+  /** Capacity of all upstreams that it was selected from. */
+  readonly considered: ConsideredCapacity;
 }
 
 /** Answer to a caller when no upstream's answer can be given. */
@@ -121,6 +123,8 @@
   readonly retryAfterMs: number | undefined;
   /** Undefined if no upstream was selected. */
   readonly lastUpstream?: LastUpstream;
+  /** How scarce free slots were lately, from 0 to 1; undefined if the request was not refused by value. */
+  readonly pressure?: number;
 }
 
 /** HTTP status that tells a caller of a refusal. */
--- a/packages/policy/src/overload-admission.ts
+++ b/packages/policy/src/overload-admission.ts
@@ -33,6 +33,10 @@
     this.#random = random;
   }
 
+  override get pressure(): undefined {
+    return undefined;
+  }
+
   /** Whether requests have been refused for so long that it is likely to go on. */
   isLasting(nowMs: number): boolean {
     return this.#overload.isLasting(nowMs);
--- a/packages/policy/src/service-admission.ts
+++ b/packages/policy/src/service-admission.ts
@@ -47,6 +47,9 @@
 
 /** Admission of the requests of one service at one entry. */
 export abstract class ServiceAdmission {
+  /** How scarce free slots were at the newest decision, from 0 to 1; undefined if this is not counted. */
+  abstract get pressure(): number | undefined;
+
   /** Called once for each request that arrives, before the first decision on it. */
   abstract onArrival(demand: RequestDemand, nowMs: number): void;
 
--- a/packages/policy/src/value-admission.ts
+++ b/packages/policy/src/value-admission.ts
@@ -64,8 +64,7 @@
     this.#random = random;
   }
 
-  /** How scarce free slots were lately, from 0 (many) to 1 (fewer than are reserved). */
-  get pressure(): number {
+  override get pressure(): number {
     return this.#pressure;
   }
 
