feat(balancer): spend the repeat budget on the requests that gain most

Cause: retries and hedges took the budget in order of arrival, so that less urgent and late requests spent it while upstreams rejected half of what they had room for. Change: at services with several priorities, a request leaves to more urgent ones what these need of the budget until their first success, and a late one leaves as much as if all others were more urgent (RequestRepeats, repeatReserve). Free slots count times the share of requests that succeed there, and a request without a repeat left is told to come back later by the rejection share and its priority. The simulation has a repeat budget where upstreams reject.

--- a/features/policy/value-admission.feature
+++ b/features/policy/value-admission.feature
@@ -60,6 +60,43 @@
       | 100     |
       | 312     |
 
+  # Guards against retries that are spent in order of arrival while upstreams reject what they have room for.
+  Scenario Outline: Upstreams that have room reject half of what <entries> entries send
+    Given <entries> entries that admit by value
+    When a rejection of half of what is sent comes
+    Then at least 0.03 more of the most urgent are answered in time than by order of arrival
+
+    Examples:
+      | entries |
+      | 15      |
+      | 100     |
+      | 312     |
+
+  # Guards against urgent requests that are refused although slots are free, while upstreams reject what they have room for.
+  Scenario Outline: The most urgent are in time at <entries> entries while half is rejected
+    Given <entries> entries that admit by value
+    When a rejection of half of what is sent comes
+    Then at least 0.95 of the most urgent are answered in time
+
+    Examples:
+      | entries |
+      | 15      |
+      | 100     |
+      | 312     |
+
+  # Guards against a repeat budget that less urgent or late requests use up while attempts fail.
+  Scenario: Repeats are kept for the more urgent while attempts fail
+    Given an entry whose upstreams reject 0.55, with 100 requests and 10 repeats of priorities 0 and 2
+    Then a request of priority 0 may be sent once more
+    And a request of priority 2 may not be sent once more
+    And a late request of priority 0 may not be sent once more
+
+  # Guards against repeats that nobody uses.
+  Scenario: Repeats are anyone's while attempts succeed
+    Given an entry whose upstreams reject 0.01, with 100 requests and 10 repeats of priorities 0 and 2
+    Then a request of priority 2 may be sent once more
+    And a late request of priority 2 may be sent once more
+
   # Guards against refusals where upstreams have room.
   Scenario Outline: Much less than too much comes to <entries> entries that admit by value
     Given <entries> entries that admit by value
--- a/features/steps/overload.steps.ts
+++ b/features/steps/overload.steps.ts
@@ -7,10 +7,8 @@
   SeededRandom,
   type AdmissionDecision,
 } from '@wasabidyke/policy';
-import {
-  OverloadSimulation,
-  type OverloadOptions,
-} from '../support/overload-simulation.js';
+import type {OverloadOptions} from '../support/overload-options.js';
+import {OverloadSimulation} from '../support/overload-simulation.js';
 import {capacityPerSecond} from '../support/overload-upstream.js';
 
 const SEED = 7;
--- a/features/steps/value-admission.steps.ts
+++ b/features/steps/value-admission.steps.ts
@@ -2,168 +2,16 @@
 
 import assert from 'node:assert/strict';
 import {Given, Then, When} from '@cucumber/cucumber';
+import {repeatReserve, SeededRandom} from '@wasabidyke/policy';
 import {
-  SeededRandom,
-  ValueAdmission,
-  type DemandQuery,
-} from '@wasabidyke/policy';
-import {
-  isTimely,
-  OverloadSimulation,
-  type OverloadOptions,
-  type SimulatedRequest,
-} from '../support/overload-simulation.js';
-import {
-  capacityPerSecond,
-  type SimulatedKind,
-} from '../support/overload-upstream.js';
-import {
-  LOADS,
-  SURGE_FROM_MS,
-  SURGE_UNTIL_MS,
-  URGENT,
-  type Load,
-} from '../support/value-loads.js';
+  JUDGED_FROM_MS,
+  JUDGED_UNTIL_MS,
+  SEED,
+  toWorld,
+} from '../support/value-world.js';
 
-const SEED = 7;
 const SECOND_MS = 1_000;
 
-/** Runs of one load, where one leaves too much to chance: at a small site, 0.01 of its few hundred urgent requests; between accounts, 0.03 of the difference. */
-const SEVERAL_RUNS = 3;
-
-/** Time in which requests are judged: after the start of the overload, and before those that have no time to be answered. */
-const JUDGED_FROM_MS = 2 * SECOND_MS;
-const JUDGED_UNTIL_MS = 13 * SECOND_MS;
-const LENGTH_MS = 14 * SECOND_MS;
-
-class ValueWorld {
-  entries = 0;
-  load: Load | undefined;
-  simulations: OverloadSimulation[] = [];
-  admission = new ValueAdmission(new SeededRandom(SEED));
-  nowMs = 0;
-  returnsMs = new Map<number, number[]>();
-
-  /** Upstreams as on the users' sites of that size. */
-  get site() {
-    return this.entries >= 312
-      ? {upstreams: 36, slots: 4}
-      : {upstreams: 24, slots: this.entries >= 100 ? 4 : 2};
-  }
-
-  get kinds(): readonly SimulatedKind[] {
-    assert.ok(this.load);
-    return this.load.kinds;
-  }
-
-  get capacity(): number {
-    const {upstreams, slots} = this.site;
-    return capacityPerSecond({slots, kinds: this.kinds}, upstreams);
-  }
-
-  play(name: string): void {
-    const load = LOADS.get(name);
-    assert.ok(load, `no load "${name}"`);
-    this.load = load;
-    const {upstreams, slots} = this.site;
-    const {capacity} = this;
-    const {kinds, factor, extra} = load;
-    const last = kinds[kinds.length - 1];
-    const accountRate = (atMs: number) =>
-      (capacity * factor(atMs) * last.share) / (last.accounts ?? 1);
-    const options: OverloadOptions = {
-      entries: this.entries,
-      upstreams,
-      slots,
-      kinds,
-      rate: atMs => capacity * factor(atMs),
-      extraRate: extra && (atMs => accountRate(atMs) * extra(atMs)),
-      running: () => upstreams,
-      lengthMs: last.accounts ? SURGE_UNTIL_MS + 2 * SECOND_MS : LENGTH_MS,
-      manner: 'value',
-    };
-    const runs = this.entries < 100 || last.accounts ? SEVERAL_RUNS : 1;
-    this.simulations = Array.from(
-      {length: runs},
-      (_, run) => new OverloadSimulation(options, SEED + run),
-    );
-    this.simulations.forEach(simulation => simulation.run());
-  }
-
-  /** The requests that are judged. */
-  requests(kind?: SimulatedKind): SimulatedRequest[] {
-    const all = this.simulations.flatMap(({requests}) => requests);
-    return all.filter(
-      request =>
-        request.startedAtMs >= JUDGED_FROM_MS &&
-        request.startedAtMs < JUDGED_UNTIL_MS &&
-        (kind === undefined || request.kind === kind),
-    );
-  }
-
-  /** Share of the requests in the surge that were answered in time, without those of the account that sends more. */
-  othersInTime(): number {
-    const [, usual] = this.kinds;
-    const asked = this.simulations
-      .flatMap(({requests}) => requests)
-      .filter(({account}) => account !== `${usual.name}-0`)
-      .filter(({startedAtMs}) => startedAtMs >= SURGE_FROM_MS)
-      .filter(({startedAtMs}) => startedAtMs < SURGE_UNTIL_MS);
-    return asked.filter(isTimely).length / asked.length;
-  }
-
-  servedShare(kind?: SimulatedKind): number {
-    const asked = this.requests(kind);
-    const served = asked.filter(({answeredAtMs}) => answeredAtMs !== undefined);
-    return served.length / asked.length;
-  }
-
-  /** Credit if the slots of undisturbed upstreams were given to the requests of most value for their work. */
-  get attainableCredit(): number {
-    const mean = this.kinds.reduce(
-      (sum, kind) => sum + kind.share * kind.workMs,
-      0,
-    );
-    const seconds = (JUDGED_UNTIL_MS - JUDGED_FROM_MS) / SECOND_MS;
-    let leftMs = this.capacity * mean * seconds * this.simulations.length;
-    let credit = 0;
-    const density = ({value = 1, workMs}: SimulatedKind) => value / workMs;
-    const kinds = [...this.kinds].sort((a, b) => density(b) - density(a));
-    for (const kind of kinds) {
-      const served = Math.min(this.requests(kind).length, leftMs / kind.workMs);
-      leftMs -= served * kind.workMs;
-      credit += served * (kind.value ?? 1);
-    }
-    return credit;
-  }
-
-  /** A request before upstreams of which some slots are free. */
-  query(priority: number, freeSlots: number, slots: number): DemandQuery {
-    return {
-      nowMs: this.nowMs,
-      priority,
-      workMs: 80,
-      account: undefined,
-      estimateMs: 120,
-      freeSlotEstimateMs: 120,
-      freeSlots: Math.min(freeSlots, 2),
-      slowingSlots: 0,
-      targetRemainingMs: 400,
-      maximumWaitMs: 50,
-      waitedMs: 0,
-      considered: {slots, freeSlots},
-    };
-  }
-}
-
-const worlds = new WeakMap<object, ValueWorld>();
-
-function toWorld(key: object): ValueWorld {
-  const world = worlds.get(key) ?? new ValueWorld();
-  worlds.set(key, world);
-  return world;
-}
-
 Given(
   '{int} entries that admit by value',
   function (this: object, entries: number) {
@@ -178,11 +26,7 @@
 Then(
   'at least {float} of the most urgent are answered in time',
   function (this: object, share: number) {
-    const {simulations} = toWorld(this);
-    const shares = simulations.map(simulation =>
-      simulation.timelyShare(JUDGED_FROM_MS, JUDGED_UNTIL_MS, URGENT.name),
-    );
-    const timely = shares.reduce((sum, each) => sum + each, 0) / shares.length;
+    const timely = toWorld(this).urgentInTime();
     assert.ok(timely >= share, `${timely}`);
   },
 );
@@ -199,6 +43,62 @@
   },
 );
 
+Then(
+  'at least {float} more of the most urgent are answered in time than by order of arrival',
+  function (this: object, difference: number) {
+    const world = toWorld(this);
+    const share = world.urgentInTime();
+    world.play('a rejection of half of what is sent', 'admission');
+    const former = world.urgentInTime();
+    assert.ok(share >= former + difference, `${share}, ${former} by arrival`);
+  },
+);
+
+Given(
+  'an entry whose upstreams reject {float}, with {int} requests and {int} repeats of priorities {int} and {int}',
+  function (
+    this: object,
+    failureShare: number,
+    requests: number,
+    repeats: number,
+    first: number,
+    second: number,
+  ) {
+    const world = toWorld(this);
+    world.failureShare = failureShare;
+    for (let index = 0; index < requests; index++) {
+      const priority = index % 2 === 0 ? first : second;
+      world.admission.onArrival(
+        {priority, workMs: 80, account: undefined},
+        world.nowMs,
+      );
+      world.repeats.onRequest(world.nowMs);
+    }
+    for (let index = 0; index < repeats; index++) {
+      assert.ok(world.repeats.take(world.nowMs));
+    }
+  },
+);
+
+Then(
+  /^a (late )?request of priority (\d) (may|may not) be sent once more$/,
+  function (
+    this: object,
+    isLate: string | null,
+    priority: string,
+    what: string,
+  ) {
+    const {admission, repeats, nowMs, failureShare} = toWorld(this);
+    const reserved = repeatReserve({
+      moreUrgentShare: admission.moreUrgentShare(Number(priority)),
+      failureShare,
+      ratio: repeats.ratio,
+      isLate: isLate !== null,
+    });
+    assert.equal(repeats.has(nowMs, reserved), what === 'may');
+  },
+);
+
 Then(
   'at least {float} of the requests of the others are in time, and at most {float} fewer than if every account sent its usual',
   function (this: object, least: number, difference: number) {
--- a/features/support/overload-entry.ts
+++ b/features/support/overload-entry.ts
@@ -2,7 +2,9 @@
 
 import {
   expectedLoss,
+  GroupFailureShare,
   OverloadAdmission,
+  RepeatBudget,
   UpstreamStatistics,
   ValueAdmission,
   WorkEstimate,
@@ -15,6 +17,7 @@
 /** Options of `SimulatedEntry`. */
 export interface SimulatedEntryOptions {
   readonly kinds: readonly SimulatedKind[];
+  readonly entries: number;
   readonly slots: number;
   readonly upstreams: number;
   readonly roundTripMs: number;
@@ -38,6 +41,9 @@
   readonly considered: ConsideredCapacity;
 }
 
+/** The limit on retries of all entries, as on the users' sites. */
+const REPEATS = {ratio: 0.2, slack: 10, windowMs: 10_000};
+
 const TIE_MARGIN = 0.01;
 const COSTS = {crossZonePerMegabyte: 0, crossRegionPerMegabyte: 0};
 
@@ -45,6 +51,8 @@
 export class SimulatedEntry {
   readonly statistics: readonly UpstreamStatistics[];
   readonly admission: ServiceAdmission;
+  readonly failures = new GroupFailureShare();
+  readonly repeats: RepeatBudget;
   readonly work: ReadonlyMap<SimulatedKind, WorkEstimate>;
   readonly #random: RandomSource;
 
@@ -53,8 +61,18 @@
     this.#random = random;
     this.statistics = Array.from(
       {length: upstreams},
-      () => new UpstreamStatistics('same-region', roundTripMs, slots),
+      () =>
+        new UpstreamStatistics(
+          'same-region',
+          roundTripMs,
+          slots,
+          this.failures,
+        ),
     );
+    this.repeats = new RepeatBudget({
+      ...REPEATS,
+      entries: options.entries,
+    });
     this.admission = options.isValueBased
       ? new ValueAdmission(random)
       : new OverloadAdmission(random);
--- a/features/support/overload-simulation.ts
+++ b/features/support/overload-simulation.ts
@@ -4,8 +4,18 @@
  * neighbours are busy; callers that are refused come back.
  */
 
-import {SeededRandom, type RandomSource} from '@wasabidyke/policy';
+import {
+  repeatDelayMs,
+  repeatReserve,
+  SeededRandom,
+  type RandomSource,
+} from '@wasabidyke/policy';
 import {SimulatedEntry} from './overload-entry.js';
+import {
+  isTimely,
+  type OverloadOptions,
+  type SimulatedRequest,
+} from './overload-options.js';
 import {
   NEIGHBOUR_PERIOD_MS,
   SimulatedUpstream,
@@ -13,42 +23,6 @@
   type SimulatedRun,
 } from './overload-upstream.js';
 
-/** What is simulated. */
-export interface OverloadOptions {
-  readonly entries: number;
-  readonly upstreams: number;
-  readonly slots: number;
-  readonly kinds: readonly SimulatedKind[];
-  /** Requests per second at a time in milliseconds. */
-  readonly rate: (atMs: number) => number;
-  /** Number of upstreams at a time in milliseconds. */
-  readonly running: (atMs: number) => number;
-  readonly lengthMs: number;
-  /**
-   * `late-queue` sends whatever can be answered before its deadline. `informed`
-   * is what can be reached: one entry that knows the load of all upstreams at
-   * each moment, and callers that do not come back. `value` and
-   * `informed-value` admit by value instead.
-   */
-  readonly manner:
-    'late-queue' | 'admission' | 'informed' | 'value' | 'informed-value';
-  /** Requests per second that the first account of the last kind sends beside its usual, at a time in milliseconds. */
-  readonly extraRate?: (atMs: number) => number;
-  /** Part of the requests at a time in milliseconds that upstreams reject although they have room, from 0 to 1. */
-  readonly rejectedShare?: (atMs: number) => number;
-}
-
-/** What became of one caller's request. */
-export interface SimulatedRequest {
-  readonly kind: SimulatedKind;
-  /** Undefined without client accounts. */
-  readonly account: string | undefined;
-  readonly startedAtMs: number;
-  /** Undefined if it was not answered. */
-  answeredAtMs: number | undefined;
-  refusals: number;
-}
-
 interface Run extends SimulatedRun {
   readonly request: SimulatedRequest;
   readonly entry: SimulatedEntry;
@@ -231,9 +205,11 @@
 
   /** A caller asks an entry. */
   #ask(request: SimulatedRequest, entryIndex: number, retries: number): void {
+    const entry = this.#entries[entryIndex];
+    entry.repeats.onRequest(this.#nowMs);
     this.#attempt({
       request,
-      entry: this.#entries[entryIndex],
+      entry,
       arrivedAtMs: this.#nowMs,
       waitedSinceMs: undefined,
       endWait: undefined,
@@ -352,11 +328,39 @@
     }
     statistics.onEnd('refused', this.#nowMs);
     this.#report(entry, index);
-    if (attempt.sends < ATTEMPTS) {
+    if (attempt.sends < ATTEMPTS && this.#takeRepeat(attempt)) {
       this.#attempt(attempt);
     } else {
-      attempt.refuse(PAUSE_MS);
+      attempt.refuse(this.#repeatDelayMs(attempt));
+    }
+  }
+
+  /** Takes from the repeat budget, which is simulated where upstreams reject. */
+  #takeRepeat({entry, request, arrivedAtMs}: CallerAttempt): boolean {
+    const {rejectedShare, manner} = this.#options;
+    if (rejectedShare === undefined) {
+      return true;
     }
+    const {kind} = request;
+    const lateAtMs = arrivedAtMs + kind.targetMs - kind.workMs;
+    const reserved = repeatReserve({
+      moreUrgentShare: entry.admission.moreUrgentShare(kind.priority),
+      failureShare: entry.failures.share(this.#nowMs),
+      ratio: entry.repeats.ratio,
+      isLate: this.#nowMs > lateAtMs,
+    });
+    return entry.repeats.take(this.#nowMs, manner === 'value' ? reserved : 0);
+  }
+
+  #repeatDelayMs({entry, request}: CallerAttempt): number {
+    return this.#options.manner !== 'value'
+      ? PAUSE_MS
+      : repeatDelayMs(PAUSE_MS, {
+          moreUrgentShare: entry.admission.moreUrgentShare(
+            request.kind.priority,
+          ),
+          failureShare: entry.failures.share(this.#nowMs),
+        });
   }
 
   /** Some of the upstreams that run, in a random order. */
@@ -389,11 +393,3 @@
     this.#events.set(atMs, events);
   }
 }
-
-/** Whether a request was answered within its target. */
-export function isTimely(request: SimulatedRequest): boolean {
-  const {answeredAtMs, startedAtMs, kind} = request;
-  return (
-    answeredAtMs !== undefined && answeredAtMs - startedAtMs <= kind.targetMs
-  );
-}
--- a/features/support/value-loads.ts
+++ b/features/support/value-loads.ts
@@ -44,12 +44,20 @@
   {...USUAL, share: 0.7, accounts: 10},
 ];
 
+/** Kinds of a service whose upstreams rejected 55 of 100 requests for 8 s although they reported free slots. */
+const REJECTED_KINDS: readonly SimulatedKind[] = [
+  {...USUAL, name: URGENT.name, share: 0.45, workMs: 140, targetMs: 408},
+  {...BATCH, share: 0.55, workMs: 100, targetMs: 303},
+];
+
 /** When one account sends more: entries have known it for 40 s. */
 export const SURGE_FROM_MS = 40 * SECOND_MS;
 export const SURGE_UNTIL_MS = 47 * SECOND_MS;
 
 /** What is asked for: the kinds, and how much of what the upstreams can run at a time in milliseconds. */
 export interface Load {
+  /** Part of the requests that upstreams reject although they have room. */
+  readonly rejectedShare?: (atMs: number) => number;
   /** How often the first account of the last kind sends its usual in addition, at a time in milliseconds. */
   readonly extra?: (atMs: number) => number;
 
@@ -109,6 +117,14 @@
       extra: atMs => (atMs >= SURGE_FROM_MS && atMs < SURGE_UNTIL_MS ? 6 : 0),
     },
   ],
+  [
+    'a rejection of half of what is sent',
+    {
+      kinds: REJECTED_KINDS,
+      factor: () => 0.5,
+      rejectedShare: atMs => (atMs >= 3_000 ? 0.55 : 0),
+    },
+  ],
   ['every account at its usual', {kinds: ACCOUNT_KINDS, factor: () => 0.75}],
   [
     '0.6 of what upstreams can run',
--- a/packages/balancer/src/serving/refusals.ts
+++ b/packages/balancer/src/serving/refusals.ts
@@ -1,6 +1,10 @@
 /** What callers are told when no upstream's answer can be given. */
 
-import {retryAfterMs, type RandomSource} from '@wasabidyke/policy';
+import {
+  repeatDelayMs,
+  retryAfterMs,
+  type RandomSource,
+} from '@wasabidyke/policy';
 import type {Clock} from '@wasabidyke/shared';
 import type {UpstreamRegistry} from '../members/upstream-registry.js';
 import type {CrashTracker} from '../suspects/crash-tracker.js';
@@ -87,6 +91,8 @@
       }
       case 'full':
         return this.#fullDelayMs(selected);
+      case 'attempts-spent':
+        return this.#repeatDelayMs(selected);
       case 'stopping':
         return STOPPING_RETRY_AFTER_MS;
       case 'unreached':
@@ -104,6 +110,20 @@
     );
   }
 
+  #repeatDelayMs(selected: SelectedUpstream | undefined): number {
+    const {routeState, registry, clock} = this.#options;
+    const {service, priority} = this.#request;
+    const slotDelayMs = this.#freeSlotDelayMs(selected);
+    if (!routeState.isValueBased(service)) {
+      return slotDelayMs;
+    }
+    const failures = registry.groupFailureShare(service, 'same-region');
+    return repeatDelayMs(slotDelayMs, {
+      moreUrgentShare: this.#admission.moreUrgentShare(priority),
+      failureShare: failures.share(clock.now()),
+    });
+  }
+
   get #admission() {
     return this.#options.routeState.admission(this.#request.service);
   }
--- a/packages/balancer/src/serving/request-dispatcher.ts
+++ b/packages/balancer/src/serving/request-dispatcher.ts
@@ -14,6 +14,7 @@
 import type {RequestDispatcherOptions} from './dispatcher-options.js';
 import type {DispatchResult, UpstreamAnswer} from './dispatch-result.js';
 import {Refusals} from './refusals.js';
+import {RequestRepeats} from './request-repeats.js';
 import type {RefusalReason, RoutedRequest} from './routed-request.js';
 import {
   isUpstreamAttempt,
@@ -35,6 +36,7 @@
   readonly #sender: UpstreamSender;
   readonly #relay: RequestRelay;
   readonly #hedging: Hedging;
+  readonly #repeats: RequestRepeats;
   readonly #refusals: Refusals;
   /** Upstreams that were tried; further attempts go elsewhere. */
   readonly #tried = new Set<UpstreamHandle>();
@@ -59,6 +61,7 @@
     this.#admission = new AttemptAdmission(request, {...options, limitGate});
     this.#relay = new RequestRelay(request, options);
     this.#hedging = new Hedging(request, options);
+    this.#repeats = new RequestRepeats(request, options);
     for (const id of request.relayed?.excluded ?? []) {
       this.#exclude(id);
     }
@@ -81,7 +84,7 @@
     this.#deadlineTimer = setTimeout(() => this.expire(), remainingMs);
     // The entry that relays a request counts it.
     if (this.#request.relayed === undefined) {
-      this.#repeatBudget.onRequest(this.#options.clock.now());
+      this.#repeats.budget.onRequest(this.#options.clock.now());
     }
     void this.#startAttempt();
   }
@@ -97,10 +100,6 @@
     this.#end(undefined);
   }
 
-  get #repeatBudget() {
-    return this.#options.routeState.repeatBudget(this.#request.service);
-  }
-
   /** Selects an upstream and sends the request there. */
   async #startAttempt(): Promise<void> {
     if (this.#crashTracker.status === 'quarantined') {
@@ -144,7 +143,7 @@
 
   #sendWithinBudget(selected: SelectedUpstream): void {
     const isRepeat = this.#sentCount > 0;
-    if (isRepeat && !this.#repeatBudget.take(this.#options.clock.now())) {
+    if (isRepeat && !this.#repeats.take()) {
       this.#endWithoutSuccess('attempts-spent');
       return;
     }
@@ -173,8 +172,7 @@
 
   /** Sends the request through another entry; returns false if none is likely to serve it. */
   #sendThroughEntry(): boolean {
-    const nowMs = this.#options.clock.now();
-    if (this.#sentCount > 0 && !this.#repeatBudget.has(nowMs)) {
+    if (this.#sentCount > 0 && !this.#repeats.isAllowed()) {
       return false;
     }
     const attempt = this.#relay.send(this.#tried);
@@ -182,7 +180,7 @@
       return false;
     }
     if (this.#sentCount > 0) {
-      this.#repeatBudget.take(nowMs);
+      this.#repeats.take();
     }
     this.#onSent(attempt);
     void attempt.exchange.result.then(result =>
@@ -293,7 +291,7 @@
       isSafeToRepeat &&
       this.#sentCount <
         Math.max(maximumAttempts, 1 + Number(!this.#mayHaveRun));
-    if (!isAllowed || !this.#repeatBudget.has(this.#options.clock.now())) {
+    if (!isAllowed || !this.#repeats.isAllowed()) {
       this.#endWithoutSuccess(this.#mayHaveRun ? 'broken' : 'attempts-spent');
       return;
     }
@@ -345,7 +343,7 @@
     }
     const nowMs = this.#options.clock.now();
     const isInTime = isHedgeInTime(selected, this.#request, nowMs);
-    if (isInTime && this.#repeatBudget.take(nowMs)) {
+    if (isInTime && this.#repeats.take()) {
       this.#hedging.log(first, selected);
       this.#send(selected);
     }
@@ -353,7 +351,9 @@
 
   #mayHedge(first: PendingAttempt): boolean {
     const isInFlight = !this.#isFinished && this.#activeAttempts.has(first);
-    return isInFlight && this.#hedging.isAffordable(first, this.#repeatBudget);
+    return (
+      isInFlight && this.#hedging.isAffordable(first, this.#repeats.budget)
+    );
   }
 
   /** Ends the request with the last error answer, or else with a refusal; does nothing while another attempt may succeed. */
--- a/packages/balancer/src/serving/route-state.ts
+++ b/packages/balancer/src/serving/route-state.ts
@@ -82,9 +82,14 @@
     return limitedAdmission;
   }
 
+  /** Whether requests of a service are admitted, and repeated, by value. */
+  isValueBased(service: string): boolean {
+    return this.#options.hasSeveralPriorities(service);
+  }
+
   /** Admission of a service's requests while its upstreams are full: by value if they are of several priorities. */
   admission(service: string): ServiceAdmission {
-    return this.#options.hasSeveralPriorities(service)
+    return this.isValueBased(service)
       ? this.#valueAdmission(service)
       : this.#overloadAdmission(service);
   }
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -21,6 +21,7 @@
 export * from './rendezvous-hash.js';
 export * from './relay-choice.js';
 export * from './repeat-budget.js';
+export * from './repeat-reserve.js';
 export * from './request-fingerprint.js';
 export * from './request-limit.js';
 export * from './rest-period.js';
--- a/packages/policy/src/overload-admission.ts
+++ b/packages/policy/src/overload-admission.ts
@@ -45,6 +45,10 @@
   /** Requests of one priority need no count. */
   override onArrival(): void {}
 
+  override moreUrgentShare(): number {
+    return 0;
+  }
+
   override decide(query: AdmissionQuery): AdmissionDecision {
     const {slowingSlots, waitedMs, maximumWaitMs} = query;
     const {freeSlotEstimateMs, targetRemainingMs} = query;
--- a/packages/policy/src/repeat-budget.ts
+++ b/packages/policy/src/repeat-budget.ts
@@ -72,9 +72,12 @@
     return repeats + 1 <= allowed * (1 - reservedShare);
   }
 
-  /** Takes one repeat from the budget. Returns false if this entry's part is spent. */
-  take(nowMs: number): boolean {
-    if (!this.has(nowMs)) {
+  /**
+   * Takes one repeat from the budget. Returns false if this entry's part is spent.
+   * @param reservedShare As of `has`.
+   */
+  take(nowMs: number, reservedShare = 0): boolean {
+    if (!this.has(nowMs, reservedShare)) {
       return false;
     }
     this.#currentSlice(nowMs).repeats += 1;
--- a/packages/policy/src/served-shares.ts
+++ b/packages/policy/src/served-shares.ts
@@ -40,6 +40,17 @@
     return [...this.#counts.keys()].filter(other => other < priority).length;
   }
 
+  /** Returns the share of the requests that arrived lately that are more urgent, from 0 to 1. */
+  moreUrgentShare(priority: number): number {
+    let all = 0;
+    let moreUrgent = 0;
+    for (const [other, {arrived}] of this.#counts) {
+      all += arrived;
+      moreUrgent += other < priority ? arrived : 0;
+    }
+    return all === 0 ? 0 : moreUrgent / all;
+  }
+
   /** Returns the most urgent priority that arrived lately, or `priority` if that is more urgent. */
   mostUrgent(priority: number): number {
     return Math.min(priority, ...this.#counts.keys());
--- a/packages/policy/src/service-admission.ts
+++ b/packages/policy/src/service-admission.ts
@@ -55,6 +55,9 @@
   /** Called once for each request that arrives, before the first decision on it. */
   abstract onArrival(demand: RequestDemand, nowMs: number): void;
 
+  /** Share of the requests that arrived lately that are more urgent, from 0 to 1; 0 if this is not counted. */
+  abstract moreUrgentShare(priority: number): number;
+
   /** Decides on a request that can be answered before its deadline. */
   abstract decide(query: DemandQuery): AdmissionDecision;
 
--- a/packages/policy/src/upstream-statistics.ts
+++ b/packages/policy/src/upstream-statistics.ts
@@ -227,11 +227,12 @@
     return isFullBetter ? 0 : this.slots - usualSlots;
   }
 
-  /** Returns the estimated number of free slots in which a request is answered within its target latency, without those whose use slows the other requests more than it serves; 0 or more. */
+  /** Returns the estimated number of free slots in which a request is answered within its target latency, without those whose use slows the other requests more than it serves, times the share of requests that are expected to succeed; 0 or more. */
   usableSlots(query: UsableSlotsQuery): number {
     const isInTime = this.freeSlotEstimateMs(query) <= query.targetRemainingMs;
     const freeSlots = this.freeSlots(query.nowMs) - this.slowingSlots;
-    return isInTime ? Math.max(0, freeSlots) : 0;
+    const successShare = 1 - this.failureShare(query.nowMs);
+    return isInTime ? Math.max(0, freeSlots) * successShare : 0;
   }
 
   /** Returns the estimated duration of work there, as a multiple of the usual duration. */
--- a/packages/policy/src/value-admission.ts
+++ b/packages/policy/src/value-admission.ts
@@ -92,6 +92,10 @@
     }
   }
 
+  override moreUrgentShare(priority: number): number {
+    return this.#shares.moreUrgentShare(priority);
+  }
+
   override decide(query: DemandQuery): AdmissionDecision {
     const {nowMs, priority, considered, slowingSlots} = query;
     const level = this.#level(priority);
