--- a/features/steps/account-lookup.steps.ts
+++ b/features/steps/account-lookup.steps.ts
@@ -152,8 +152,12 @@
     const {routes = [], accounts = []} = configuration ?? {};
     const router = new RequestRouter({
       protocol: new PlatformWireProtocol(),
-      routeState: new RouteState(new SeededRandom(1), () => {
-        throw new Error('routing needs no budget of repeats');
+      routeState: new RouteState({
+        random: new SeededRandom(1),
+        repeatBudgetOptions: () => {
+          throw new Error('routing needs no budget of repeats');
+        },
+        hasSeveralPriorities: () => false,
       }),
     });
     const routed = router.route(
--- a/features/support/overload-simulation.ts
+++ b/features/support/overload-simulation.ts
@@ -5,13 +5,17 @@
  */
 
 import {
-  expectedLoss,
-  OverloadAdmission,
+  repeatDelayMs,
+  repeatReserve,
   SeededRandom,
-  UpstreamStatistics,
-  WorkEstimate,
   type RandomSource,
 } from '@wasabidyke/policy';
+import {SimulatedEntry} from './overload-entry.js';
+import {
+  isTimely,
+  type OverloadOptions,
+  type SimulatedRequest,
+} from './overload-options.js';
 import {
   NEIGHBOUR_PERIOD_MS,
   SimulatedUpstream,
@@ -19,54 +23,23 @@
   type SimulatedRun,
 } from './overload-upstream.js';
 
-/** What is simulated. */
-export interface OverloadOptions {
-  readonly entries: number;
-  readonly upstreams: number;
-  readonly slots: number;
-  readonly kinds: readonly SimulatedKind[];
-  /** Requests per second at a time in milliseconds. */
-  readonly rate: (atMs: number) => number;
-  /** Number of upstreams at a time in milliseconds. */
-  readonly running: (atMs: number) => number;
-  readonly lengthMs: number;
-  /**
-   * `late-queue` sends whatever can be answered before its deadline. `informed`
-   * is what can be reached: one entry that knows the load of all upstreams at
-   * each moment, and callers that do not come back.
-   */
-  readonly manner: 'late-queue' | 'admission' | 'informed';
-}
-
-/** What became of one caller's request. */
-export interface SimulatedRequest {
-  readonly kind: SimulatedKind;
-  readonly startedAtMs: number;
-  /** Undefined if it was not answered. */
-  answeredAtMs: number | undefined;
-  refusals: number;
-}
-
 interface Run extends SimulatedRun {
   readonly request: SimulatedRequest;
-  readonly entry: Entry;
+  readonly entry: SimulatedEntry;
   readonly estimateMs: number;
   readonly workEstimateMs: number;
   readonly sentAtMs: number;
 }
 
-interface Entry {
-  readonly statistics: readonly UpstreamStatistics[];
-  readonly admission: OverloadAdmission;
-  readonly work: ReadonlyMap<SimulatedKind, WorkEstimate>;
-}
-
 /** A request at one entry. */
 interface CallerAttempt {
   readonly request: SimulatedRequest;
-  readonly entry: Entry;
+  readonly entry: SimulatedEntry;
   readonly arrivedAtMs: number;
   waitedSinceMs: number | undefined;
+  /** Set while the request waits. */
+  endWait: (() => void) | undefined;
+  isCounted: boolean;
   sends: number;
   readonly refuse: (comeBackMs: number) => void;
 }
@@ -82,8 +55,6 @@
 const PAUSE_MS = 10;
 const ATTEMPTS = 3;
 const CALLER_RETRIES = 1;
-const TIE_MARGIN = 0.01;
-const COSTS = {crossZonePerMegabyte: 0, crossRegionPerMegabyte: 0};
 
 const SECOND_MS = 1_000;
 const DRAWS = 10_000;
@@ -95,12 +66,12 @@
   readonly #isInformed: boolean;
   readonly #random: RandomSource;
   readonly #upstreams: Array<SimulatedUpstream<Run>>;
-  readonly #entries: Entry[];
+  readonly #entries: SimulatedEntry[];
   readonly #events = new Map<number, Array<() => void>>();
   #nowMs = 0;
 
   constructor(options: OverloadOptions, seed: number) {
-    this.#isInformed = options.manner === 'informed';
+    this.#isInformed = options.manner.startsWith('informed');
     this.#options = this.#isInformed ? {...options, entries: 1} : options;
     this.#random = new SeededRandom(seed);
     this.#upstreams = Array.from(
@@ -135,16 +106,22 @@
     return asked.filter(isTimely).length / Math.max(1, asked.length);
   }
 
-  #createEntry(): Entry {
-    const {kinds, slots, upstreams} = this.#options;
-    return {
-      statistics: Array.from(
-        {length: upstreams},
-        () => new UpstreamStatistics('same-region', ROUND_TRIP_MS, slots),
-      ),
-      admission: new OverloadAdmission(this.#random),
-      work: new Map(kinds.map(kind => [kind, new WorkEstimate(kind.targetMs)])),
-    };
+  /** Sum of the values of the requests that began in a time and were answered within their target. */
+  credit(fromMs: number, untilMs: number): number {
+    return this.requests
+      .filter(({startedAtMs}) => startedAtMs >= fromMs && startedAtMs < untilMs)
+      .filter(isTimely)
+      .reduce((sum, {kind}) => sum + (kind.value ?? 1), 0);
+  }
+
+  #createEntry(): SimulatedEntry {
+    const {manner} = this.#options;
+    return new SimulatedEntry({
+      ...this.#options,
+      roundTripMs: ROUND_TRIP_MS,
+      isValueBased: manner === 'value' || manner === 'informed-value',
+      random: this.#random,
+    });
   }
 
   #changeNeighbours(): void {
@@ -178,7 +155,7 @@
     request.answeredAtMs ??= this.#nowMs;
   }
 
-  #report(entry: Entry, index: number): void {
+  #report(entry: SimulatedEntry, index: number): void {
     const {running, waiting, slots, neighbourSlowdown} = this.#upstreams[index];
     entry.statistics[index].onReport(
       {
@@ -192,24 +169,34 @@
   }
 
   #arrive(): void {
-    const {rate, entries} = this.#options;
-    let expected = rate(this.#nowMs) / SECOND_MS;
-    for (; expected > 0; expected--) {
+    const {rate, extraRate} = this.#options;
+    this.#arriveAt(rate(this.#nowMs));
+    if (extraRate !== undefined) {
+      this.#arriveAt(extraRate(this.#nowMs), true);
+    }
+  }
+
+  #arriveAt(perSecond: number, isExtra = false): void {
+    for (let expected = perSecond / SECOND_MS; expected > 0; expected--) {
       if (this.#draw() < expected) {
-        const request = this.#createRequest();
+        const request = this.#createRequest(isExtra);
         this.requests.push(request);
-        this.#ask(request, this.#random.nextBelow(entries), 0);
+        this.#ask(request, this.#random.nextBelow(this.#options.entries), 0);
       }
     }
   }
 
-  #createRequest(): SimulatedRequest {
+  #createRequest(isExtra: boolean): SimulatedRequest {
     let draw = this.#draw();
     const {kinds} = this.#options;
-    const kind =
-      kinds.find(({share}) => (draw -= share) < 0) ?? kinds[kinds.length - 1];
+    const last = kinds[kinds.length - 1];
+    const drawn = kinds.find(({share}) => (draw -= share) < 0) ?? last;
+    const kind = isExtra ? last : drawn;
+    const {accounts} = kind;
+    const index = isExtra ? 0 : accounts && this.#random.nextBelow(accounts);
     return {
       kind,
+      account: accounts ? `${kind.name}-${index}` : undefined,
       startedAtMs: this.#nowMs,
       answeredAtMs: undefined,
       refusals: 0,
@@ -218,11 +205,15 @@
 
   /** A caller asks an entry. */
   #ask(request: SimulatedRequest, entryIndex: number, retries: number): void {
+    const entry = this.#entries[entryIndex];
+    entry.repeats.onRequest(this.#nowMs);
     this.#attempt({
       request,
-      entry: this.#entries[entryIndex],
+      entry,
       arrivedAtMs: this.#nowMs,
       waitedSinceMs: undefined,
+      endWait: undefined,
+      isCounted: false,
       sends: 0,
       refuse: comeBackMs => {
         request.refusals += 1;
@@ -262,8 +253,9 @@
     const {kind} = request;
     const deadlineMs = request.startedAtMs + kind.deadlineMs;
     const nowMs = this.#nowMs;
-    const workMs = entry.work.get(kind)?.workMs ?? kind.workMs;
-    const index = this.#select(entry, indices, workMs, {
+    const {index, workMs, considered} = entry.select(indices, {
+      nowMs,
+      kind,
       targetRemainingMs: arrivedAtMs + kind.targetMs - nowMs,
       remainingMs: deadlineMs - nowMs,
     });
@@ -275,11 +267,18 @@
       attempt.refuse(excessMs);
       return;
     }
+    const {account} = request;
+    const demand = {priority: kind.priority, workMs, account};
     if (this.#options.manner !== 'late-queue') {
+      if (!attempt.isCounted) {
+        attempt.isCounted = true;
+        entry.admission.onArrival(demand, nowMs);
+      }
       const decision = entry.admission.decide({
         nowMs,
+        ...demand,
+        considered,
         slowingSlots: statistics.slowingSlots,
-        priority: kind.priority,
         estimateMs,
         freeSlotEstimateMs: statistics.freeSlotEstimateMs({nowMs, workMs}),
         freeSlots,
@@ -287,16 +286,21 @@
         maximumWaitMs: kind.targetMs * MAXIMUM_WAIT_SHARE,
         waitedMs: nowMs - (attempt.waitedSinceMs ?? nowMs),
       });
+      if (decision !== 'wait') {
+        attempt.endWait?.();
+        attempt.endWait = undefined;
+      }
       if (decision === 'wait') {
         attempt.waitedSinceMs ??= nowMs;
+        attempt.endWait ??= entry.admission.onWait(kind.priority);
         this.#after(PAUSE_MS, () => this.#attempt(attempt));
         return;
       }
       if (decision === 'refuse') {
-        attempt.refuse(entry.admission.refuse(excessMs, nowMs));
+        attempt.refuse(entry.admission.refuse(excessMs, nowMs, kind.priority));
         return;
       }
-      entry.admission.onSend();
+      entry.admission.onSend(demand, nowMs, attempt.sends > 0);
     }
     this.#send(attempt, index, estimateMs, workMs);
   }
@@ -319,41 +323,44 @@
       sentAtMs: this.#nowMs,
       leftMs: this.#drawWork(request.kind),
     };
-    if (this.#upstreams[index].add(run)) {
+    if (!this.#isRejected() && this.#upstreams[index].add(run)) {
       return;
     }
     statistics.onEnd('refused', this.#nowMs);
     this.#report(entry, index);
-    if (attempt.sends < ATTEMPTS) {
+    if (attempt.sends < ATTEMPTS && this.#takeRepeat(attempt)) {
       this.#attempt(attempt);
     } else {
-      attempt.refuse(PAUSE_MS);
+      attempt.refuse(this.#repeatDelayMs(attempt));
     }
   }
 
-  #select(
-    entry: Entry,
-    indices: readonly number[],
-    workMs: number,
-    times: {targetRemainingMs: number; remainingMs: number},
-  ): number {
-    const nowMs = this.#nowMs;
-    const losses = indices.map(index => {
-      const statistics = entry.statistics[index];
-      return expectedLoss({
-        ...times,
-        estimateMs: statistics.estimateMs({nowMs, workMs}),
-        failureShare: statistics.failureShare(nowMs),
-        distance: 'same-region',
-        bytes: 0,
-        costs: COSTS,
-      });
+  /** Takes from the repeat budget, which is simulated where upstreams reject. */
+  #takeRepeat({entry, request, arrivedAtMs}: CallerAttempt): boolean {
+    const {rejectedShare, manner} = this.#options;
+    if (rejectedShare === undefined) {
+      return true;
+    }
+    const {kind} = request;
+    const lateAtMs = arrivedAtMs + kind.targetMs - kind.workMs;
+    const reserved = repeatReserve({
+      moreUrgentShare: entry.admission.moreUrgentShare(kind.priority),
+      failureShare: entry.failures.share(this.#nowMs),
+      ratio: entry.repeats.ratio,
+      isLate: this.#nowMs > lateAtMs,
     });
-    const smallest = Math.min(...losses);
-    const tied = indices.filter(
-      (_, position) => losses[position] <= smallest + TIE_MARGIN,
-    );
-    return tied[this.#random.nextBelow(tied.length)];
+    return entry.repeats.take(this.#nowMs, manner === 'value' ? reserved : 0);
+  }
+
+  #repeatDelayMs({entry, request}: CallerAttempt): number {
+    return this.#options.manner !== 'value'
+      ? PAUSE_MS
+      : repeatDelayMs(PAUSE_MS, {
+          moreUrgentShare: entry.admission.moreUrgentShare(
+            request.kind.priority,
+          ),
+          failureShare: entry.failures.share(this.#nowMs),
+        });
   }
 
   /** Some of the upstreams that run, in a random order. */
@@ -364,6 +371,13 @@
     return Array.from({length: count}, (_, step) => (first + step) % running);
   }
 
+  #isRejected(): boolean {
+    const {rejectedShare} = this.#options;
+    return (
+      rejectedShare !== undefined && this.#draw() < rejectedShare(this.#nowMs)
+    );
+  }
+
   #drawWork({workMs}: SimulatedKind): number {
     return workMs * (0.6 + 0.8 * this.#draw());
   }
@@ -379,11 +393,3 @@
     this.#events.set(atMs, events);
   }
 }
-
-/** Whether a request was answered within its target. */
-function isTimely(request: SimulatedRequest): boolean {
-  const {answeredAtMs, startedAtMs, kind} = request;
-  return (
-    answeredAtMs !== undefined && answeredAtMs - startedAtMs <= kind.targetMs
-  );
-}
--- a/packages/balancer/src/balancer.ts
+++ b/packages/balancer/src/balancer.ts
@@ -240,6 +240,7 @@
       liveness: this.#liveness,
       crashGuard: this.#suspects.guard,
       processWatch: this.#suspects.processWatch,
+      routeState: dispatching.routeState,
     });
   }
 
@@ -368,10 +369,12 @@
   }
 
   #createDispatcherOptions() {
-    const routeState = new RouteState(
-      this.#random,
-      () => this.#entryShare.repeats,
-    );
+    const routeState = new RouteState({
+      random: this.#random,
+      repeatBudgetOptions: () => this.#entryShare.repeats,
+      hasSeveralPriorities: service =>
+        this.#clusterState.table?.hasSeveralPriorities(service) ?? false,
+    });
     return {
       selector: this.#upstreamSelector,
       routeState,
--- a/packages/balancer/src/routing/routing-table.ts
+++ b/packages/balancer/src/routing/routing-table.ts
@@ -14,6 +14,7 @@
   RoutingConfiguration,
   ServiceConfiguration,
 } from './routing-configuration.js';
+import {findPrioritiesByService} from './service-priorities.js';
 
 /** Routes, services and client accounts of one configuration version. */
 export class RoutingTable {
@@ -25,6 +26,7 @@
   readonly #services: ReadonlyMap<string, ServiceConfiguration>;
   /** Client accounts; empty if the deployment has none. */
   readonly accounts: AccountDirectory;
+  readonly #prioritiesByService: ReadonlyMap<string, ReadonlySet<number>>;
   /** Whether requests on routes that aren't public need the key of a client account. */
   readonly hasAccounts: boolean;
 
@@ -42,6 +44,7 @@
     this.#services = new Map(
       configuration.services.map(service => [service.name, service]),
     );
+    this.#prioritiesByService = findPrioritiesByService(configuration);
     this.hasAccounts = configuration.accounts !== undefined;
     this.accounts = accounts;
     for (const {host, allowedRegions} of configuration.routes) {
@@ -74,6 +77,11 @@
     return this.accounts.findByKey(key);
   }
 
+  /** Whether requests of more than one priority can arrive at a service. */
+  hasSeveralPriorities(service: string): boolean {
+    return (this.#prioritiesByService.get(service)?.size ?? 0) > 1;
+  }
+
   /** Finds a service by its name. */
   findService(name: string): ServiceConfiguration | undefined {
     return this.#services.get(name);
--- a/packages/balancer/src/serving/caller-server.ts
+++ b/packages/balancer/src/serving/caller-server.ts
@@ -187,10 +187,11 @@
     });
     const bodyResult = await awaitChargedBody(request, reading, charge);
     if (bodyResult.kind === 'refused') {
-      const configurationVersion = table.version;
-      const refused = {route, service, account, configurationVersion};
-      const {refusal} = bodyResult;
-      this.#refuse(response, requestId, refusal, {...refused, arrivedAtMs});
+      this.#refuse(response, requestId, bodyResult.refusal, {
+        ...routed,
+        configurationVersion: table.version,
+        arrivedAtMs,
+      });
       return;
     }
     if (bodyResult.kind !== 'body') {
--- a/packages/balancer/src/serving/refusals.ts
+++ b/packages/balancer/src/serving/refusals.ts
@@ -1,6 +1,10 @@
 /** What callers are told when no upstream's answer can be given. */
 
-import {retryAfterMs, type RandomSource} from '@wasabidyke/policy';
+import {
+  repeatDelayMs,
+  retryAfterMs,
+  type RandomSource,
+} from '@wasabidyke/policy';
 import type {Clock} from '@wasabidyke/shared';
 import type {Placement, PlacementObstacle} from '../members/placement.js';
 import type {UpstreamRegistry} from '../members/upstream-registry.js';
@@ -92,6 +96,7 @@
         : undefined,
       lastUpstream: selected && toLastUpstream(selected),
       places: this.#options.placement.describe(this.#request.allowedRegions),
+      pressure: reason === 'full' ? this.#admission.pressure : undefined,
     };
   }
 
@@ -122,6 +127,8 @@
         return retryAfterMs(1, PLACEMENT_RETRY_AFTER_MS, random);
       case 'full':
         return this.#fullDelayMs(selected);
+      case 'attempts-spent':
+        return this.#repeatDelayMs(selected);
       case 'stopping':
         return STOPPING_RETRY_AFTER_MS;
       case 'unreached':
@@ -132,10 +139,29 @@
   }
 
   #fullDelayMs(selected: SelectedUpstream | undefined): number {
-    const {routeState, clock} = this.#options;
-    return routeState
-      .overloadAdmission(this.#request.service)
-      .refuse(this.#freeSlotDelayMs(selected), clock.now());
+    return this.#admission.refuse(
+      this.#freeSlotDelayMs(selected),
+      this.#options.clock.now(),
+      this.#request.priority,
+    );
+  }
+
+  #repeatDelayMs(selected: SelectedUpstream | undefined): number {
+    const {routeState, registry, clock} = this.#options;
+    const {service, priority} = this.#request;
+    const slotDelayMs = this.#freeSlotDelayMs(selected);
+    if (!routeState.isValueBased(service)) {
+      return slotDelayMs;
+    }
+    const failures = registry.groupFailureShare(service, 'same-region');
+    return repeatDelayMs(slotDelayMs, {
+      moreUrgentShare: this.#admission.moreUrgentShare(priority),
+      failureShare: failures.share(clock.now()),
+    });
+  }
+
+  get #admission() {
+    return this.#options.routeState.admission(this.#request.service);
   }
 
   /** Estimates when an upstream has a free slot, in milliseconds from now. */
@@ -153,6 +179,7 @@
 }
 
 function toLastUpstream(selected: SelectedUpstream): LastUpstream {
-  const {handle, estimateMs, reportAgeMs, freeSlots} = selected;
-  return {upstreamId: handle.id, estimateMs, reportAgeMs, freeSlots};
+  const {handle, estimateMs, reportAgeMs, freeSlots, considered} = selected;
+  const upstreamId = handle.id;
+  return {upstreamId, estimateMs, reportAgeMs, freeSlots, considered};
 }
--- a/packages/balancer/src/serving/routed-request.ts
+++ b/packages/balancer/src/serving/routed-request.ts
@@ -1,7 +1,7 @@
 /** A caller's request with its route, and what the caller gets when no upstream answers it. */
 
 import type {IncomingHttpHeaders} from 'node:http';
-import {toFingerprint} from '@wasabidyke/policy';
+import {toFingerprint, type ConsideredCapacity} from '@wasabidyke/policy';
 import * as z from 'zod/mini';
 import type {PlacementFields} from '../members/placement.js';
 import type {AllowedRegions} from '../routing/allowed-regions.js';
@@ -111,6 +111,8 @@
   readonly estimateMs: number;
   readonly reportAgeMs: number;
   readonly freeSlots: number;
+  /** Capacity of all upstreams that it was selected from. */
+  readonly considered: ConsideredCapacity;
 }
 
 /** Answer to a caller when no upstream's answer can be given. */
@@ -124,6 +126,8 @@
   readonly lastUpstream?: LastUpstream;
   /** Regions and evacuations that narrowed the choice; undefined before the request is dispatched. */
   readonly places?: PlacementFields;
+  /** How scarce free slots were lately, from 0 to 1; undefined if the request was not refused by value. */
+  readonly pressure?: number;
 }
 
 /** HTTP status that tells a caller of a refusal. */
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,5 +1,6 @@
 /** Load balancing decisions. They do no I/O and read no clock: callers pass the time in. */
 
+export * from './account-demand.js';
 export * from './account-granting.js';
 export * from './admission-queue.js';
 export * from './crash-guard.js';
@@ -29,6 +30,7 @@
 export * from './rendezvous-hash.js';
 export * from './relay-choice.js';
 export * from './repeat-budget.js';
+export * from './repeat-reserve.js';
 export * from './report-wait.js';
 export * from './request-fingerprint.js';
 export * from './request-limit.js';
@@ -39,6 +41,7 @@
 export * from './round-trip-estimate.js';
 export * from './selection.js';
 export * from './send-watch.js';
+export * from './service-admission.js';
 export * from './service-reach.js';
 export * from './token-bucket.js';
 export * from './two-choices-reported.js';
@@ -46,6 +49,7 @@
 export * from './unsettled-sends.js';
 export * from './upstream-load.js';
 export * from './upstream-statistics.js';
+export * from './value-admission.js';
 export * from './warm-up-division.js';
 export * from './warm-up.js';
 export * from './weighted-round-robin.js';
