fix(feed): an unreadable answer of another entry is not quoted in the log

Cause: the error of JSON.parse quotes the text around a fault, and the answers of feeders hold the configuration with its keys in base64. The line feeder.lost would have shown a part of it. Change: the answer is parsed without its error. The checks of keys excuse only faults within the bounds before a request. Measured: the new scenario fails with the former line and passes without it.

--- a/features/balancer/account-relay.feature
+++ b/features/balancer/account-relay.feature
@@ -40,3 +40,8 @@
     When a message to relay "/open/a" with a key in its header is sent to entry 1
     Then the worker got no account
     And no key is found in the log, the metrics or at a worker
+
+  # Guards against the error of a parser that quotes the records around a fault, and so a key.
+  Scenario: What is said of another entry's unreadable records quotes none of them
+    When another entry's answer with the record of a key breaks off in its grammar
+    Then it is unreadable, and what is said of it quotes nothing of the record
--- a/features/soak/soak.feature
+++ b/features/soak/soak.feature
@@ -47,6 +47,7 @@
     Examples:
       | check        | what                                             |
       | keys         | a request ran long after its key was revoked     |
+      | keys         | a request ran long after a fault beside the revocation of its key |
       | keys         | a worker got a key                               |
       | keys         | a request ran on another account                 |
       | keys         | a request ran on no account                      |
--- a/features/steps/account-relay.steps.ts
+++ b/features/steps/account-relay.steps.ts
@@ -1,8 +1,12 @@
 /** Steps for relayed requests of client accounts. */
 
 import assert from 'node:assert/strict';
-import {request as sendRequest} from 'node:http';
+import {once} from 'node:events';
+import {createServer, request as sendRequest} from 'node:http';
+import type {AddressInfo} from 'node:net';
 import {Then, When} from '@cucumber/cucumber';
+import {FeederConnection} from '@wasabidyke/balancer';
+import {SystemClock} from '@wasabidyke/shared';
 import {SECRET} from '../support/account-site.js';
 import type {BalancerSite} from '../support/balancer-site.js';
 import {eventually} from '../support/eventually.js';
@@ -13,10 +17,17 @@
   older: Map<string, OlderEntry>;
   messageAnswer: {status: number; result: unknown; reason: unknown};
   relayedId: string;
+  feedProblem: string;
 }
 
 const ID = 'account-request';
 
+/** A record with a key, as entries pass it on. */
+const RECORD = Buffer.from(`{"api_keys":["${SECRET}1"`).toString('base64');
+
+/** Characters of a record that show a part of a key. */
+const QUOTED_CHARACTERS = 4;
+
 When(
   'look-ups with the key {string} are sent to entry 1 until one is relayed',
   async function (this: AccountRelayWorld, key: string) {
@@ -104,6 +115,35 @@
   },
 );
 
+When(
+  "another entry's answer with the record of a key breaks off in its grammar",
+  async function (this: AccountRelayWorld) {
+    const text = `{"revision":7,"changes":["${RECORD}",x]}`;
+    const server = createServer((_, response) => response.end(text));
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    const {port} = server.address() as AddressInfo;
+    const feeder = new FeederConnection(
+      'other',
+      `127.0.0.1:${port}`,
+      new SystemClock(),
+    );
+    const read = await feeder.readAll(-1);
+    feeder.close();
+    server.close();
+    this.feedProblem = read.isErr() ? read.error.message : '';
+  },
+);
+
+Then(
+  'it is unreadable, and what is said of it quotes nothing of the record',
+  function (this: AccountRelayWorld) {
+    assert.ok(this.feedProblem.length > 0);
+    const end = RECORD.slice(-QUOTED_CHARACTERS);
+    assert.ok(!this.feedProblem.includes(end), this.feedProblem);
+  },
+);
+
 function sendMessage(
   port: number,
   message: object,
--- a/features/steps/soak-keys.steps.ts
+++ b/features/steps/soak-keys.steps.ts
@@ -24,6 +24,17 @@
 const EVENTS: Readonly<Record<string, (history: History) => void>> = {
   'a request ran long after its key was revoked': history =>
     addCall(history, REVOKED_AT_MS + LONG_MS, {}, {}),
+  'a request ran long after a fault beside the revocation of its key':
+    history => {
+      history.disturbances.push({
+        subject: 'store',
+        what: 'store-lost',
+        fromMs: REVOKED_AT_MS,
+        toMs: REVOKED_AT_MS + 1_000,
+        isPlanned: false,
+      });
+      addCall(history, REVOKED_AT_MS + 2 * LONG_MS, {}, {});
+    },
   'a worker got a key': history => addCall(history, 1_000, {}, {hasKey: true}),
   'a request ran on another account': history =>
     addCall(history, 1_000, {}, {account: 'beta'}),
--- a/packages-private/soak/src/checks-keys.ts
+++ b/packages-private/soak/src/checks-keys.ts
@@ -27,7 +27,7 @@
     const {revokedAtMs = Infinity} = key;
     const isLate =
       atMs > revokedAtMs + BOUNDS.keyMs &&
-      isInTouch(history, call.entry, revokedAtMs, atMs);
+      isInTouch(history, call.entry, sinceOf(revokedAtMs, atMs), atMs);
     return isLate
       ? [
           `${id} ran ${Math.round(atMs - revokedAtMs)} ms after its key was revoked`,
@@ -60,10 +60,15 @@
   const isFromStart = fromMs <= (history.configurations[0]?.atMs ?? Infinity);
   const isKnown =
     sentAtMs > fromMs + BOUNDS.keyMs &&
-    isInTouch(history, entry, fromMs, sentAtMs);
+    isInTouch(history, entry, sinceOf(fromMs, sentAtMs), sentAtMs);
   return isValid && (isFromStart || isKnown);
 }
 
+/** Whatever was disturbed, a change is in force once all has been calm for its bound. */
+function sinceOf(changedAtMs: number, atMs: number): number {
+  return Math.max(changedAtMs, atMs - BOUNDS.keyMs);
+}
+
 function indexKeys({keys}: History): ReadonlyMap<string, KeyRecord> {
   return new Map(keys.map(key => [key.key, key]));
 }
--- a/packages/balancer/src/feed/feeder-connection.ts
+++ b/packages/balancer/src/feed/feeder-connection.ts
@@ -3,6 +3,7 @@
 import {
   Err,
   Ok,
+  parseJson,
   readLimitedBody,
   type Clock,
   type Result,
@@ -107,7 +108,8 @@
           `feeder responded with status ${response.statusCode}`,
         );
       }
-      const parsed = feedSchema.safeParse(JSON.parse(read.toString('utf8')));
+      // The error of `JSON.parse` would quote the text, which holds the keys of client accounts.
+      const parsed = feedSchema.safeParse(parseJson(read.toString('utf8')));
       if (!parsed.success) {
         return unavailable(parsed.error.message);
       }
--- a/packages/balancer/src/index.ts
+++ b/packages/balancer/src/index.ts
@@ -5,6 +5,7 @@
 export * from './exchange/connection-pool.js';
 export * from './exchange/wire-protocol.js';
 export * from './feed/entry-client.js';
+export * from './feed/feeder-connection.js';
 export * from './feed/follower-record-store.js';
 export * from './feed/feed-messages.js';
 export * from './feed/feed-server.js';
