feat(policy): regions borrow less often while nothing is lent

With all accounts at 2.5 times their quota, 450 messages a second went between regions, most of them for nothing. The time between attempts now doubles up to 2.4 s.

--- a/features/policy/quotas.feature
+++ b/features/policy/quotas.feature
@@ -32,6 +32,18 @@
       | 312     | limit lowered       | 20      | 560      | 200   |
       | 312     | surge               | 20      | 560      | 200   |
 
+  # Guards against a bound that holds only while most accounts are far below it, and against messages without use.
+  Scenario Outline: <entries> entries while all accounts surge
+    When quotas are simulated with <entries> entries and "surge of all"
+    Then no account exceeds its bound in any window
+    And at most 900 messages per second are sent, 250 of them between regions
+
+    Examples:
+      | entries |
+      | 15      |
+      | 116     |
+      | 312     |
+
   # Guards against a reserve that gives each entry a request at the same time, and against one that is never used.
   Scenario Outline: <entries> entries without any answer stay within half of the tolerance
     When <entries> entries use the reserve of a quota of <rate> requests per second for 600 s
--- a/features/support/quota-load.ts
+++ b/features/support/quota-load.ts
@@ -46,12 +46,12 @@
 /** The requests. */
 export class QuotaLoad {
   readonly accounts: readonly SimulatedAccount[];
-  readonly #isSurging: boolean;
+  readonly #surging: number;
   readonly #random: RandomSource;
 
-  /** @param isSurging Whether the largest account sends seven times its usual rate for 6 s. */
-  constructor(isSurging: boolean, random: RandomSource) {
-    this.#isSurging = isSurging;
+  /** @param surging Number of accounts, largest first, that send seven times their usual rate for 6 s. */
+  constructor(surging: number, random: RandomSource) {
+    this.#surging = surging;
     this.#random = random;
     const weights = Array.from({length: ACCOUNTS}, (_, i) => 1 / (i + 3));
     const sum = weights.reduce((total, weight) => total + weight, 0);
@@ -91,7 +91,7 @@
       MIX[(index + MIX.length - 1) % MIX.length] * (1 - moved);
     const sinceMs = nowMs - FAULT_MS;
     const isSurging =
-      this.#isSurging && turn === 0 && sinceMs >= 0 && sinceMs < SURGE_MS;
+      turn < this.#surging && sinceMs >= 0 && sinceMs < SURGE_MS;
     const factor = isSurging ? SURGE_FACTOR : 1;
     return (usualPerSecond * factor * part * STEP_MS) / 1_000;
   }
--- a/features/support/quota-simulation.ts
+++ b/features/support/quota-simulation.ts
@@ -29,7 +29,8 @@
   | 'half cut off'
   | 'all restarted'
   | 'limit lowered'
-  | 'surge';
+  | 'surge'
+  | 'surge of all';
 
 /** One simulation. */
 export interface QuotaRun {
@@ -78,6 +79,11 @@
 const DETECTION_MS = 2_000;
 /** Time until a lost entry is not announced any more. */
 const LEASE_MS = 10_000;
+/** Accounts that surge, by fault. */
+const SURGING: Readonly<Record<string, number | undefined>> = {
+  surge: 1,
+  'surge of all': Infinity,
+};
 const EXCHANGE_MS = 500;
 /** Time until borrowed tokens arrive from another region; other messages arrive at once. */
 const ROUND_TRIP_MS = 50;
@@ -109,7 +115,7 @@
       group: 0,
       readyAtMs: 0,
     }));
-    this.#load = new QuotaLoad(run.fault === 'surge', this.#random);
+    this.#load = new QuotaLoad(SURGING[run.fault] ?? 0, this.#random);
   }
 
   run(): QuotaResult {
--- a/packages/policy/src/account-granting.ts
+++ b/packages/policy/src/account-granting.ts
@@ -30,6 +30,9 @@
 /** Time between two attempts to borrow, in milliseconds: over its quota, an account finds nothing to borrow. */
 const BORROWING_INTERVAL_MS = 300;
 
+/** Doublings of that time while nothing is lent. */
+const MAXIMUM_DOUBLINGS = 3;
+
 /** Grants requests of one account. */
 export class AccountGranting {
   readonly demand: RegionDemand;
@@ -38,6 +41,8 @@
   #askedAtMs: number;
   #perSecond = 0;
   #borrowsAtMs = -Infinity;
+  /** Attempts to borrow since tokens were last lent. */
+  #vainAttempts = 0;
 
   constructor(tolerance: QuotaTolerance, nowMs: number) {
     this.#tolerance = tolerance;
@@ -95,13 +100,16 @@
     if (available >= low) {
       return 0;
     }
-    this.#borrowsAtMs = nowMs + BORROWING_INTERVAL_MS;
+    const doublings = Math.min(this.#vainAttempts, MAXIMUM_DOUBLINGS);
+    this.#borrowsAtMs = nowMs + BORROWING_INTERVAL_MS * 2 ** doublings;
+    this.#vainAttempts += 1;
     return Math.ceil(2 * low - available);
   }
 
   /** Takes tokens that another region lent. */
   onLent(count: number, nowMs: number): void {
     this.#bucket?.deposit(count, nowMs);
+    this.#vainAttempts = count > 0 ? 0 : this.#vainAttempts;
   }
 
   /** Lends at most `count` tokens to another region; what this region needs soon stays. */
