feat(policy): the most urgent may use queues in which they are in time

Cause: ValueAdmission used an upstream's queue only while slots were free at others, so that a service with few slots refused urgent requests that a queue would have served in time. Change: with nothing reserved for others, the queue is used while the estimate stays within the share of the target that OverloadAdmission allows and refusals of the priority don't last.

--- a/features/policy/value-admission.feature
+++ b/features/policy/value-admission.feature
@@ -121,6 +121,13 @@
     Then a request of priority 2 is sent while 4 of 24 slots are free
     And a request of priority 2 is sent while 1 of 24 slots is free after it waited
 
+  # Guards against an urgent request that is refused although it would be in time in a queue, as at a service with few slots.
+  Scenario: The queue of an upstream is used by the most urgent while they are in time there
+    Given an entry that admits by value, at which requests of priorities 0, 1 and 2 arrive
+    When slots have been scarce for 3 s
+    Then a request of priority 0 is sent while 0 of 4 slots are free
+    And a request of priority 2 waits while 0 of 4 slots are free
+
   # Guards against less urgent requests that take the last slots when the more urgent find few.
   Scenario: The last slots are reserved while slots are scarce
     Given an entry that admits by value, at which requests of priorities 0, 1 and 2 arrive
--- a/packages/policy/src/value-admission.ts
+++ b/packages/policy/src/value-admission.ts
@@ -107,7 +107,8 @@
     }
     this.#updatePressure(query);
     const reserved = this.#reservedSlots(level, query);
-    if (considered.freeSlots - moreUrgent > reserved) {
+    // With nothing reserved, the queue of an upstream may be used as well.
+    if (reserved === 0 || considered.freeSlots - moreUrgent > reserved) {
       if (hasSlot || this.#isQueuedInTime(query, freeSlots, level)) {
         return 'send';
       }
