test(policy): callers that come back four times after a refusal

Cause: the returns after a refusal had no scenario of their own; callers of the simulation came back once. Change: the number of returns is an option of the simulation; a scenario at 15, 100 and 312 entries asks for the goals with four.

--- a/features/policy/value-admission.feature
+++ b/features/policy/value-admission.feature
@@ -23,6 +23,19 @@
       | 100     | work of 4 s beside work of 0.1 s |
       | 312     | work of 4 s beside work of 0.1 s |
 
+  # Guards against callers that come back while they have no chance, and so take the slots of the urgent.
+  Scenario Outline: Returns after a refusal come to <entries> entries
+    Given <entries> entries that admit by value
+    When too much of all priorities, with four returns after a refusal, comes
+    Then at least 0.95 of the most urgent are answered in time
+    And at least 0.85 of the credit that the capacity allows is earned
+
+    Examples:
+      | entries |
+      | 15      |
+      | 100     |
+      | 312     |
+
   # Guards against a floor that starves the most urgent or the least urgent requests when the most urgent alone are too many.
   Scenario Outline: Too much of the most urgent comes to <entries> entries that admit by value
     Given <entries> entries that admit by value
--- a/features/support/overload-options.ts
+++ b/features/support/overload-options.ts
@@ -23,6 +23,8 @@
     'late-queue' | 'admission' | 'informed' | 'value' | 'informed-value';
   /** Requests per second that the first account of the last kind sends beside its usual, at a time in milliseconds. */
   readonly extraRate?: (atMs: number) => number;
+  /** How often a caller comes back after a refusal; once if undefined. */
+  readonly callerRetries?: number;
   /** Part of the requests at a time in milliseconds that upstreams reject although they have room, from 0 to 1. */
   readonly rejectedShare?: (atMs: number) => number;
 }
--- a/features/support/overload-simulation.ts
+++ b/features/support/overload-simulation.ts
@@ -220,7 +220,8 @@
         const returnsAtMs = this.#nowMs + comeBackMs;
         const isBeforeDeadline =
           returnsAtMs < request.startedAtMs + request.kind.deadlineMs;
-        const retriesLeft = this.#isInformed ? 0 : CALLER_RETRIES - retries;
+        const {callerRetries = CALLER_RETRIES} = this.#options;
+        const retriesLeft = this.#isInformed ? 0 : callerRetries - retries;
         if (retriesLeft > 0 && isBeforeDeadline) {
           this.#after(comeBackMs, () => {
             const next = this.#random.nextBelow(this.#entries.length);
--- a/features/support/value-loads.ts
+++ b/features/support/value-loads.ts
@@ -56,6 +56,8 @@
 
 /** What is asked for: the kinds, and how much of what the upstreams can run at a time in milliseconds. */
 export interface Load {
+  /** How often a caller comes back after a refusal; once if undefined. */
+  readonly callerRetries?: number;
   /** Part of the requests that upstreams reject although they have room. */
   readonly rejectedShare?: (atMs: number) => number;
   /** How often the first account of the last kind sends its usual in addition, at a time in milliseconds. */
@@ -125,6 +127,14 @@
       rejectedShare: atMs => (atMs >= 3_000 ? 0.55 : 0),
     },
   ],
+  [
+    'too much of all priorities, with four returns after a refusal,',
+    {
+      kinds: toKinds(0.25, 0.35, 0.4),
+      factor: () => 1.5,
+      callerRetries: 4,
+    },
+  ],
   ['every account at its usual', {kinds: ACCOUNT_KINDS, factor: () => 0.75}],
   [
     '0.6 of what upstreams can run',
--- a/features/support/value-world.ts
+++ b/features/support/value-world.ts
@@ -88,6 +88,7 @@
       lengthMs: last.accounts ? SURGE_UNTIL_MS + 2 * SECOND_MS : LENGTH_MS,
       manner,
       rejectedShare: load.rejectedShare,
+      callerRetries: load.callerRetries,
     };
     const runs = this.entries < 100 || last.accounts ? SEVERAL_RUNS : 1;
     this.simulations = Array.from(
