--- a/features/policy/value-admission.feature
+++ b/features/policy/value-admission.feature
@@ -23,6 +23,19 @@
       | 100     | work of 4 s beside work of 0.1 s |
       | 312     | work of 4 s beside work of 0.1 s |
 
+  # Guards against callers that come back while they have no chance, and so take the slots of the urgent.
+  Scenario Outline: Returns after a refusal come to <entries> entries
+    Given <entries> entries that admit by value
+    When too much of all priorities, with four returns after a refusal, comes
+    Then at least 0.95 of the most urgent are answered in time
+    And at least 0.85 of the credit that the capacity allows is earned
+
+    Examples:
+      | entries |
+      | 15      |
+      | 100     |
+      | 312     |
+
   # Guards against a floor that starves the most urgent or the least urgent requests when the most urgent alone are too many.
   Scenario Outline: Too much of the most urgent comes to <entries> entries that admit by value
     Given <entries> entries that admit by value
@@ -121,6 +134,13 @@
     Then a request of priority 2 is sent while 4 of 24 slots are free
     And a request of priority 2 is sent while 1 of 24 slots is free after it waited
 
+  # Guards against an urgent request that is refused although it would be in time in a queue, as at a service with few slots.
+  Scenario: The queue of an upstream is used by the most urgent while they are in time there
+    Given an entry that admits by value, at which requests of priorities 0, 1 and 2 arrive
+    When slots have been scarce for 3 s
+    Then a request of priority 0 is sent while 0 of 4 slots are free
+    And a request of priority 2 waits while 0 of 4 slots are free
+
   # Guards against less urgent requests that take the last slots when the more urgent find few.
   Scenario: The last slots are reserved while slots are scarce
     Given an entry that admits by value, at which requests of priorities 0, 1 and 2 arrive
