test(balancer): name the build that first sends quota messages

Cause: the recorded messages of quotas stood under a placeholder. Change: they stand under the commit that introduced their last field. Measured: builds.feature passes.

--- a/features/balancer/builds.feature
+++ b/features/balancer/builds.feature
@@ -54,10 +54,10 @@
       | entry record   | ad08e2f |
       | relay request  | 0bf06d7 |
       | relay request  | 21d107c |
-      | entry record   | quotas  |
-      | quota query    | quotas  |
-      | quota answer   | quotas  |
-      | quota demand   | quotas  |
+      | entry record   | e49d12a |
+      | quota query    | e49d12a |
+      | quota answer   | e49d12a |
+      | quota demand   | e49d12a |
 
   # Guards against a change of a message or record by which landed builds can't read it any more.
   Scenario Outline: What is written has all that builds read: <message> by <build>
@@ -76,7 +76,7 @@
       | entry record   | ad08e2f |
       | relay request  | 0bf06d7 |
       | relay request  | 21d107c |
-      | entry record   | quotas  |
-      | quota query    | quotas  |
-      | quota answer   | quotas  |
-      | quota demand   | quotas  |
+      | entry record   | e49d12a |
+      | quota query    | e49d12a |
+      | quota answer   | e49d12a |
+      | quota demand   | e49d12a |
--- a/features/support/recorded-messages.ts
+++ b/features/support/recorded-messages.ts
@@ -143,7 +143,7 @@
   '21d107c': {
     'relay request': `${JSON.stringify(relayedInRegions)}\nbody`,
   },
-  quotas: {
+  e49d12a: {
     'entry record': JSON.stringify({
       ...entry,
       sequence: 5,
@@ -278,7 +278,7 @@
       allowedRegions: z.optional(z.array(z.string())),
     }),
   },
-  quotas: {
+  e49d12a: {
     'entry record': z.object({grantsQuotas: z.optional(z.boolean())}),
     'quota query': z.object({
       asks: z.array(z.object({account: z.string(), count: z.int()})),
