--- a/features/steps/account-lookup.steps.ts
+++ b/features/steps/account-lookup.steps.ts
@@ -157,7 +157,7 @@
         repeatBudgetOptions: () => {
           throw new Error('routing needs no budget of repeats');
         },
-        hasSeveralPriorities: () => false,
+        admitsByValue: () => false,
       }),
     });
     const routed = router.route(
--- a/packages/balancer/src/balancer-settings.ts
+++ b/packages/balancer/src/balancer-settings.ts
@@ -72,6 +72,8 @@
   }),
   /** Maximum age of the list of entries that a caller keeps. */
   entryListAge: durationSchema,
+  /** Which requests go first while a service is full, if its requests have several priorities. */
+  overload: z._default(z.enum(['by-arrival', 'by-value']), 'by-arrival'),
 });
 
 /** Validated settings of a balancer. */
--- a/packages/balancer/src/balancer.ts
+++ b/packages/balancer/src/balancer.ts
@@ -372,8 +372,9 @@
     const routeState = new RouteState({
       random: this.#random,
       repeatBudgetOptions: () => this.#entryShare.repeats,
-      hasSeveralPriorities: service =>
-        this.#clusterState.table?.hasSeveralPriorities(service) ?? false,
+      admitsByValue: service =>
+        this.#settings.overload === 'by-value' &&
+        this.#clusterState.table?.hasSeveralPriorities(service) === true,
     });
     return {
       selector: this.#upstreamSelector,
--- a/packages/balancer/src/serving/route-state.ts
+++ b/packages/balancer/src/serving/route-state.ts
@@ -19,8 +19,8 @@
 export interface RouteStateOptions {
   readonly random: RandomSource;
   readonly repeatBudgetOptions: () => RepeatBudgetOptions;
-  /** Whether requests of several priorities can arrive at a service, by the configuration in force. */
-  readonly hasSeveralPriorities: (service: string) => boolean;
+  /** Whether a service admits by value: the settings ask for it, and requests of several priorities can arrive there. */
+  readonly admitsByValue: (service: string) => boolean;
 }
 
 /** A route's rotation over its services, valid while the route's targets stay the same. */
@@ -84,7 +84,7 @@
 
   /** Whether requests of a service are admitted, and repeated, by value. */
   isValueBased(service: string): boolean {
-    return this.#options.hasSeveralPriorities(service);
+    return this.#options.admitsByValue(service);
   }
 
   /** Admission of a service's requests while its upstreams are full: by value if they are of several priorities. */
