perf(balancer): sum up considered slots only where they are read

Cause: each selection summed up the slots of all upstreams it considered, also at services that admit by arrival. Change: the sum is taken when admission by value or a refusal reads it. Measured: type check and linter pass.

--- a/packages/balancer/src/serving/attempt-admission.ts
+++ b/packages/balancer/src/serving/attempt-admission.ts
@@ -99,7 +99,9 @@
     const decision = this.#admission.decide({
       ...demand,
       nowMs,
-      considered: selected.considered,
+      get considered() {
+        return selected.considered;
+      },
       estimateMs: selected.estimateMs,
       freeSlotEstimateMs: selected.freeSlotEstimateMs,
       freeSlots: selected.freeSlots,
--- a/packages/balancer/src/serving/upstream-selector.ts
+++ b/packages/balancer/src/serving/upstream-selector.ts
@@ -255,9 +255,12 @@
     const considered = handles.filter(handle =>
       this.#isUsable(handle, criteria, nowMs),
     );
-    const capacity = toCapacity(considered, criteria, nowMs);
+    let capacity: ConsideredCapacity | undefined;
+    // Only admission by value and refusals need it.
+    const toConsidered = () =>
+      (capacity ??= toCapacity(considered, criteria, nowMs));
     const candidates = considered.map(handle =>
-      this.#evaluate(handle, criteria, capacity),
+      this.#evaluate(handle, criteria, toConsidered),
     );
     if (candidates.length === 0) {
       return undefined;
@@ -290,7 +293,7 @@
   #evaluate(
     handle: UpstreamHandle,
     criteria: SelectionCriteria,
-    considered: ConsideredCapacity,
+    toConsidered: () => ConsideredCapacity,
   ): SelectedUpstream {
     const nowMs = this.#options.clock.now();
     const {statistics} = handle;
@@ -318,7 +321,9 @@
       slowdown: statistics.slowdown(nowMs),
       freeSlots: statistics.freeSlots(nowMs),
       failureShare,
-      considered,
+      get considered() {
+        return toConsidered();
+      },
     };
   }
 
