fix(policy): give a region its floor when demand equals the rate

Cause: with an applied demand of 0 and a demand of the others of exactly the rate, as at a start with two regions, the share was 0 instead of the floor. At a rate of 0 the time to come back was NaN from then on; as null it made other entries reject the whole answer. Change: equality takes the floor. Without a finite time per token the longest time to come back is named, and nothing is stored.

--- a/features/policy/quotas.feature
+++ b/features/policy/quotas.feature
@@ -69,6 +69,27 @@
     When it is asked for 200 requests per second for 20 s
     Then it may grant at most 30 requests per second
 
+  # Guards against a share of 0 while the demand of the other regions adds up to exactly the rate, as it does while nothing
+  # was heard of the only other one.
+  Scenario Outline: The floor holds while <whether>
+    Given a granting entry of a quota of 100 requests per second with another region that <told>
+    When it is asked for 200 requests per second for 3 s
+    Then it may grant at least 4 requests per second
+    And each answer that was refused has a time to come back of 20 to 2000 ms
+
+    Examples:
+      | whether                                | told          |
+      | the other region has told nothing      | told nothing  |
+      | the other region uses exactly the rate | uses all      |
+
+  # Guards against times to come back that aren't numbers, also after the share has risen from 0.
+  Scenario: An entry that may grant nothing names a time to come back
+    Given a granting entry of a quota of 100 requests per second that may grant none of its region's share
+    When it is asked for 200 requests per second for 3 s
+    And it may grant all of its region's share
+    And it is asked for 200 requests per second for 3 s
+    Then each answer that was refused has a time to come back of 20 to 2000 ms
+
   # Guards against two groups of entries that can't see each other and both grant the whole share.
   Scenario: Two groups of one region grant no more than its share
     Then 100 entries in any two groups grant at most their share
--- a/features/steps/quotas.steps.ts
+++ b/features/steps/quotas.steps.ts
@@ -11,7 +11,9 @@
   quotaPerWindow,
   QuotaReserve,
   SeededRandom,
+  type GrantingScope,
   type Quota,
+  type QuotaGrant,
 } from '@wasabidyke/policy';
 import {
   QuotaSimulation,
@@ -23,6 +25,10 @@
   result: QuotaResult;
   granting: AccountGranting;
   quota: Quota;
+  scope: GrantingScope;
+  /** Answers that didn't grant all. */
+  refusals: QuotaGrant[];
+  nowMs: number;
   /** Requests that passed, by step of `STEP_MS`. */
   passed: number[];
 }
@@ -137,19 +143,52 @@
   function (this: QuotaWorld, told: number, requestsPerSecond: number) {
     this.granting = new AccountGranting(DEFAULT_QUOTA_TOLERANCE, 0);
     this.quota = {requestsPerSecond, burst: 0};
+    this.scope = WITH_FAR;
     this.granting.demand.onHeard('far', told);
   },
 );
 
+Given(
+  /^a granting entry of a quota of (\d+) requests per second with another region that (told nothing|uses all)$/,
+  function (this: QuotaWorld, rate: string, told: string) {
+    this.granting = new AccountGranting(DEFAULT_QUOTA_TOLERANCE, 0);
+    this.quota = {requestsPerSecond: Number(rate), burst: 0};
+    this.scope = WITH_FAR;
+    if (told === 'uses all') {
+      this.granting.demand.onHeard('far', Number(rate));
+    }
+  },
+);
+
+Given(
+  "a granting entry of a quota of {int} requests per second that may grant none of its region's share",
+  function (this: QuotaWorld, requestsPerSecond: number) {
+    this.granting = new AccountGranting(DEFAULT_QUOTA_TOLERANCE, 0);
+    this.quota = {requestsPerSecond, burst: 0};
+    this.scope = {...WITH_FAR, part: 0};
+  },
+);
+
+When("it may grant all of its region's share", function (this: QuotaWorld) {
+  this.scope = WITH_FAR;
+});
+
 When(
   'it is asked for {int} requests per second for {int} s',
   function (this: QuotaWorld, perSecond: number, seconds: number) {
     const count = (perSecond * STEP_MS) / SECOND_MS;
-    for (let nowMs = 0; nowMs < seconds * SECOND_MS; nowMs += STEP_MS) {
-      this.granting.ask(count, this.quota, WITH_FAR, nowMs);
+    const startMs = this.nowMs ?? 0;
+    const endMs = startMs + seconds * SECOND_MS;
+    this.refusals ??= [];
+    for (let nowMs = startMs; nowMs < endMs; nowMs += STEP_MS) {
+      const grant = this.granting.ask(count, this.quota, this.scope, nowMs);
+      if (grant.granted < count) {
+        this.refusals.push(grant);
+      }
       // The other region gets no message, so that a higher demand is never applied.
-      this.granting.takeNews(this.quota, WITH_FAR.otherRegions, nowMs);
+      this.granting.takeNews(this.quota, this.scope.otherRegions, nowMs);
     }
+    this.nowMs = endMs;
   },
 );
 
@@ -160,6 +199,24 @@
   },
 );
 
+Then(
+  'it may grant at least {int} requests per second',
+  function (this: QuotaWorld, limit: number) {
+    assert.ok(this.granting.perSecond >= limit, `${this.granting.perSecond}`);
+  },
+);
+
+Then(
+  'each answer that was refused has a time to come back of {int} to {int} ms',
+  function (this: QuotaWorld, shortestMs: number, longestMs: number) {
+    assert.ok(this.refusals.length > 0);
+    for (const {comeBackMs} of this.refusals) {
+      const isWithin = comeBackMs >= shortestMs && comeBackMs <= longestMs;
+      assert.ok(isWithin, `${comeBackMs}`);
+    }
+  },
+);
+
 Then(
   '{int} entries in any two groups grant at most their share',
   (entries: number) => {
--- a/packages/policy/src/quota-bucket.ts
+++ b/packages/policy/src/quota-bucket.ts
@@ -80,9 +80,13 @@
 
   /** Promises one more token, after those promised before, so that callers come back one after the other. */
   #promise(nowMs: number): number {
+    const tokenMs = 1 / this.#ratePerMs;
+    if (!Number.isFinite(tokenMs)) {
+      return MAXIMUM_COME_BACK_MS;
+    }
     const missing = Math.max(0, 1 - this.#tokens);
-    const nextMs = nowMs + missing / this.#ratePerMs;
-    const afterOthersMs = this.#promisedUntilMs + 1 / this.#ratePerMs;
+    const nextMs = nowMs + missing * tokenMs;
+    const afterOthersMs = this.#promisedUntilMs + tokenMs;
     const latestMs = nowMs + MAXIMUM_COME_BACK_MS;
     this.#promisedUntilMs = Math.min(
       Math.max(nextMs, afterOthersMs, nowMs + MINIMUM_COME_BACK_MS),
--- a/packages/policy/src/region-demand.ts
+++ b/packages/policy/src/region-demand.ts
@@ -146,7 +146,8 @@
     );
     const regions = others.length + 1;
     const total = heard.reduce((sum, demand) => sum + demand, own);
-    if (total <= requestsPerSecond) {
+    // With equality, a region without applied demand would get nothing; the floor applies.
+    if (total < requestsPerSecond) {
       return own + (requestsPerSecond - total) / regions;
     }
     const floor = requestsPerSecond * FLOOR_SHARE;
