fix(balancer): return the memory of a refused body at once

Cause: after a quota refusal the body was still collected, and its memory stayed taken until the upload ended; when the charge failed, it stayed taken as well. Change: a body that is being read can be discarded. Its memory is returned, later chunks are counted and dropped; the timer and the limits hold.

--- a/packages/balancer/src/index.ts
+++ b/packages/balancer/src/index.ts
@@ -3,6 +3,7 @@
 export * from './balancer.js';
 export * from './balancer-settings.js';
 export * from './exchange/connection-pool.js';
+export * from './exchange/memory-budget.js';
 export * from './exchange/wire-protocol.js';
 export * from './feed/entry-client.js';
 export * from './feed/feeder-connection.js';
@@ -32,6 +33,8 @@
 export * from './routing/routing-configuration.js';
 export * from './routing/routing-table.js';
 export * from './routing/unknown-regions.js';
+export * from './serving/body-reader.js';
+export * from './serving/charged-body.js';
 export * from './serving/discovery-protocol.js';
 export * from './serving/request-router.js';
 export * from './serving/route-state.js';
--- a/packages/balancer/src/serving/body-reader.ts
+++ b/packages/balancer/src/serving/body-reader.ts
@@ -39,34 +39,52 @@
   return new MemoryBudget(CAPACITY_BYTES);
 }
 
+/** A body that is being read, or was. */
+export interface BodyReading {
+  readonly result: BodyResult | Promise<BodyResult>;
+  /** Returns the memory of a body that is not needed. What is still to come is read and dropped, within the same limits. */
+  discard(): void;
+}
+
 /** Reads a complete body; null if the request has none. */
 export function readBody(
   request: IncomingMessage,
   options: BodyOptions,
 ): BodyResult | Promise<BodyResult> {
+  return startReading(request, options).result;
+}
+
+/** Starts to read a body, as `readBody` does. */
+export function startReading(
+  request: IncomingMessage,
+  options: BodyOptions,
+): BodyReading {
   const isChunked = request.headers['transfer-encoding'] !== undefined;
   const declaredBytes = Number(request.headers['content-length'] ?? 0);
   if (!isChunked && declaredBytes === 0) {
     const hasLength = request.headers['content-length'] !== undefined;
     const body = hasLength ? Buffer.alloc(0) : null;
-    return {kind: 'body', body, release: () => {}};
+    const result: BodyResult = {kind: 'body', body, release: () => {}};
+    return {result, discard: () => {}};
   }
   if (declaredBytes > options.limitBytes) {
-    return {kind: 'too-large'};
+    return {result: {kind: 'too-large'}, discard: () => {}};
   }
   return isChunked
-    ? new ChunkedBody(request, options).result
-    : new SizedBody(request, options, declaredBytes).result;
+    ? new ChunkedBody(request, options)
+    : new SizedBody(request, options, declaredBytes);
 }
 
 /** A body that is being read. */
-abstract class PendingBody {
+abstract class PendingBody implements BodyReading {
   readonly result: Promise<BodyResult>;
   protected readonly options: BodyOptions;
   readonly #request: IncomingMessage;
   #settle: (result: BodyResult) => void = () => {};
   readonly #timer: NodeJS.Timeout;
   #isEnded = false;
+  #isDiscarded = false;
+  #release: () => void = () => {};
 
   constructor(request: IncomingMessage, options: BodyOptions) {
     this.#request = request;
@@ -82,10 +100,27 @@
     request.once('close', () => this.fail('broken-off'));
   }
 
+  discard(): void {
+    this.#release();
+    if (!this.#isEnded && !this.#isDiscarded) {
+      this.#isDiscarded = true;
+      this.options.memory.release(this.takenBytes);
+      this.drop();
+    }
+  }
+
+  /** Whether chunks are only counted. */
+  protected get isDiscarded(): boolean {
+    return this.#isDiscarded;
+  }
+
   /** Memory that was taken for it, in bytes. */
   protected abstract get takenBytes(): number;
 
-  /** Keeps a chunk; fails the body if it can't. */
+  /** Forgets what was kept, whose memory has been returned. */
+  protected abstract drop(): void;
+
+  /** Keeps a chunk, unless the body is discarded; fails the body if it can't. */
   protected abstract keep(chunk: Buffer): void;
 
   /** All that was kept; undefined if there is no memory to put it together. */
@@ -106,8 +141,9 @@
   }
 
   #onEnd(): void {
-    const body = this.#isEnded ? undefined : this.complete();
-    if (body === undefined) {
+    const isKept = !this.#isEnded && !this.#isDiscarded;
+    const body = isKept ? this.complete() : undefined;
+    if (body === undefined && !this.#isDiscarded) {
       this.fail('no-memory');
       return;
     }
@@ -118,7 +154,8 @@
         memory.release(heldBytes);
         heldBytes = 0;
       };
-      this.#settle({kind: 'body', body, release});
+      this.#release = release;
+      this.#settle({kind: 'body', body: body ?? null, release});
     }
   }
 
@@ -136,7 +173,7 @@
 /** A body whose length is known: its memory is taken before it is read, so that what is begun can be completed. */
 class SizedBody extends PendingBody {
   readonly #declaredBytes: number;
-  readonly #hasMemory: boolean;
+  #hasMemory: boolean;
   #body: Buffer | undefined;
   #usedBytes = 0;
 
@@ -157,7 +194,15 @@
     return this.#hasMemory ? this.#declaredBytes : 0;
   }
 
+  protected override drop(): void {
+    this.#hasMemory = false;
+    this.#body = undefined;
+  }
+
   protected override keep(chunk: Buffer): void {
+    if (this.isDiscarded) {
+      return;
+    }
     this.#body ??= Buffer.allocUnsafeSlow(this.#declaredBytes);
     this.#usedBytes += chunk.copy(this.#body, this.#usedBytes);
   }
@@ -171,20 +216,28 @@
 class ChunkedBody extends PendingBody {
   readonly #collector = new ByteCollector();
   #chunks = 0;
+  #bytes = 0;
   #takenBytes = 0;
 
   protected override get takenBytes(): number {
     return this.#takenBytes;
   }
 
+  protected override drop(): void {
+    this.#collector.clear();
+    this.#takenBytes = 0;
+  }
+
   protected override keep(chunk: Buffer): void {
     const {limitBytes} = this.options;
     this.#chunks += 1;
     const allowedChunks =
-      MAXIMUM_SMALL_CHUNKS + this.#collector.bytes / MINIMUM_CHUNK_BYTES;
-    const bytes = this.#collector.bytes + chunk.length;
-    if (bytes > limitBytes || this.#chunks > allowedChunks) {
+      MAXIMUM_SMALL_CHUNKS + this.#bytes / MINIMUM_CHUNK_BYTES;
+    this.#bytes += chunk.length;
+    if (this.#bytes > limitBytes || this.#chunks > allowedChunks) {
       this.fail('too-large');
+    } else if (this.isDiscarded) {
+      return;
     } else if (this.#take(this.#collector.growthFor(chunk.length))) {
       this.#collector.append(chunk);
     } else {
--- a/packages/balancer/src/serving/caller-server.ts
+++ b/packages/balancer/src/serving/caller-server.ts
@@ -17,7 +17,7 @@
 import type {CallerLimits} from '../routing/routing-configuration.js';
 import type {RoutingTable} from '../routing/routing-table.js';
 import {canBeFinished} from './attempt-timing.js';
-import {readBody, type BodyResult} from './body-reader.js';
+import {startReading, type BodyResult} from './body-reader.js';
 import {CallerConnections} from './caller-connections.js';
 import {createCallerListener} from './caller-listener.js';
 import {awaitChargedBody} from './charged-body.js';
@@ -180,7 +180,7 @@
       return;
     }
     const charge = this.#options.quotas.charge(account);
-    const reading = readBody(request, {
+    const reading = startReading(request, {
       limitBytes: table.limits.bodyBytes,
       memory: this.#options.bodyMemory,
       withinMs: ownDeadlineMs - this.#options.clock.now(),
--- a/packages/balancer/src/serving/charged-body.ts
+++ b/packages/balancer/src/serving/charged-body.ts
@@ -1,7 +1,7 @@
 /** Reads the body of a request while its quota is asked for, so that neither waits for the other. */
 
 import type {IncomingMessage} from 'node:http';
-import type {BodyResult} from './body-reader.js';
+import type {BodyReading, BodyResult} from './body-reader.js';
 import type {Refusal} from './routed-request.js';
 
 /** A body, why there is none, or a refusal. */
@@ -11,29 +11,28 @@
 /** Waits for a body and for what is decided by the quota; a refusal doesn't wait for the body. */
 export async function awaitChargedBody(
   request: IncomingMessage,
-  reading: BodyResult | Promise<BodyResult>,
+  reading: BodyReading,
   charge: Refusal | undefined | Promise<Refusal | undefined>,
 ): Promise<ChargedBody> {
   if (charge === undefined) {
-    return reading;
+    return reading.result;
   }
-  const body = Promise.resolve(reading);
-  const first = await Promise.race([body, toRefused(charge)]);
-  if (first === undefined) {
-    return body;
+  const charged = toRefused(charge);
+  try {
+    const first = await Promise.race([reading.result, charged]);
+    if (first?.kind !== 'body' && first?.kind !== 'refused' && first) {
+      return first;
+    }
+    const refused = await charged;
+    if (refused === undefined) {
+      return await reading.result;
+    }
+    void discard(request, reading);
+    return refused;
+  } catch (error) {
+    void discard(request, reading);
+    throw error;
   }
-  if (first.kind === 'refused') {
-    void discard(request, body);
-    return first;
-  }
-  if (first.kind !== 'body') {
-    return first;
-  }
-  const refused = await toRefused(charge);
-  if (refused !== undefined) {
-    first.release();
-  }
-  return refused ?? first;
 }
 
 async function toRefused(
@@ -43,15 +42,14 @@
   return refusal && {kind: 'refused', refusal};
 }
 
-/** The rest of the body is read, so that the connection can be used again. */
+/** Returns the memory of the body. The rest of it is read, so that the connection can be used again. */
 async function discard(
   request: IncomingMessage,
-  body: Promise<BodyResult>,
+  reading: BodyReading,
 ): Promise<void> {
-  const read = await body;
-  if (read.kind === 'body') {
-    read.release();
-  } else {
+  reading.discard();
+  const {kind} = await reading.result;
+  if (kind !== 'body') {
     request.destroy();
   }
 }
