fix(balancer): survive entries that can't be asked for quotas

Cause: an entry without an address for messages could be chosen to grant, and connecting to an address that is not valid rejected a promise that no one handles; the requests for that entry then waited forever. Change: only entries with such an address are chosen; connecting fails as a missing answer; a query that throws releases those that wait for it. Measured: posting to 127.0.0.1:99999 rejected with "Invalid URL" before, and counts as silent with the change.

--- a/packages/balancer/src/feed/entry-client.ts
+++ b/packages/balancer/src/feed/entry-client.ts
@@ -33,6 +33,9 @@
   /** Sends a message on a connection of its own. */
   async post(message: EntryMessage): Promise<EntryAnswer> {
     const pool = connect(message.address);
+    if (pool === undefined) {
+      return {kind: 'silent'};
+    }
     const answer = await send(pool, message);
     close(pool);
     return answer;
@@ -42,6 +45,9 @@
   async postKept(message: EntryMessage): Promise<EntryAnswer> {
     const {address} = message;
     const pool = this.#kept.get(address) ?? connect(address);
+    if (pool === undefined) {
+      return {kind: 'silent'};
+    }
     this.#kept.set(address, pool);
     const answer = await send(pool, message);
     if (answer.kind === 'silent' && this.#kept.get(address) === pool) {
@@ -67,11 +73,16 @@
   }
 }
 
-function connect(address: string): Pool {
-  return new Pool(`http://${address}`, {
-    connections: 1,
-    connect: {timeout: CONNECT_TIMEOUT_MS},
-  });
+/** Returns undefined if the address is not valid: it comes from the record of another entry. */
+function connect(address: string): Pool | undefined {
+  try {
+    return new Pool(`http://${address}`, {
+      connections: 1,
+      connect: {timeout: CONNECT_TIMEOUT_MS},
+    });
+  } catch {
+    return undefined;
+  }
 }
 
 function close(pool: Pool): void {
--- a/packages/balancer/src/quotas/quota-client.ts
+++ b/packages/balancer/src/quotas/quota-client.ts
@@ -124,11 +124,23 @@
 
   async #send(entry: string, kind: QueryKind, line: Line): Promise<void> {
     line.isInFlight = true;
-    while (line.waiting.size > 0) {
-      const asked = new Map([...line.waiting].slice(0, MAXIMUM_ACCOUNTS));
-      asked.forEach((_, account) => line.waiting.delete(account));
-      line.sentAtMs = this.#options.clock.now();
-      const answer = await this.#query(entry, kind, asked);
+    try {
+      while (line.waiting.size > 0) {
+        await this.#sendNext(entry, kind, line);
+      }
+    } finally {
+      line.isInFlight = false;
+    }
+  }
+
+  async #sendNext(entry: string, kind: QueryKind, line: Line): Promise<void> {
+    const asked = new Map([...line.waiting].slice(0, MAXIMUM_ACCOUNTS));
+    asked.forEach((_, account) => line.waiting.delete(account));
+    line.sentAtMs = this.#options.clock.now();
+    let answer: QuotaAnswer | undefined;
+    try {
+      answer = await this.#query(entry, kind, asked);
+    } finally {
       if (answer === undefined) {
         // Those that arrived meanwhile have waited as well.
         for (const [account, waiters] of line.waiting) {
@@ -143,7 +155,6 @@
         divide(waiters, grants.get(account));
       }
     }
-    line.isInFlight = false;
   }
 
   async #query(
--- a/packages/balancer/src/quotas/quota-members.ts
+++ b/packages/balancer/src/quotas/quota-members.ts
@@ -49,7 +49,7 @@
   update(nowMs: number): void {
     const members = this.#roster
       .listMembers()
-      .filter(({record}) => record.grantsQuotas === true);
+      .filter(({record}) => canGrant(record));
     const up = members.filter(({isUp}) => isUp).map(({record}) => record);
     this.#records.clear();
     up.forEach(record => this.#records.set(record.name, record));
@@ -98,3 +98,8 @@
     return choice;
   }
 }
+
+/** Whether an entry grants, and can be asked. */
+function canGrant({grantsQuotas, feedAddress}: EntryRecord): boolean {
+  return grantsQuotas === true && feedAddress !== undefined;
+}
