fix(policy): keep reserves finite without a tolerance or repeats

Cause: with overshoot and slack 0 the period of the quota reserve is infinite, and a draw of 0 made every request pass; a repeat ratio of 0 gave a share that is not a number. Change: a period that is not finite gives no token; nothing is kept of a budget without repeats, or if no repeat is needed.

--- a/features/policy/quotas.feature
+++ b/features/policy/quotas.feature
@@ -57,6 +57,15 @@
       | 312     | 2    |
       | 116     | 500  |
 
+  # Guards against a reserve that passes every request since its period is not finite.
+  Scenario: Without a tolerance there is no reserve
+    When 3 entries use the reserve of a quota of 2 requests per second for 60 s with neither overshoot nor slack
+    Then they pass none
+
+  # Guards against a share that is not a number, of which no comparison holds.
+  Scenario: Without repeats no share of them is kept
+    Then a budget without repeats keeps a share of 0, whether attempts fail or not
+
   # Guards against a lowered quota of which a full bucket is left.
   Scenario: A much lower quota applies at once
     Given a granting entry of a quota of 1000 requests per second with a burst of 1000
--- a/features/steps/quotas.steps.ts
+++ b/features/steps/quotas.steps.ts
@@ -10,6 +10,7 @@
   quotaBound,
   quotaPerWindow,
   QuotaReserve,
+  repeatReserve,
   SeededRandom,
   type GrantingScope,
   type Quota,
@@ -103,6 +104,34 @@
   },
 );
 
+When(
+  '{int} entries use the reserve of a quota of {int} requests per second for {int} s with neither overshoot nor slack',
+  function (this: QuotaWorld, entries: number, rate: number, seconds: number) {
+    const tolerance = {...DEFAULT_QUOTA_TOLERANCE, overshoot: 0, slack: 0};
+    this.quota = {requestsPerSecond: rate, burst: rate};
+    // A draw of 0 starts the period at once.
+    const reserve = new QuotaReserve(tolerance, {nextBelow: () => 0});
+    this.passed = [];
+    for (let nowMs = 0; nowMs < seconds * SECOND_MS; nowMs += STEP_MS) {
+      this.passed.push(reserve.take(this.quota, entries, nowMs) ? 1 : 0);
+    }
+  },
+);
+
+Then('they pass none', function (this: QuotaWorld) {
+  assert.equal(total(this.passed), 0);
+});
+
+Then(
+  'a budget without repeats keeps a share of 0, whether attempts fail or not',
+  () => {
+    for (const failureShare of [0, 0.5, 1]) {
+      const options = {moreUrgentShare: 0.5, failureShare, isLate: false};
+      assert.equal(repeatReserve({...options, ratio: 0}), 0);
+    }
+  },
+);
+
 Then('they pass some', function (this: QuotaWorld) {
   assert.ok(total(this.passed) > 0);
 });
--- a/packages/policy/src/quota-reserve.ts
+++ b/packages/policy/src/quota-reserve.ts
@@ -31,6 +31,9 @@
   /** Takes a token. @param entries Number of entries that may fall back at the same time. */
   take(quota: Quota, entries: number, nowMs: number): boolean {
     const periodMs = this.#periodMs(quota, entries);
+    if (!Number.isFinite(periodMs)) {
+      return false;
+    }
     if (this.#fromMs === undefined) {
       this.#fromMs = nowMs + this.#draw(periodMs);
     }
--- a/packages/policy/src/repeat-reserve.ts
+++ b/packages/policy/src/repeat-reserve.ts
@@ -28,7 +28,10 @@
   const failureShare = Math.min(options.failureShare, MAXIMUM_FAILURE_SHARE);
   const repeatsNeeded = failureShare / (1 - failureShare);
   const share = isLate ? 1 : moreUrgentShare;
-  return Math.min(MAXIMUM_RESERVE, (share * repeatsNeeded) / ratio);
+  const needed = share * repeatsNeeded;
+  return needed === 0 || ratio === 0
+    ? 0
+    : Math.min(MAXIMUM_RESERVE, needed / ratio);
 }
 
 /**
