fix(balancer): keep forwarded queries from silencing the first entry

Cause: a forwarded query without an answer within 35 ms marked the entry silent for 500 ms for this entry's own requests as well, and closed its connection. Change: forwarded queries use the client of second ones, and only a first query without an answer marks an entry silent. Measured: with stubs that never answer, a forwarded and a second query use the passing client and leave the entry unmarked; a first one marks it.

--- a/packages/balancer/src/quotas/quota-client.ts
+++ b/packages/balancer/src/quotas/quota-client.ts
@@ -51,7 +51,7 @@
 export interface QuotaClientOptions {
   readonly members: QuotaMembers;
   readonly client: EntryClient;
-  /** For queries that are passed on: others would wait behind them on the same connection. */
+  /** For second and forwarded queries: first ones would wait behind them on the same connection, and one without an answer closes it. */
   readonly passingClient: EntryClient;
   readonly counters: QuotaCounters;
   readonly clock: Clock;
@@ -163,10 +163,8 @@
     asked: ReadonlyMap<string, readonly Waiter[]>,
   ): Promise<QuotaAnswer | undefined> {
     const {members, counters, clock} = this.#options;
-    const isPassedOn = kind === 'second';
-    const client = isPassedOn
-      ? this.#options.passingClient
-      : this.#options.client;
+    const isFirst = kind === 'first';
+    const client = isFirst ? this.#options.client : this.#options.passingClient;
     const address = members.addressOf(entry);
     if (address === undefined) {
       return undefined;
@@ -185,7 +183,8 @@
       }),
       timeoutMs: ANSWER_TIMEOUTS_MS[kind],
     });
-    if (answer.kind === 'silent' && !isPassedOn) {
+    // The others have so little time that a slow answer doesn't mean a lost entry.
+    if (answer.kind === 'silent' && isFirst) {
       this.#silentUntilMs.set(entry, clock.now() + SILENT_MS);
     }
     const parsed = quotaAnswerSchema.safeParse(bodyOf(answer));
