fix(balancer): close the quota connections to entries that left

Cause: the connections to entries that had left were never closed. Change: once a second, only those to the entries that are up are kept. Measured: features/policy/quotas.feature and features/balancer/quotas.feature pass, 48 scenarios; the number of open connections was not measured.

--- a/packages/balancer/src/quotas/quota-members.ts
+++ b/packages/balancer/src/quotas/quota-members.ts
@@ -87,6 +87,13 @@
     return this.#choiceOf(region).choose(account).at(0);
   }
 
+  /** Addresses of the entries that are up. */
+  get addresses(): readonly string[] {
+    return [...this.#records.values()].flatMap(
+      ({feedAddress}) => feedAddress ?? [],
+    );
+  }
+
   /** Address at which an entry takes messages. */
   addressOf(name: string): string | undefined {
     return this.#records.get(name)?.feedAddress;
--- a/packages/balancer/src/quotas/quota-parts.ts
+++ b/packages/balancer/src/quotas/quota-parts.ts
@@ -40,6 +40,9 @@
 /** The same in deployments without accounts, in milliseconds: the entries are known when the first account is configured. */
 const IDLE_INTERVAL_MS = 1_000;
 
+/** Time between closings of the connections to entries that have left, in milliseconds: an open connection costs little. */
+const RETAIN_INTERVAL_MS = 1_000;
+
 /** Time without the store and other regions after which an entry stops granting, in milliseconds. Source: the lease of announcements, after which others no longer count it. */
 const CUT_OFF_MS = 10_000;
 
@@ -56,6 +59,7 @@
   readonly #granter: QuotaGranter;
   readonly #quotaClient: QuotaClient;
   #idleUntilMs = -Infinity;
+  #retainedAtMs = -Infinity;
   #timer: NodeJS.Timeout | undefined;
 
   constructor(options: QuotaPartsOptions) {
@@ -151,6 +155,12 @@
     this.#members.update(nowMs);
     this.#granter.onTick(nowMs);
     this.#quotaClient.onTick(nowMs);
+    if (nowMs - this.#retainedAtMs >= RETAIN_INTERVAL_MS) {
+      this.#retainedAtMs = nowMs;
+      const {addresses} = this.#members;
+      this.#client.retain(addresses);
+      this.#passingClient.retain(addresses);
+    }
   }
 
   #findQuota(name: string) {
