--- a/packages/balancer/src/quotas/quota-client.ts
+++ b/packages/balancer/src/quotas/quota-client.ts
@@ -51,7 +51,7 @@
 export interface QuotaClientOptions {
   readonly members: QuotaMembers;
   readonly client: EntryClient;
-  /** For queries that are passed on: others would wait behind them on the same connection. */
+  /** For second and forwarded queries: first ones would wait behind them on the same connection, and one without an answer closes it. */
   readonly passingClient: EntryClient;
   readonly counters: QuotaCounters;
   readonly clock: Clock;
@@ -124,11 +124,23 @@
 
   async #send(entry: string, kind: QueryKind, line: Line): Promise<void> {
     line.isInFlight = true;
-    while (line.waiting.size > 0) {
-      const asked = new Map([...line.waiting].slice(0, MAXIMUM_ACCOUNTS));
-      asked.forEach((_, account) => line.waiting.delete(account));
-      line.sentAtMs = this.#options.clock.now();
-      const answer = await this.#query(entry, kind, asked);
+    try {
+      while (line.waiting.size > 0) {
+        await this.#sendNext(entry, kind, line);
+      }
+    } finally {
+      line.isInFlight = false;
+    }
+  }
+
+  async #sendNext(entry: string, kind: QueryKind, line: Line): Promise<void> {
+    const asked = new Map([...line.waiting].slice(0, MAXIMUM_ACCOUNTS));
+    asked.forEach((_, account) => line.waiting.delete(account));
+    line.sentAtMs = this.#options.clock.now();
+    let answer: QuotaAnswer | undefined;
+    try {
+      answer = await this.#query(entry, kind, asked);
+    } finally {
       if (answer === undefined) {
         // Those that arrived meanwhile have waited as well.
         for (const [account, waiters] of line.waiting) {
@@ -143,7 +155,6 @@
         divide(waiters, grants.get(account));
       }
     }
-    line.isInFlight = false;
   }
 
   async #query(
@@ -152,10 +163,8 @@
     asked: ReadonlyMap<string, readonly Waiter[]>,
   ): Promise<QuotaAnswer | undefined> {
     const {members, counters, clock} = this.#options;
-    const isPassedOn = kind === 'second';
-    const client = isPassedOn
-      ? this.#options.passingClient
-      : this.#options.client;
+    const isFirst = kind === 'first';
+    const client = isFirst ? this.#options.client : this.#options.passingClient;
     const address = members.addressOf(entry);
     if (address === undefined) {
       return undefined;
@@ -174,7 +183,8 @@
       }),
       timeoutMs: ANSWER_TIMEOUTS_MS[kind],
     });
-    if (answer.kind === 'silent' && !isPassedOn) {
+    // The others have so little time that a slow answer doesn't mean a lost entry.
+    if (answer.kind === 'silent' && isFirst) {
       this.#silentUntilMs.set(entry, clock.now() + SILENT_MS);
     }
     const parsed = quotaAnswerSchema.safeParse(bodyOf(answer));
--- a/packages/balancer/src/quotas/quota-members.ts
+++ b/packages/balancer/src/quotas/quota-members.ts
@@ -49,7 +49,7 @@
   update(nowMs: number): void {
     const members = this.#roster
       .listMembers()
-      .filter(({record}) => record.grantsQuotas === true);
+      .filter(({record}) => canGrant(record));
     const up = members.filter(({isUp}) => isUp).map(({record}) => record);
     this.#records.clear();
     up.forEach(record => this.#records.set(record.name, record));
@@ -87,6 +87,13 @@
     return this.#choiceOf(region).choose(account).at(0);
   }
 
+  /** Addresses of the entries that are up. */
+  get addresses(): readonly string[] {
+    return [...this.#records.values()].flatMap(
+      ({feedAddress}) => feedAddress ?? [],
+    );
+  }
+
   /** Address at which an entry takes messages. */
   addressOf(name: string): string | undefined {
     return this.#records.get(name)?.feedAddress;
@@ -98,3 +105,8 @@
     return choice;
   }
 }
+
+/** Whether an entry grants, and can be asked. */
+function canGrant({grantsQuotas, feedAddress}: EntryRecord): boolean {
+  return grantsQuotas === true && feedAddress !== undefined;
+}
