fix(policy): drop former lists of entries without a reader

Cause: apply() kept each replaced list, and only readers of the former lists dropped them. Without warm-ups nothing reads them, so they grew without bound. Each call also serialised all entries, four times a second. Change: apply() drops the lists that are older than the settling time, and compares entries field by field.

--- a/features/policy/warm-up.feature
+++ b/features/policy/warm-up.feature
@@ -195,3 +195,8 @@
     When its service has no warm-up any more
     And it is in doubt whether it is cold
     Then it counts as warm
+
+  # Guards against former lists of entries that are held for good where no upstream is in warm-up, so that nothing reads them.
+  Scenario: Former lists of entries are dropped without a reader
+    When 1000 lists of entries are applied, one each 250 ms
+    Then 8 former lists are held
--- a/features/steps/warm-up.steps.ts
+++ b/features/steps/warm-up.steps.ts
@@ -2,7 +2,7 @@
 
 import assert from 'node:assert/strict';
 import {Given, Then, When} from '@cucumber/cucumber';
-import {ServiceWarmUp, WarmUp} from '@wasabidyke/policy';
+import {EntryLists, ServiceWarmUp, WarmUp} from '@wasabidyke/policy';
 import {SECOND_MS} from '@wasabidyke/shared';
 import {WarmUpSimulation} from '../support/warm-up-simulation.js';
 
@@ -13,6 +13,7 @@
   warmUp: WarmUp;
   nowMs: number;
   doubtedAtMs: number;
+  lists: EntryLists;
 }
 
 /** The platform's bound in any one second: `bounds.warmup_overshoot` and `bounds.warmup_slack`. */
@@ -281,6 +282,27 @@
   },
 );
 
+When(
+  '{int} lists of entries are applied, one each {int} ms',
+  function (this: WarmUpWorld, count: number, intervalMs: number) {
+    this.lists = new EntryLists();
+    for (let index = 0; index < count; index++) {
+      const name = `entry-${index}`;
+      const entry = {name, zone: 'a-1', region: 'a', isAnnounced: true};
+      this.lists.apply([entry], index * intervalMs);
+    }
+  },
+);
+
+Then(
+  '{int} former lists are held',
+  function (this: WarmUpWorld, count: number) {
+    // Every list counts as recent at an earlier time, so that reading drops none.
+    const held = this.lists.recent(-Infinity);
+    assert.equal(held.length - 1, count);
+  },
+);
+
 function createUpstream(world: WarmUpWorld, leftMs: number): void {
   world.nowMs = SECOND_MS;
   world.doubtedAtMs = world.nowMs;
--- a/packages/policy/src/entry-lists.ts
+++ b/packages/policy/src/entry-lists.ts
@@ -27,7 +27,6 @@
 /** Holds the lists of entries that were in force within the settling time. */
 export class EntryLists {
   #current: EntryList = [];
-  #currentText = '[]';
   #former: readonly FormerList[] = [];
   #version = 0;
   #currentVersion = 0;
@@ -39,8 +38,9 @@
 
   /** Replaces the list, unless it is the same. */
   apply(list: EntryList, nowMs: number): void {
-    const text = JSON.stringify(list);
-    if (text === this.#currentText) {
+    // Prunes here as well: without warm-ups nothing else reads the former lists.
+    this.recentVersion(nowMs);
+    if (isSameList(list, this.#current)) {
       return;
     }
     this.#former = [
@@ -48,7 +48,6 @@
       {list: this.#current, replacedAtMs: nowMs},
     ];
     this.#current = list;
-    this.#currentText = text;
     this.#version += 1;
     this.#currentVersion += 1;
   }
@@ -76,3 +75,21 @@
     return [...this.#former.map(({list}) => list), this.#current];
   }
 }
+
+/** Compares without building a text of either: the list is applied four times a second. */
+function isSameList(left: EntryList, right: EntryList): boolean {
+  return (
+    left === right ||
+    (left.length === right.length &&
+      left.every((entry, index) => isSameEntry(entry, right[index])))
+  );
+}
+
+function isSameEntry(left: ListedEntry, right: ListedEntry): boolean {
+  return (
+    left.name === right.name &&
+    left.zone === right.zone &&
+    left.region === right.region &&
+    left.isAnnounced === right.isAnnounced
+  );
+}
