fix(balancer): don't count idle closes of this entry as lost connections

Cause: the client closes a connection that was idle for long, and the pool reported that as a loss. A warm upstream was in doubt again and again, and got load queries that the next request waited for. Change: closes by the client on its own (UND_ERR_INFO: idle, or after an answer with 'Connection: close') are no losses. The watch of processes doesn't need them: it asks for ends that this entry didn't cause, and checks sends that were given up at times of its own.

--- a/features/balancer/connections.feature
+++ b/features/balancer/connections.feature
@@ -36,3 +36,18 @@
     And 30 look-ups are sent, one each 20 ms
     Then worker "w1" saw at most 4 connections
     And the workers got 30 requests in all
+
+  # Guards against a warm upstream that is in doubt whenever an idle connection to it is closed.
+  Scenario: An idle connection that this entry closes itself is not lost
+    Given an upstream that keeps idle connections for 2 s
+    When a connection to it has answered a request
+    Then the connection is closed
+    And no connection counts as lost
+
+  # Guards against a lost connection that is taken for one that this entry closed.
+  Scenario: An idle connection that the upstream resets is lost
+    Given an upstream that keeps idle connections for 60 s
+    When a connection to it has answered a request
+    And the upstream resets its connections
+    Then the connection is closed
+    And 1 connection counts as lost
--- a/packages/balancer/src/exchange/connection-pool.ts
+++ b/packages/balancer/src/exchange/connection-pool.ts
@@ -12,6 +12,9 @@
 /** An idle connection is closed this long before the timeout that the upstream states, in milliseconds: a request sent while the upstream closes would be lost. */
 const IDLE_TIMEOUT_MARGIN_MS = 1_500;
 
+/** Code with which the client closes a connection on its own, as it does when the connection was idle for long. */
+const OWN_CLOSE_CODE = 'UND_ERR_INFO';
+
 /** Written after the upstream's FIN to detect a reset; servers ignore empty lines between requests. */
 const PROBE_LINE = '\r\n';
 
@@ -44,7 +47,7 @@
   /** Whether the head of an answer is expected and none has been checked. */
   #isHeadDue = false;
 
-  /** @param onLost Called when the connection ends, unless by `destroy`. */
+  /** @param onLost Called when the connection ends, unless by `destroy` or by the client on its own. */
   constructor(origin: string, onLost: () => void) {
     this.#client = new Client(origin, {
       pipelining: 1,
@@ -55,8 +58,8 @@
       keepAliveMaxTimeout: IDLE_TIMEOUT_MS,
       keepAliveTimeoutThreshold: IDLE_TIMEOUT_MARGIN_MS,
     });
-    this.#client.on('disconnect', () => {
-      const isLost = !this.#isBroken;
+    this.#client.on('disconnect', (_origin, _targets, error) => {
+      const isLost = !this.#isBroken && error.code !== OWN_CLOSE_CODE;
       this.#isBroken = true;
       if (isLost) {
         onLost();
