fix(policy): begin a whole warm-up again only after a cause of restart

Cause: each doubt began a whole warm-up if no upstream of the service had named one. Load queries of a busy machine that were overdue more often than that kept a warm upstream cold for good. An answer to a query from before the doubt began one as well. Change: unanswered load queries make a whole warm-up due once; other causes do so each time. Only an answer to a query sent since the doubt begins one. A load query whose connection was refused or broke counts as such a cause. The cause of a refused load query has no test of its own.

--- a/features/policy/warm-up.feature
+++ b/features/policy/warm-up.feature
@@ -167,6 +167,44 @@
     When 10001 ms of the warm-up go by
     Then it counts as warm
 
+  # Guards against a warm upstream that stays cold for good, since its load queries are overdue more often than a warm-up lasts.
+  Scenario: Load queries that are overdue again and again make an upstream wait for one warm-up only
+    Given an upstream that is warm
+    When a load query to it is overdue
+    And an answer names nothing, to a query sent 10 ms after the doubt
+    And 6000 ms of the warm-up go by
+    And a load query to it is overdue
+    And an answer names nothing, to a query sent 10 ms after the doubt
+    Then it counts as cold
+    When 4001 ms of the warm-up go by
+    Then it counts as warm
+    When a load query to it is overdue
+    Then it counts as cold
+    When an answer names nothing, to a query sent 10 ms after the doubt
+    Then it counts as warm
+
+  # Guards against a restarted upstream that is taken for warm since an earlier warm-up was waited out.
+  Scenario: A cause that can mean a restart begins a whole warm-up again
+    Given an upstream that is warm
+    When it is in doubt whether it is cold
+    And an answer names nothing, to a query sent 10 ms after the doubt
+    And 6000 ms of the warm-up go by
+    And it is in doubt whether it is cold
+    And a load query to it is overdue
+    And an answer names nothing, to a query sent 10 ms after the doubt
+    And 9900 ms of the warm-up go by
+    Then it counts as cold
+    When 101 ms of the warm-up go by
+    Then it counts as warm
+
+  # Guards against a warm-up that begins with an answer which the process before a restart gave.
+  Scenario: A silent answer to a query sent before the doubt begins no warm-up
+    Given an upstream that is warm
+    When it is in doubt whether it is cold
+    And an answer names nothing, to a query sent 10 ms before the doubt
+    Then no end of its warm-up is known
+    And it counts as cold
+
   # Guards against a cold upstream that is taken for warm by a silent answer.
   Scenario: An answer that names nothing leaves what the record says, unless an earlier one named it
     Given an upstream whose record says that it is cold for 5000 ms
--- a/features/steps/warm-up.steps.ts
+++ b/features/steps/warm-up.steps.ts
@@ -245,7 +245,16 @@
 
 When('it is in doubt whether it is cold', function (this: WarmUpWorld) {
   this.doubtedAtMs = this.nowMs;
-  this.warmUp.onDoubt(this.nowMs);
+  this.warmUp.onDoubt(this.nowMs, true);
+});
+
+When('a load query to it is overdue', function (this: WarmUpWorld) {
+  this.doubtedAtMs = this.nowMs;
+  this.warmUp.onDoubt(this.nowMs, false);
+});
+
+Then('no end of its warm-up is known', function (this: WarmUpWorld) {
+  assert.equal(this.warmUp.remainingMs(this.nowMs), 0);
 });
 
 When(
--- a/packages/balancer/src/members/upstream-handle.ts
+++ b/packages/balancer/src/members/upstream-handle.ts
@@ -361,6 +361,9 @@
       this.#queryBackoff.reset();
     } else {
       this.#nextQueryAtMs = nowMs + this.#queryBackoff.nextDelayMs();
+      if (result.kind === 'not-sent' || result.kind === 'broken') {
+        this.#options.warmUp.doubt('connection');
+      }
       if (!this.#isOverdue && !this.#isDraining) {
         this.#onUnresponsive(
           'message' in result ? result.message : result.kind,
--- a/packages/balancer/src/members/warm-up-tracker.ts
+++ b/packages/balancer/src/members/warm-up-tracker.ts
@@ -90,7 +90,8 @@
    * @param sinceMs Answers to load queries that were sent before don't count, on the monotonic clock in milliseconds; now by default.
    */
   doubt(cause: WarmUpDoubt, sinceMs = this.#options.clock.now()): void {
-    this.#report(cause, () => this.warmUp.onDoubt(sinceMs));
+    const mayBeRestart = cause !== 'unanswered';
+    this.#report(cause, () => this.warmUp.onDoubt(sinceMs, mayBeRestart));
   }
 
   #report(source: WarmUpSource, learn: (nowMs: number) => void): void {
--- a/packages/policy/src/warm-up.ts
+++ b/packages/policy/src/warm-up.ts
@@ -36,6 +36,10 @@
   readonly #service: ServiceWarmUp;
   #endsAtMs = -Infinity;
   #doubtedAtMs: number | undefined;
+  /** Whether the doubt ends with a whole warm-up if no answer names one. */
+  #isWholeDue = false;
+  /** Whether an answer to a doubt began a whole warm-up before. */
+  #hasBegunWhole = false;
   /** When an answer last named a remaining warm-up. */
   #namedAtMs = -Infinity;
 
@@ -91,7 +95,8 @@
    * Takes the answer to a load query. One without a remaining warm-up means
    * zero if this upstream has named one before. Otherwise it leaves a known
    * warm-up as it is, and ends a doubt: at once if others of the service name
-   * theirs, else after a whole warm-up, since the process runs by now.
+   * theirs, else after a whole warm-up if one is due, since the process runs
+   * by now.
    */
   onAnswer({leftMs, askedAtMs}: WarmUpAnswer, nowMs: number): void {
     const {configuration} = this.#service;
@@ -106,24 +111,32 @@
       this.#endsAtMs = nowMs + leftMs;
     } else if (hasNamed) {
       this.#endsAtMs = Math.min(this.#endsAtMs, nowMs);
-    } else if (this.isDoubtful && !this.#service.isNamedInAnswers) {
-      this.#endsAtMs = Math.max(
-        this.#endsAtMs,
-        nowMs + configuration.durationMs,
-      );
+    } else if (
+      isAskedSince &&
+      this.#isWholeDue &&
+      !this.#service.isNamedInAnswers
+    ) {
+      const endsAtMs = nowMs + configuration.durationMs;
+      this.#endsAtMs = Math.max(this.#endsAtMs, endsAtMs);
+      this.#hasBegunWhole = true;
     }
     if (isAskedSince) {
       this.#doubtedAtMs = undefined;
+      this.#isWholeDue = false;
     }
   }
 
   /**
-   * Called when the upstream may have become cold without saying so.
+   * Called when the upstream may have become cold without saying so. A cause
+   * that shows no restart, such as a late answer of a busy upstream, makes only
+   * one whole warm-up due: it may recur sooner than a warm-up lasts.
    * @param sinceMs Answers to load queries that were sent before don't count, on the monotonic clock in milliseconds.
+   * @param mayBeRestart Whether the cause can mean that the upstream has restarted, or was out of use.
    */
-  onDoubt(sinceMs: number): void {
+  onDoubt(sinceMs: number, mayBeRestart: boolean): void {
     if (this.isConfigured) {
       this.#doubtedAtMs = Math.max(this.#doubtedAtMs ?? -Infinity, sinceMs);
+      this.#isWholeDue ||= mayBeRestart || !this.#hasBegunWhole;
     }
   }
 }
