fix(policy): keep a divided rate for each of two limits

Cause: one stored result served the configured rate and the smaller limit that the upstream names. Asked for in turn, each divided anew and hashed all entries. Change: two results are kept for each version of the lists.

--- a/features/policy/warm-up.feature
+++ b/features/policy/warm-up.feature
@@ -238,3 +238,9 @@
   Scenario: Former lists of entries are dropped without a reader
     When 1000 lists of entries are applied, one each 250 ms
     Then 8 former lists are held
+
+  # Guards against a division that hashes all entries with each request, since two limits are asked for in turn.
+  Scenario: The division for two limits is computed once for each
+    Given lists that count how often they are read
+    When the shares of limits 10 and 3 are asked for in turn, 100 times
+    Then the lists were read 2 times
--- a/features/steps/warm-up.steps.ts
+++ b/features/steps/warm-up.steps.ts
@@ -2,7 +2,13 @@
 
 import assert from 'node:assert/strict';
 import {Given, Then, When} from '@cucumber/cucumber';
-import {EntryLists, ServiceWarmUp, WarmUp} from '@wasabidyke/policy';
+import {
+  EntryLists,
+  ServiceWarmUp,
+  WarmUp,
+  WarmUpDivision,
+  type EntryList,
+} from '@wasabidyke/policy';
 import {SECOND_MS} from '@wasabidyke/shared';
 import {WarmUpSimulation} from '../support/warm-up-simulation.js';
 
@@ -14,6 +20,17 @@
   nowMs: number;
   doubtedAtMs: number;
   lists: EntryLists;
+  countedLists: CountingLists;
+}
+
+/** Lists of entries that count how often they are read. */
+class CountingLists extends EntryLists {
+  reads = 0;
+
+  override recent(nowMs: number): readonly EntryList[] {
+    this.reads += 1;
+    return super.recent(nowMs);
+  }
 }
 
 /** The platform's bound in any one second: `bounds.warmup_overshoot` and `bounds.warmup_slack`. */
@@ -312,6 +329,35 @@
   },
 );
 
+Given('lists that count how often they are read', function (this: WarmUpWorld) {
+  this.countedLists = new CountingLists();
+  const entry = {name: 'e', zone: 'a-1', region: 'a', isAnnounced: true};
+  this.countedLists.apply([entry], 0);
+});
+
+When(
+  'the shares of limits {int} and {int} are asked for in turn, {int} times',
+  function (this: WarmUpWorld, one: number, other: number, times: number) {
+    const division = new WarmUpDivision({
+      upstream: 'u',
+      zone: 'a-1',
+      region: 'a',
+      entry: 'e',
+    });
+    for (let index = 0; index < times; index++) {
+      division.ownPerSecond(one, this.countedLists, 0);
+      division.ownPerSecond(other, this.countedLists, 0);
+    }
+  },
+);
+
+Then(
+  'the lists were read {int} times',
+  function (this: WarmUpWorld, times: number) {
+    assert.equal(this.countedLists.reads, times);
+  },
+);
+
 function createUpstream(world: WarmUpWorld, leftMs: number): void {
   world.nowMs = SECOND_MS;
   world.doubtedAtMs = world.nowMs;
--- a/packages/policy/src/warm-up-division.ts
+++ b/packages/policy/src/warm-up-division.ts
@@ -19,6 +19,9 @@
 /** Further chosen entries per request a second of the rate. Source: 1.5 / 2 - 0.6. */
 const CHOSEN_PER_RATE = 0.15;
 
+/** Results that are held: for the configured rate, and for the smaller limit that the upstream names. */
+const MAXIMUM_RESULTS = 2;
+
 /** Options of `WarmUpDivision`. */
 export interface WarmUpDivisionOptions {
   readonly upstream: string;
@@ -40,8 +43,9 @@
   override readonly burstMs = 50;
   override readonly hasTrials = false;
   readonly #options: WarmUpDivisionOptions;
-  /** The last result: it is asked for with each request, and changes seldom. */
-  #last = {limit: 0, version: -1, ownPerSecond: 0};
+  /** Results by limit for one version of the lists: they are asked for with each request, and change seldom. */
+  readonly #results = new Map<number, number>();
+  #version = -1;
 
   constructor(options: WarmUpDivisionOptions) {
     super();
@@ -54,14 +58,22 @@
     nowMs: number,
   ): number {
     const version = entries.recentVersion(nowMs);
-    if (limit !== this.#last.limit || version !== this.#last.version) {
-      const hashes = new Map<string, number>();
-      const shares = entries
-        .recent(nowMs)
-        .map(list => this.#ownPerSecondOf(limit, list, hashes));
-      this.#last = {limit, version, ownPerSecond: Math.min(...shares)};
+    const isFull = this.#results.size >= MAXIMUM_RESULTS;
+    if (version !== this.#version || (isFull && !this.#results.has(limit))) {
+      this.#results.clear();
+      this.#version = version;
+    }
+    const known = this.#results.get(limit);
+    if (known !== undefined) {
+      return known;
     }
-    return this.#last.ownPerSecond;
+    const hashes = new Map<string, number>();
+    const shares = entries
+      .recent(nowMs)
+      .map(list => this.#ownPerSecondOf(limit, list, hashes));
+    const ownPerSecond = Math.min(...shares);
+    this.#results.set(limit, ownPerSecond);
+    return ownPerSecond;
   }
 
   /** @param hashes Those of the entries that earlier lists have as well. */
