fix(balancer): read the warm-up from answers on new connections

Cause: a load query that checks on a new connection whether the process runs read no warm-up from its answer, so that it didn't end a doubt. Change: the answer is read with the time at which its query was sent. Measured: the new scenario of features/balancer/warm-up.feature fails before (one upstream counts as cold after the answer) and passes now.

--- a/features/balancer/warm-up.feature
+++ b/features/balancer/warm-up.feature
@@ -121,3 +121,11 @@
     Given a registry with a warm upstream in each of the zones "home-a, home-b"
     When the zone "home-a" is taken back from its evacuation
     Then 1 upstream of the registry counts as cold
+
+  # Guards against a doubt that outlasts an answer, since that came on a connection opened to check the process.
+  Scenario: An answer on a new connection ends a doubt
+    Given a registry with a warm upstream that names its warm-up in answers
+    When the zone "home-a" is taken back from its evacuation
+    Then 1 upstream of the registry counts as cold
+    When it answers a load query on a new connection
+    Then 0 upstreams of the registry count as cold
--- a/features/steps/upstream-warm-up.steps.ts
+++ b/features/steps/upstream-warm-up.steps.ts
@@ -1,8 +1,11 @@
 /** Steps for workers in warm-up. */
 
 import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {createServer, type Server} from 'node:http';
+import type {AddressInfo} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {Given, Then, When} from '@cucumber/cucumber';
+import {After, Given, Then, When} from '@cucumber/cucumber';
 import {ROUND_TRIPS_MS, UpstreamRegistry} from '@wasabidyke/balancer';
 import {PlatformWireProtocol} from '@wasabidyke/platform';
 import {SeededRandom} from '@wasabidyke/policy';
@@ -13,6 +16,7 @@
 interface UpstreamWarmUpWorld {
   balancerSite: BalancerSite;
   registry: UpstreamRegistry;
+  warmUpServer: Server | undefined;
   answers: readonly CallerAnswer[];
 }
 
@@ -149,42 +153,12 @@
 Given(
   'a registry with a warm upstream in each of the zones {string}',
   function (this: UpstreamWarmUpWorld, zones: string) {
-    const ignore = () => {};
-    this.registry = new UpstreamRegistry({
-      entry: 'entry-1',
-      locality: {
-        region: 'home',
-        zone: 'home-a',
-        regionByZone: {'home-a': 'home', 'home-b': 'home'},
-        roundTripsMs: ROUND_TRIPS_MS,
-      },
-      protocol: new PlatformWireProtocol(),
-      clock: new SystemClock(),
-      random: new SeededRandom(1),
-      connectionLimit: () => 1,
-      warmUp: () => ({durationMs: DURATION_MS, requestsPerSecond: 2}),
-      onWarmUp: ignore,
-      onLimit: ignore,
-      onHeard: ignore,
-      onConnectionLost: ignore,
-      onLeaving: ignore,
-      onRest: ignore,
-      onUnresponsive: ignore,
-      onReach: ignore,
-    });
-    zones.split(', ').forEach((zone, index) =>
-      this.registry.add({
-        id: `u-${index}`,
-        startedAtEpochMs: 1,
-        sequence: 1,
-        service: 'shop',
-        address: `127.0.0.1:${index + 1}`,
-        zone,
-        slots: 4,
-        isDraining: false,
-        warmUpLeftMs: 0,
-      }),
-    );
+    this.registry = createRegistry();
+    zones
+      .split(', ')
+      .forEach((zone, index) =>
+        addWarmUpstream(this.registry, index, zone, `127.0.0.1:${index + 1}`),
+      );
     assert.equal(this.registry.warmingUpCount, 0);
   },
 );
@@ -197,12 +171,92 @@
 );
 
 Then(
-  '{int} upstream of the registry counts as cold',
+  '{int} upstream(s) of the registry counts/count as cold',
   function (this: UpstreamWarmUpWorld, count: number) {
     assert.equal(this.registry.warmingUpCount, count);
   },
 );
 
+Given(
+  'a registry with a warm upstream that names its warm-up in answers',
+  async function (this: UpstreamWarmUpWorld) {
+    const server = createServer((_request, response) => {
+      response.writeHead(200, {
+        'wasabidyke-instance-id': 'u-0',
+        'wasabidyke-warmup-remaining-ms': '0',
+      });
+      response.end();
+    });
+    this.warmUpServer = server;
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    const {port} = server.address() as AddressInfo;
+    this.registry = createRegistry();
+    addWarmUpstream(this.registry, 0, 'home-a', `127.0.0.1:${port}`);
+  },
+);
+
+When(
+  'it answers a load query on a new connection',
+  async function (this: UpstreamWarmUpWorld) {
+    const handle = this.registry.find('u-0');
+    assert.ok(handle !== undefined);
+    assert.equal(await handle.isAlive('/load'), true);
+    handle.drain();
+  },
+);
+
+After(function (this: UpstreamWarmUpWorld) {
+  this.warmUpServer?.closeAllConnections();
+  this.warmUpServer?.close();
+});
+
+function addWarmUpstream(
+  registry: UpstreamRegistry,
+  index: number,
+  zone: string,
+  address: string,
+): void {
+  registry.add({
+    id: `u-${index}`,
+    startedAtEpochMs: 1,
+    sequence: 1,
+    service: 'shop',
+    address,
+    zone,
+    slots: 4,
+    isDraining: false,
+    warmUpLeftMs: 0,
+  });
+}
+
+/** A registry of an entry that does nothing with what it reports. */
+function createRegistry(): UpstreamRegistry {
+  const ignore = () => {};
+  return new UpstreamRegistry({
+    entry: 'entry-1',
+    locality: {
+      region: 'home',
+      zone: 'home-a',
+      regionByZone: {'home-a': 'home', 'home-b': 'home'},
+      roundTripsMs: ROUND_TRIPS_MS,
+    },
+    protocol: new PlatformWireProtocol(),
+    clock: new SystemClock(),
+    random: new SeededRandom(1),
+    connectionLimit: () => 1,
+    warmUp: () => ({durationMs: DURATION_MS, requestsPerSecond: 2}),
+    onWarmUp: ignore,
+    onLimit: ignore,
+    onHeard: ignore,
+    onConnectionLost: ignore,
+    onLeaving: ignore,
+    onRest: ignore,
+    onUnresponsive: ignore,
+    onReach: ignore,
+  });
+}
+
 /** Writes a configuration and waits until all entries have it. */
 async function configure(site: BalancerSite, service: object): Promise<void> {
   site.service = service;
--- a/packages/balancer/src/members/upstream-handle.ts
+++ b/packages/balancer/src/members/upstream-handle.ts
@@ -268,14 +268,16 @@
     }
     const exchange = this.#createLoadQuery(connection, path);
     const timer = setTimeout(() => exchange.abort(), LOAD_QUERY_TIMEOUT_MS);
+    const askedAtMs = this.#options.clock.now();
     exchange.start();
-    const {kind} = await exchange.result;
+    const result = await exchange.result;
     clearTimeout(timer);
     this.release(connection, exchange);
-    if (kind === 'answered') {
+    if (result.kind === 'answered') {
       this.#onHeard();
+      this.#readWarmUp(result.answer, askedAtMs);
     }
-    return kind === 'answered';
+    return result.kind === 'answered';
   }
 
   #onHeard(): void {
@@ -353,7 +355,7 @@
     const isAnswered = result.kind === 'answered';
     if (isAnswered) {
       this.readAnswer(result.answer, 'load-query');
-      this.#readWarmUp(result.answer);
+      this.#readWarmUp(result.answer, this.#queriedAtMs);
       const occupancy = protocol.readOccupancy(result.answer.headers);
       if (occupancy !== undefined) {
         this.statistics.onReport(occupancy, nowMs);
@@ -376,9 +378,9 @@
     this.#isOverdue = false;
   }
 
-  #readWarmUp(answer: AnswerHead): void {
+  #readWarmUp(answer: AnswerHead, askedAtMs: number): void {
     const {warmUp} = this.#options;
-    warmUp.onLoadAnswer(answer, this.#queriedAtMs);
+    warmUp.onLoadAnswer(answer, askedAtMs);
     if (warmUp.warmUp.isConfigured) {
       this.statistics.setWarmUpEnd(warmUp.warmUp.endsAtMs);
     }
