--- a/features/policy/warm-up.feature
+++ b/features/policy/warm-up.feature
@@ -167,6 +167,44 @@
     When 10001 ms of the warm-up go by
     Then it counts as warm
 
+  # Guards against a warm upstream that stays cold for good, since its load queries are overdue more often than a warm-up lasts.
+  Scenario: Load queries that are overdue again and again make an upstream wait for one warm-up only
+    Given an upstream that is warm
+    When a load query to it is overdue
+    And an answer names nothing, to a query sent 10 ms after the doubt
+    And 6000 ms of the warm-up go by
+    And a load query to it is overdue
+    And an answer names nothing, to a query sent 10 ms after the doubt
+    Then it counts as cold
+    When 4001 ms of the warm-up go by
+    Then it counts as warm
+    When a load query to it is overdue
+    Then it counts as cold
+    When an answer names nothing, to a query sent 10 ms after the doubt
+    Then it counts as warm
+
+  # Guards against a restarted upstream that is taken for warm since an earlier warm-up was waited out.
+  Scenario: A cause that can mean a restart begins a whole warm-up again
+    Given an upstream that is warm
+    When it is in doubt whether it is cold
+    And an answer names nothing, to a query sent 10 ms after the doubt
+    And 6000 ms of the warm-up go by
+    And it is in doubt whether it is cold
+    And a load query to it is overdue
+    And an answer names nothing, to a query sent 10 ms after the doubt
+    And 9900 ms of the warm-up go by
+    Then it counts as cold
+    When 101 ms of the warm-up go by
+    Then it counts as warm
+
+  # Guards against a warm-up that begins with an answer which the process before a restart gave.
+  Scenario: A silent answer to a query sent before the doubt begins no warm-up
+    Given an upstream that is warm
+    When it is in doubt whether it is cold
+    And an answer names nothing, to a query sent 10 ms before the doubt
+    Then no end of its warm-up is known
+    And it counts as cold
+
   # Guards against a cold upstream that is taken for warm by a silent answer.
   Scenario: An answer that names nothing leaves what the record says, unless an earlier one named it
     Given an upstream whose record says that it is cold for 5000 ms
@@ -195,3 +233,14 @@
     When its service has no warm-up any more
     And it is in doubt whether it is cold
     Then it counts as warm
+
+  # Guards against former lists of entries that are held for good where no upstream is in warm-up, so that nothing reads them.
+  Scenario: Former lists of entries are dropped without a reader
+    When 1000 lists of entries are applied, one each 250 ms
+    Then 8 former lists are held
+
+  # Guards against a division that hashes all entries with each request, since two limits are asked for in turn.
+  Scenario: The division for two limits is computed once for each
+    Given lists that count how often they are read
+    When the shares of limits 10 and 3 are asked for in turn, 100 times
+    Then the lists were read 2 times
