fix(balancer): look at allowed upstreams alone for warm-up refusals

Cause: isServiceWarmingUp looked at all upstreams of the service, while the limits were those of upstreams that the request may be sent to. A cold upstream in another region had a request refused as warming-up, with a sum of 0 and so the longest Retry-After; a named limit there hid a warm-up.

Change: both use one list of the limited upstreams that placement allows.

Measured: of the five examples of the new outline in place-decisions, two failed before the change, and all pass after it.

--- a/features/balancer/place-decisions.feature
+++ b/features/balancer/place-decisions.feature
@@ -38,6 +38,20 @@
       | home-a, away-a | home    | home-a         | evacuated           |
       | away-a         | home    | away-a         | no-allowed-upstream |
 
+  # Guards against refusals that tell of limits of upstreams to which the request may not be sent.
+  Scenario Outline: An upstream <home> in home, one <away> in away, and <regions> allowed
+    Given an upstream in "home-a" that is <home>
+    And an upstream in "away-a" that is <away>
+    Then with the regions "<regions>" allowed, the service is <limited> and <warming>
+
+    Examples:
+      | home       | away       | regions | limited     | warming        |
+      | without limit | in warm-up | home    | not limited | not warming up |
+      | without limit | in warm-up | any     | limited     | warming up     |
+      | in warm-up | limited    | home    | limited     | warming up     |
+      | in warm-up | limited    | any     | limited     | not warming up |
+      | limited    | in warm-up | home    | limited     | not warming up |
+
   # Guards against a zone that stays evacuated, or is taken back without a word to those who treat it as cold.
   Scenario: Evacuations follow the records
     Given the zones "home-a, home-b, other" have evacuation records
--- a/features/steps/place-decisions.steps.ts
+++ b/features/steps/place-decisions.steps.ts
@@ -3,11 +3,13 @@
 import assert from 'node:assert/strict';
 import {Given, Then, When} from '@cucumber/cucumber';
 import {
+  LimitGate,
   Placement,
   RoutingTable,
   UpstreamSelector,
   UpstreamSender,
   type AllowedRegions,
+  type LimitGateOptions,
   type RoutedRequest,
   type SelectedUpstream,
   type SelectionCriteria,
@@ -26,6 +28,7 @@
   selected: UpstreamHandle;
   connectionsTaken: number;
   result: SelectedUpstream | undefined;
+  limited: UpstreamHandle[];
 }
 
 const HOST = 'shop.example';
@@ -40,6 +43,7 @@
     secondRegion: string,
   ) {
     this.takenBack = [];
+    this.limited = [];
     this.regionByZone = Object.fromEntries([
       ...split(firstZones).map(zone => [zone, firstRegion]),
       ...split(secondZones).map(zone => [zone, secondRegion]),
@@ -185,6 +189,44 @@
   },
 );
 
+Given(
+  /^an upstream in "([^"]*)" that is (without limit|in warm-up|limited)$/,
+  function (this: DecisionWorld, zone: string, state: string) {
+    const perSecond = state === 'without limit' ? undefined : 1;
+    const handle = {
+      record: {zone},
+      limit: {appliedPerSecond: () => perSecond},
+      warmUp: {warmUp: {isCold: () => state === 'in warm-up'}},
+    };
+    this.limited.push(handle as unknown as UpstreamHandle);
+  },
+);
+
+Then(
+  /^with the regions "([^"]*)" allowed, the service is (not )?limited and (not )?warming up$/,
+  function (
+    this: DecisionWorld,
+    regions: string,
+    notLimited: string | null,
+    notWarmingUp: string | null,
+  ) {
+    const request = {
+      service: 'shop',
+      allowedRegions: toAllowedRegions(regions),
+    };
+    const gate = new LimitGate(
+      request as unknown as RoutedRequest,
+      {
+        registry: {list: () => this.limited},
+        placement: this.placement,
+        clock: new SystemClock(),
+      } as unknown as LimitGateOptions,
+    );
+    assert.equal(gate.isServiceLimited, notLimited === null);
+    assert.equal(gate.isServiceWarmingUp, notWarmingUp === null);
+  },
+);
+
 When('the request is sent to it', function (this: DecisionWorld) {
   const request = {allowedRegions: undefined} as unknown as RoutedRequest;
   const options = {placement: this.placement, clock: new SystemClock()};
--- a/packages/balancer/src/serving/limit-gate.ts
+++ b/packages/balancer/src/serving/limit-gate.ts
@@ -2,6 +2,7 @@
 
 import type {Clock} from '@wasabidyke/shared';
 import type {Placement} from '../members/placement.js';
+import type {UpstreamHandle} from '../members/upstream-handle.js';
 import type {UpstreamRegistry} from '../members/upstream-registry.js';
 import type {RoutedRequest} from './routed-request.js';
 import type {RouteState} from './route-state.js';
@@ -14,6 +15,13 @@
   readonly clock: Clock;
 }
 
+/** An upstream with a limit. */
+interface LimitedUpstream {
+  readonly handle: UpstreamHandle;
+  /** Requests per second from all entries. */
+  readonly perSecond: number;
+}
+
 /** Decides whether a request may use limited upstreams, and when it should come back if it may not. */
 export class LimitGate {
   readonly #request: RoutedRequest;
@@ -32,25 +40,26 @@
 
   /** Whether upstreams of the service that the request may be sent to name limits or are in warm-up. */
   get isServiceLimited(): boolean {
-    return this.#limits.length > 0;
+    return this.#limited.length > 0;
   }
 
-  /** Whether all limits of upstreams of the service are those of their warm-ups. */
+  /** Whether all limits of upstreams that the request may be sent to are those of their warm-ups. */
   get isServiceWarmingUp(): boolean {
     const nowMs = this.#options.clock.now();
-    const limited = this.#options.registry
-      .list(this.#request.service)
-      .filter(({limit}) => limit.appliedPerSecond(nowMs) !== undefined);
+    const limited = this.#limited;
     return (
       limited.length > 0 &&
-      limited.every(({warmUp}) => warmUp.warmUp.isCold(nowMs))
+      limited.every(({handle}) => handle.warmUp.warmUp.isCold(nowMs))
     );
   }
 
   /** Records that the request is refused; returns when it should come back, in milliseconds. */
   refuse(): number {
     const {registry, clock} = this.#options;
-    const sum = this.#limits.reduce((total, limit) => total + limit, 0);
+    const sum = this.#limited.reduce(
+      (total, {perSecond}) => total + perSecond,
+      0,
+    );
     const ratePerSecond = sum / registry.entryCount;
     const {priority} = this.#request;
     return this.#admission.refuse(priority, ratePerSecond, clock.now());
@@ -60,15 +69,18 @@
     return this.#options.routeState.limitedAdmission(this.#request.service);
   }
 
-  /** Limits of the upstreams which the request may be sent to, in requests per second from all entries. */
-  get #limits(): readonly number[] {
+  /** The upstreams with a limit that the request may be sent to. */
+  get #limited(): readonly LimitedUpstream[] {
     const {registry, placement, clock} = this.#options;
     const {service, allowedRegions} = this.#request;
     const nowMs = clock.now();
-    return registry
-      .list(service)
-      .filter(handle => placement.allows(handle, allowedRegions))
-      .map(({limit}) => limit.appliedPerSecond(nowMs))
-      .filter(limit => limit !== undefined);
+    const limited: LimitedUpstream[] = [];
+    for (const handle of registry.list(service)) {
+      const perSecond = handle.limit.appliedPerSecond(nowMs);
+      if (perSecond !== undefined && placement.allows(handle, allowedRegions)) {
+        limited.push({handle, perSecond});
+      }
+    }
+    return limited;
   }
 }
