fix(balancer): route relayed requests by the table after their body

Cause: the receiver read the routing table before the body of a relayed request, which may take 10 s, and routed by it afterwards. An account or a list of regions that changed meanwhile did not bind.

Change: the table is read again once the body is complete.

--- a/features/balancer/account-relay.feature
+++ b/features/balancer/account-relay.feature
@@ -35,6 +35,14 @@
       | /open/a | a public route | the account "gone"  |
       | /read/a | a closed route | a key in its header |
 
+  # Guards against a relayed request that runs by the accounts from before its body, which may take 10 s to arrive.
+  Scenario: An account that ends while a relayed request arrives is refused as other-configuration
+    Given a message to relay "/read/a" on the account "alpha" of which half has arrived at entry 1
+    When the account "alpha" ends
+    And the rest of the message arrives
+    Then it is answered 200 as not run for "other-configuration"
+    And the workers got 0 requests of it
+
   # Guards against an older entry's message that hands a key to a worker, or names an account by its header.
   Scenario: A key in the message of an older build reaches no worker
     When a message to relay "/open/a" with a key in its header is sent to entry 1
--- a/features/steps/account-relay.steps.ts
+++ b/features/steps/account-relay.steps.ts
@@ -2,26 +2,42 @@
 
 import assert from 'node:assert/strict';
 import {once} from 'node:events';
-import {createServer, request as sendRequest} from 'node:http';
+import {
+  createServer,
+  request as sendRequest,
+  type ClientRequest,
+} from 'node:http';
 import type {AddressInfo} from 'node:net';
-import {Then, When} from '@cucumber/cucumber';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {Given, Then, When} from '@cucumber/cucumber';
 import {FeederConnection} from '@wasabidyke/balancer';
 import {SystemClock} from '@wasabidyke/shared';
-import {SECRET} from '../support/account-site.js';
+import {ACCOUNTS, configureAccounts, SECRET} from '../support/account-site.js';
 import type {BalancerSite} from '../support/balancer-site.js';
 import {eventually} from '../support/eventually.js';
 import type {OlderEntry} from '../support/older-entry.js';
 
+/** A message that is being sent. */
+interface PendingMessage {
+  readonly request: ClientRequest;
+  readonly rest: string;
+  readonly answer: Promise<AccountRelayWorld['messageAnswer']>;
+}
+
 interface AccountRelayWorld {
   balancerSite: BalancerSite;
   older: Map<string, OlderEntry>;
   messageAnswer: {status: number; result: unknown; reason: unknown};
+  pendingMessage: PendingMessage;
   relayedId: string;
   feedProblem: string;
 }
 
 const ID = 'account-request';
 
+/** Time in which half a message arrives at an entry on this machine, in milliseconds. */
+const ARRIVAL_MS = 100;
+
 /** A record with a key, as entries pass it on. */
 const RECORD = Buffer.from(`{"api_keys":["${SECRET}1"`).toString('base64');
 
@@ -85,33 +101,44 @@
   /^a message to relay "(.+)" with (.+) is sent to entry 1$/,
   async function (this: AccountRelayWorld, url: string, what: string) {
     const account = /^the account "(.+)"$/.exec(what)?.[1];
-    const odd =
+    const odd: Record<string, string> =
       what === 'a key in its header'
         ? {
             'wasabidyke-key': 'secret-alpha-1',
             'wasabidyke-tenant': 'alpha',
           }
         : {};
-    const message = {
-      requestId: ID,
-      method: 'GET',
-      url,
-      headers: {
-        host: 'shop.example',
-        'wasabidyke-attempt-id': ID,
-        ...odd,
-      },
-      hasBody: false,
-      callerAddress: '127.0.0.1',
-      account,
-      service: 'shop',
-      kind: 'idempotent',
-      elapsedMs: 0,
-      remainingMs: 1_000,
-      excluded: [],
-    };
+    const message = createMessage(url, account, odd);
     const port = this.balancerSite.feedPortOf(0);
-    this.messageAnswer = await sendMessage(port, message);
+    const {request, rest, answer} = startMessage(port, message);
+    request.end(rest);
+    this.messageAnswer = await answer;
+  },
+);
+
+Given(
+  'a message to relay {string} on the account {string} of which half has arrived at entry 1',
+  async function (this: AccountRelayWorld, url: string, account: string) {
+    const port = this.balancerSite.feedPortOf(0);
+    this.pendingMessage = startMessage(port, createMessage(url, account));
+    await sleep(ARRIVAL_MS);
+  },
+);
+
+When(
+  'the account {string} ends',
+  async function (this: AccountRelayWorld, name: string) {
+    const accounts = Object.entries(ACCOUNTS).filter(([key]) => key !== name);
+    await configureAccounts(this.balancerSite, Object.fromEntries(accounts));
+  },
+);
+
+When(
+  'the rest of the message arrives',
+  async function (this: AccountRelayWorld) {
+    const {request, rest, answer} = this.pendingMessage;
+    request.end(rest);
+    this.messageAnswer = await answer;
   },
 );
 
@@ -144,15 +171,47 @@
   },
 );
 
-function sendMessage(
-  port: number,
-  message: object,
-): Promise<AccountRelayWorld['messageAnswer']> {
-  return new Promise((resolve, reject) => {
-    const options = {host: '127.0.0.1', port, path: '/v1/relay'};
-    const request = sendRequest(
-      {...options, method: 'POST', agent: false},
-      response => {
+function createMessage(
+  url: string,
+  account: string | undefined,
+  headers: Readonly<Record<string, string>> = {},
+): object {
+  return {
+    requestId: ID,
+    method: 'GET',
+    url,
+    headers: {
+      host: 'shop.example',
+      'wasabidyke-attempt-id': ID,
+      ...headers,
+    },
+    hasBody: false,
+    callerAddress: '127.0.0.1',
+    account,
+    service: 'shop',
+    kind: 'idempotent',
+    elapsedMs: 0,
+    remainingMs: 1_000,
+    excluded: [],
+  };
+}
+
+/** Sends the first half of a message. */
+function startMessage(port: number, message: object): PendingMessage {
+  const text = `${JSON.stringify(message)}\n`;
+  const middle = Math.floor(text.length / 2);
+  const request = sendRequest({
+    host: '127.0.0.1',
+    port,
+    path: '/v1/relay',
+    method: 'POST',
+    agent: false,
+    headers: {'content-length': text.length},
+  });
+  const answer = new Promise<AccountRelayWorld['messageAnswer']>(
+    (resolve, reject) => {
+      request.on('error', reject);
+      request.on('response', response => {
         const {headers, statusCode = 0} = response;
         response.resume();
         response.on('end', () =>
@@ -162,9 +221,9 @@
             reason: headers['relay-reason'],
           }),
         );
-      },
-    );
-    request.on('error', reject);
-    request.end(`${JSON.stringify(message)}\n`);
-  });
+      });
+    },
+  );
+  request.write(text.slice(0, middle));
+  return {request, rest: text.slice(middle), answer};
 }
--- a/packages/balancer/src/relay/relay-receiver.ts
+++ b/packages/balancer/src/relay/relay-receiver.ts
@@ -127,7 +127,8 @@
       this.#refuse(response, 'not-run', 'stopping', 0);
       return;
     }
-    const routed = this.#toRoutedRequest(routing, message);
+    // The configuration may have changed while the body arrived.
+    const routed = this.#toRoutedRequest(table() ?? routing, message);
     if (routed === undefined) {
       this.#refuse(response, 'not-run', 'other-configuration', 0);
       return;
