fix(balancer): look keys up again before the first send

Cause: a request may wait for a slot for an eighth of its target latency, which can be several seconds. Its key was last looked up before the dispatch, so that a request could first be sent long after its key was revoked.

Change: RoutedRequest.isStillAuthorized() is asked after each selection while nothing was sent. A revoked key ends the request as not run, and the caller gets the same 401 and log line as on arrival.

--- a/packages/balancer/src/index.ts
+++ b/packages/balancer/src/index.ts
@@ -34,6 +34,7 @@
 export * from './routing/unknown-regions.js';
 export * from './serving/discovery-protocol.js';
 export * from './serving/limit-gate.js';
+export * from './serving/request-dispatcher.js';
 export * from './serving/request-router.js';
 export * from './serving/route-state.js';
 export * from './serving/routed-request.js';
--- a/packages/balancer/src/serving/attempt-admission.ts
+++ b/packages/balancer/src/serving/attempt-admission.ts
@@ -70,9 +70,22 @@
     });
   }
 
-  /** Whether this process ends too early for a request that has not run. */
-  get isStoppedTooEarly(): boolean {
-    return !canBeFinished(this.#request, this.#options.endsAtMs());
+  /**
+   * Why a request may no longer be sent; undefined if it may. The configuration
+   * is asked only before the first send: the request may have waited since.
+   */
+  findObstacle(
+    mayHaveRun: boolean,
+    sentCount: number,
+  ): RefusalReason | undefined {
+    if (mayHaveRun) {
+      return undefined;
+    }
+    if (sentCount === 0 && this.#request.isStillAuthorized?.() === false) {
+      return 'other-configuration';
+    }
+    const isInTime = canBeFinished(this.#request, this.#options.endsAtMs());
+    return isInTime ? undefined : 'stopping';
   }
 
   /**
--- a/packages/balancer/src/serving/caller-server.ts
+++ b/packages/balancer/src/serving/caller-server.ts
@@ -204,19 +204,21 @@
       this.#refuseStopping(response, requestId);
       return;
     }
-    const rejection = this.#router.recheck(
-      table,
-      this.#options.table(),
-      url,
-      request.headers,
-      metadata,
-    );
+    const recheck = () =>
+      this.#router.recheck(
+        table,
+        this.#options.table(),
+        url,
+        request.headers,
+        metadata,
+      );
+    const rejection = recheck();
     if (rejection !== undefined) {
       this.#reject(response, requestId, rejection);
       return;
     }
     const {endsAtMs} = this.#options;
-    await this.#dispatch(response, {
+    const routedRequest: RoutedRequest = {
       requestId,
       method: request.method ?? 'GET',
       url,
@@ -236,7 +238,9 @@
       get deadlineMs() {
         return Math.min(ownDeadlineMs, endsAtMs());
       },
-    });
+      isStillAuthorized: () => recheck() === undefined,
+    };
+    await this.#dispatch(response, routedRequest, recheck);
   }
 
   /** Whether a request that has not been passed on is refused because of the stop of this process. */
@@ -248,6 +252,7 @@
   async #dispatch(
     response: ServerResponse,
     request: RoutedRequest,
+    recheck: () => RoutingRejection | undefined,
   ): Promise<void> {
     if (response.destroyed || response.req.socket.destroyed) {
       return;
@@ -269,8 +274,15 @@
     removeListener();
     if (result.kind === 'answer') {
       this.#sendAnswer(response, request, result.answer);
+      return;
+    }
+    const {refusal} = result;
+    const isChanged = refusal.reason === 'other-configuration';
+    const rejection = isChanged ? recheck() : undefined;
+    if (rejection !== undefined) {
+      this.#reject(response, request.requestId, rejection);
     } else {
-      this.#refuse(response, request.requestId, result.refusal, request);
+      this.#refuse(response, request.requestId, refusal, request);
     }
   }
 
--- a/packages/balancer/src/serving/refusals.ts
+++ b/packages/balancer/src/serving/refusals.ts
@@ -39,6 +39,9 @@
 /** Delay after which a caller that a stopping entry refuses may try another entry, in milliseconds. */
 export const STOPPING_RETRY_AFTER_MS = 50;
 
+/** Delay after which a caller may try again whose request the configuration was changed under, in milliseconds: the new one is in force already. */
+export const CHANGED_RETRY_AFTER_MS = 50;
+
 /** Creates the refusals of one request. */
 export class Refusals {
   readonly #request: RoutedRequest;
@@ -131,6 +134,8 @@
         return this.#repeatDelayMs(selected);
       case 'stopping':
         return STOPPING_RETRY_AFTER_MS;
+      case 'other-configuration':
+        return CHANGED_RETRY_AFTER_MS;
       case 'unreached':
         return retryAfterMs(1, UNREACHED_RETRY_AFTER_MS, random);
       default:
--- a/packages/balancer/src/serving/request-dispatcher.ts
+++ b/packages/balancer/src/serving/request-dispatcher.ts
@@ -14,7 +14,7 @@
 import type {RequestDispatcherOptions} from './dispatcher-options.js';
 import type {DispatchResult, UpstreamAnswer} from './dispatch-result.js';
 import {Refusals} from './refusals.js';
-import {RequestRepeats} from './request-repeats.js';
+import {MAXIMUM_UNSENT_ATTEMPTS, RequestRepeats} from './request-repeats.js';
 import type {RefusalReason, RoutedRequest} from './routed-request.js';
 import {
   isUpstreamAttempt,
@@ -23,9 +23,6 @@
   type UpstreamAttempt,
 } from './upstream-sender.js';
 
-/** Limit of attempts that fail before a byte is sent; they don't count as attempts of the route, as they cost upstreams nothing. */
-const MAXIMUM_UNSENT_ATTEMPTS = 4;
-
 /** Sends one request and decides on its retries and hedges. */
 export class RequestDispatcher {
   readonly #request: RoutedRequest;
@@ -110,8 +107,12 @@
     if (this.#isFinished) {
       return;
     }
-    if (!this.#mayHaveRun && this.#admission.isStoppedTooEarly) {
-      this.#endWithoutSuccess('stopping');
+    const obstacle = this.#admission.findObstacle(
+      this.#mayHaveRun,
+      this.#sentCount,
+    );
+    if (obstacle !== undefined) {
+      this.#endWithoutSuccess(obstacle);
       return;
     }
     if (this.#relay.isUnreached(selected, this.#tried)) {
@@ -142,8 +143,7 @@
   }
 
   #sendWithinBudget(selected: SelectedUpstream): void {
-    const isRepeat = this.#sentCount > 0;
-    if (isRepeat && !this.#repeats.take()) {
+    if (this.#sentCount > 0 && !this.#repeats.take()) {
       this.#endWithoutSuccess('attempts-spent');
       return;
     }
--- a/packages/balancer/src/serving/request-repeats.ts
+++ b/packages/balancer/src/serving/request-repeats.ts
@@ -6,6 +6,9 @@
 import type {RoutedRequest} from './routed-request.js';
 import type {RouteState} from './route-state.js';
 
+/** Limit of attempts that fail before a byte is sent; they don't count as attempts of the route, as they cost upstreams nothing. */
+export const MAXIMUM_UNSENT_ATTEMPTS = 4;
+
 /** Options of `RequestRepeats`. */
 export interface RequestRepeatsOptions {
   readonly routeState: RouteState;
--- a/packages/balancer/src/serving/routed-request.ts
+++ b/packages/balancer/src/serving/routed-request.ts
@@ -37,6 +37,8 @@
   readonly ownDeadlineMs: number;
   /** Earliest of the caller's deadline, the route's timeout and the end of this process, on the monotonic clock in milliseconds. */
   readonly deadlineMs: number;
+  /** Whether the configuration in force still allows the request; asked before the first send. Undefined if another entry relays the request, which has asked. */
+  readonly isStillAuthorized?: () => boolean;
   /** Set if another entry relays the request, which is then not relayed again. */
   readonly relayed?: RelayOrigin;
 }
@@ -57,7 +59,7 @@
 const refusalReasonSchema = z.enum([
   /** This entry has no configuration yet. */
   'no-configuration',
-  /** The configuration of the entry that a request was relayed to doesn't allow it. */
+  /** The configuration that is now in force, or that of the entry that a request was relayed to, doesn't allow it. */
   'other-configuration',
   /** The entry that a request was relayed to has as many as it takes. */
   'relays-full',
