fix(balancer): refuse requests whose account changed meanwhile

Cause: recheck compared only whether the key is still valid. If the key moved to another account, or the route began or ceased to need one, the request ran with the quota, regions and headers of the former account.

Change: such a request is refused with 503 as other-configuration, not run, with a Retry-After of 50 ms; after the body and before the first send.

Measured: the new scenario of an upload whose key moves passes, with those of uploads whose key is revoked or stays valid. It was not run without the change.

--- a/features/balancer/accounts.feature
+++ b/features/balancer/accounts.feature
@@ -126,6 +126,14 @@
     Then the upload is answered 200
     And the workers got 1 requests of it
 
+  # Guards against an upload that runs on the account that its key belonged to before, with that one's quota and regions.
+  Scenario: An upload whose key moves to another account is to be sent again
+    Given an upload with the key "secret-alpha-1" of which half has arrived
+    When the key "secret-alpha-1" moves from "alpha" to "beta"
+    And the rest of the upload arrives
+    Then the upload is answered 503
+    And the workers got 0 requests of it
+
   # Guards against long keys that are searched for or logged, or that end the entry.
   Scenario Outline: A key of <bytes> bytes is refused without harm
     When a look-up is sent with a key of <bytes> bytes
--- a/features/steps/accounts.steps.ts
+++ b/features/steps/accounts.steps.ts
@@ -184,6 +184,18 @@
   },
 );
 
+When(
+  'the key {string} moves from {string} to {string}',
+  async function (this: AccountWorld, key: string, from: string, to: string) {
+    const accounts = {...ACCOUNTS} as Record<string, {api_keys: string[]}>;
+    const kept = accounts[from].api_keys.filter(other => other !== key);
+    const gained = [...accounts[to].api_keys, key];
+    accounts[from] = {...accounts[from], api_keys: kept};
+    accounts[to] = {...accounts[to], api_keys: gained};
+    await configureAccounts(this.balancerSite, accounts);
+  },
+);
+
 Then(
   'the key {string} is refused on its connection',
   async function (this: AccountWorld, key: string) {
--- a/packages/balancer/src/serving/caller-server.ts
+++ b/packages/balancer/src/serving/caller-server.ts
@@ -24,9 +24,13 @@
 import type {RequestDispatcherOptions} from './dispatcher-options.js';
 import {headerBytesOf} from './request-head.js';
 import {onceClosed} from './response-close.js';
-import {STOPPING_RETRY_AFTER_MS} from './refusals.js';
+import {CHANGED_REFUSAL, STOPPING_REFUSAL} from './refusals.js';
 import {toRefusalFields, type RefusedRequest} from './refusal-fields.js';
-import {RequestRouter, type RoutingRejection} from './request-router.js';
+import {
+  RequestRouter,
+  type AccountChange,
+  type RoutingRejection,
+} from './request-router.js';
 import {RequestDispatcher} from './request-dispatcher.js';
 import {statusOf, type Refusal, type RoutedRequest} from './routed-request.js';
 
@@ -206,15 +210,15 @@
     }
     const recheck = () =>
       this.#router.recheck(
-        table,
+        {table, account},
         this.#options.table(),
         url,
         request.headers,
         metadata,
       );
-    const rejection = recheck();
-    if (rejection !== undefined) {
-      this.#reject(response, requestId, rejection);
+    const change = recheck();
+    if (change !== undefined) {
+      this.#refuseChanged(response, requestId, change);
       return;
     }
     const {endsAtMs} = this.#options;
@@ -252,7 +256,7 @@
   async #dispatch(
     response: ServerResponse,
     request: RoutedRequest,
-    recheck: () => RoutingRejection | undefined,
+    recheck: () => RoutingRejection | AccountChange | undefined,
   ): Promise<void> {
     if (response.destroyed || response.req.socket.destroyed) {
       return;
@@ -278,9 +282,9 @@
     }
     const {refusal} = result;
     const isChanged = refusal.reason === 'other-configuration';
-    const rejection = isChanged ? recheck() : undefined;
-    if (rejection !== undefined) {
-      this.#reject(response, request.requestId, rejection);
+    const change = isChanged ? recheck() : undefined;
+    if (change?.kind === 'rejection') {
+      this.#reject(response, request.requestId, change);
     } else {
       this.#refuse(response, request.requestId, refusal, request);
     }
@@ -323,6 +327,19 @@
     this.#send(response, rejection.status, {});
   }
 
+  /** Refuses a request that is no longer allowed as it was routed. */
+  #refuseChanged(
+    response: ServerResponse,
+    requestId: string | undefined,
+    change: RoutingRejection | AccountChange,
+  ): void {
+    if (change.kind === 'rejection') {
+      this.#reject(response, requestId, change);
+      return;
+    }
+    this.#refuse(response, requestId, CHANGED_REFUSAL);
+  }
+
   #refuse(
     response: ServerResponse,
     requestId: string | undefined,
@@ -345,11 +362,7 @@
     response: ServerResponse,
     requestId: string | undefined,
   ): void {
-    this.#refuse(response, requestId, {
-      reason: 'stopping',
-      isNotRun: true,
-      retryAfterMs: STOPPING_RETRY_AFTER_MS,
-    });
+    this.#refuse(response, requestId, STOPPING_REFUSAL);
   }
 
   #refuseBody(
--- a/packages/balancer/src/serving/refusals.ts
+++ b/packages/balancer/src/serving/refusals.ts
@@ -37,10 +37,24 @@
 export const PLACEMENT_RETRY_AFTER_MS = 1_000;
 
 /** Delay after which a caller that a stopping entry refuses may try another entry, in milliseconds. */
-export const STOPPING_RETRY_AFTER_MS = 50;
+const STOPPING_RETRY_AFTER_MS = 50;
+
+/** Refusal of a request by an entry that is stopping. */
+export const STOPPING_REFUSAL: Refusal = {
+  reason: 'stopping',
+  isNotRun: true,
+  retryAfterMs: STOPPING_RETRY_AFTER_MS,
+};
 
 /** Delay after which a caller may try again whose request the configuration was changed under, in milliseconds: the new one is in force already. */
-export const CHANGED_RETRY_AFTER_MS = 50;
+const CHANGED_RETRY_AFTER_MS = 50;
+
+/** Refusal of a request that the configuration in force routes otherwise. */
+export const CHANGED_REFUSAL: Refusal = {
+  reason: 'other-configuration',
+  isNotRun: true,
+  retryAfterMs: CHANGED_RETRY_AFTER_MS,
+};
 
 /** Creates the refusals of one request. */
 export class Refusals {
--- a/packages/balancer/src/serving/request-router.ts
+++ b/packages/balancer/src/serving/request-router.ts
@@ -43,6 +43,17 @@
   readonly account?: string;
 }
 
+/** A request's key leads to another account than before, or its route needs one now, or none any more. */
+export interface AccountChange {
+  readonly kind: 'account-change';
+}
+
+/** What a request was routed by. */
+export interface FormerRouting {
+  readonly table: RoutingTable;
+  readonly account: ClientAccount | undefined;
+}
+
 /** The keys that a request carries. */
 export type RequestKeys = Pick<CallerMetadata, 'accountKey' | 'hasRepeatedKey'>;
 
@@ -98,21 +109,30 @@
   /**
    * Checks the key of a routed request again if the configuration has changed
    * since: a body may take longer to arrive than a revoked key is accepted.
+   * @param former Version that the request was routed by, and the account then.
    * @returns Undefined if the request may go on with what it was routed by.
    */
   recheck(
-    table: RoutingTable,
+    former: FormerRouting,
     newest: RoutingTable | undefined,
     url: string,
     headers: IncomingHttpHeaders,
     keys: RequestKeys,
-  ): RoutingRejection | undefined {
-    if (newest === undefined || newest === table) {
+  ): RoutingRejection | AccountChange | undefined {
+    if (newest === undefined || newest === former.table) {
       return undefined;
     }
     const route = newest.findRoute(headers.host, url);
-    const account = route && findAccount(newest, route, keys);
-    return account?.kind === 'rejection' ? account : undefined;
+    if (route === undefined) {
+      return undefined;
+    }
+    const found = findAccount(newest, route, keys);
+    if (found?.kind === 'rejection') {
+      return found;
+    }
+    // Changed rights of the same account apply from its next request on.
+    const isSame = found?.account.name === former.account?.name;
+    return isSame ? undefined : {kind: 'account-change'};
   }
 }
 
