fix(balancer): log unknown regions only when they differ

Change: the line is written only if it would say something else than for the version before.

Measured: with a line for each version the extended scenario of accounts fails, with two lines instead of one; with the change it passes.

--- a/features/balancer/accounts.feature
+++ b/features/balancer/accounts.feature
@@ -190,10 +190,16 @@
       | no accounts in its table     |
 
   # Guards against a mistake in a list of regions that nobody sees, and one that fills the log.
-  Scenario: Unknown regions are logged once for each configuration
+  Scenario: Unknown regions are logged when they change, and not with each version
     When a configuration with an unknown region is written
     Then the newest configuration is in force within 3000 ms
     And the log names the region "moon" and the account "beta" once
+    When a configuration with an unknown region is written
+    Then the newest configuration is in force within 3000 ms
+    And the log has 1 line on unknown regions
+    When a configuration with two unknown regions is written
+    Then the newest configuration is in force within 3000 ms
+    And the log has 2 lines on unknown regions
 
   # Guards against an empty table of accounts that lets everyone in.
   Scenario: An empty table of accounts admits nobody
--- a/features/steps/accounts.steps.ts
+++ b/features/steps/accounts.steps.ts
@@ -47,6 +47,9 @@
   'an account without keys': {gamma: {}},
   'a key of 1 kB': {beta: {api_keys: [SECRET.padEnd(KILOBYTE, 'x')]}},
   'a quota of 10^12': {beta: {rate_per_s: QUOTA_LIMIT, burst: QUOTA_LIMIT}},
+  'two unknown regions': {
+    beta: {...ACCOUNTS.beta, allowed_regions: ['moon', 'mars', 'home']},
+  },
   'an unknown region': {
     beta: {...ACCOUNTS.beta, allowed_regions: ['moon', 'home']},
   },
@@ -334,6 +337,14 @@
   },
 );
 
+Then(
+  /^the log has (\d+) lines? on unknown regions$/,
+  function (this: AccountWorld, count: string) {
+    const lines = linesOf(this, 'configuration.unknown-regions');
+    assert.equal(lines.length, Number(count));
+  },
+);
+
 async function send(world: AccountWorld, text: string): Promise<number> {
   const connection = await CallerConnection.open(world.balancerSite.callerPort);
   connection.write(text);
--- a/packages/balancer/src/cluster-state.ts
+++ b/packages/balancer/src/cluster-state.ts
@@ -1,5 +1,6 @@
 /** State of the deployment as read from the store: the applied configuration, the upstreams and the entries. */
 
+import {isDeepStrictEqual} from 'node:util';
 import {parseJson, type Clock} from '@wasabidyke/shared';
 import {entryRecordSchema} from './members/entry-record.js';
 import type {RecordHistory} from './feed/record-history.js';
@@ -10,8 +11,12 @@
 import type {UpstreamRegistry} from './members/upstream-registry.js';
 import type {DecisionLog} from './reporting/decision-log.js';
 import {AccountDirectory} from './routing/account-directory.js';
+import type {RoutingConfiguration} from './routing/routing-configuration.js';
 import {RoutingTable} from './routing/routing-table.js';
-import {findUnknownRegions} from './routing/unknown-regions.js';
+import {
+  findUnknownRegions,
+  type UnknownRegions,
+} from './routing/unknown-regions.js';
 import {ENTRY_KEY_PREFIX} from './store/entry-announcer.js';
 import type {DecodedRecord, RecordDecoder} from './store/record-decoder.js';
 import type {
@@ -50,6 +55,8 @@
   readonly #options: ClusterStateOptions;
   readonly #upstreams: UpstreamRoster;
   #table: RoutingTable | undefined;
+  /** Unknown regions of the applied configuration. */
+  #unknownRegions: UnknownRegions | undefined;
   /** Position of the read that is applied. */
   #read = {era: UNNAMED_ERA, revision: 0};
   /** The change of era whose complete read is due. */
@@ -244,7 +251,7 @@
     if (configuration.version <= currentVersion) {
       return;
     }
-    const {log, regions} = this.#options;
+    const {log} = this.#options;
     const accounts = AccountDirectory.create(
       configuration.accounts ?? [],
       this.#table?.accounts,
@@ -266,16 +273,22 @@
       routes: configuration.routes.length,
       accounts: configuration.accounts?.length,
     });
-    const unknownRegions = findUnknownRegions(configuration, regions());
-    if (unknownRegions !== undefined) {
-      log.record('configuration.unknown-regions', {
-        version: configuration.version,
-        ...unknownRegions,
-      });
-    }
+    this.#logUnknownRegions(configuration);
     this.#options.onTable(this.#table);
   }
 
+  /** Versions may arrive three times a second, so only a change of what is unknown is logged. */
+  #logUnknownRegions(configuration: RoutingConfiguration): void {
+    const {log, regions} = this.#options;
+    const unknown = findUnknownRegions(configuration, regions());
+    const isLogged = isDeepStrictEqual(unknown, this.#unknownRegions);
+    this.#unknownRegions = unknown;
+    if (unknown !== undefined && !isLogged) {
+      const {version} = configuration;
+      log.record('configuration.unknown-regions', {version, ...unknown});
+    }
+  }
+
   #onUpstream(
     decoded: Extract<DecodedRecord, {kind: 'upstream'}>,
     mayReappear: boolean,
