fix(balancer): refuse keys that no header can carry

Cause: keys with blanks at their ends or with control characters were accepted. No caller can send them, so each request with such a key got a 401.

Change: the whole configuration is refused, as for an empty key; the cause names the position and never the key. Tabs and blanks inside a key stay allowed.

Measured: the scenarios of refused and applied configurations in accounts pass with the new examples. They were not run without the change.

--- a/features/balancer/accounts.feature
+++ b/features/balancer/accounts.feature
@@ -175,6 +175,8 @@
       | a burst over 10^12       | beta    |
       | a key over 1 kB          | beta    |
       | an empty key             | beta    |
+      | a key with outer blanks  | beta    |
+      | a key with a line break  | beta    |
 
   # Guards against configurations that are refused though nothing in them is wrong.
   Scenario Outline: A configuration with <oddity> is applied
@@ -186,6 +188,7 @@
       | one key twice at one account |
       | an account without keys      |
       | a key of 1 kB                |
+      | a key with inner blanks      |
       | a quota of 10^12             |
       | no accounts in its table     |
 
--- a/features/steps/accounts.steps.ts
+++ b/features/steps/accounts.steps.ts
@@ -41,6 +41,9 @@
   'a burst over 10^12': {beta: {...ACCOUNTS.beta, burst: 1e13}},
   'a key over 1 kB': {beta: {api_keys: [SECRET.padEnd(KILOBYTE + 1, 'x')]}},
   'an empty key': {beta: {api_keys: ['secret-beta', '']}},
+  'a key with outer blanks': {beta: {api_keys: ['secret-beta', 'secret-b ']}},
+  'a key with a line break': {beta: {api_keys: ['secret-beta\nsecret-b']}},
+  'a key with inner blanks': {beta: {api_keys: ['secret-beta \t secret-b']}},
   'one key twice at one account': {
     beta: {api_keys: ['secret-beta', 'secret-beta']},
   },
--- a/packages/balancer/src/routing/account-check.ts
+++ b/packages/balancer/src/routing/account-check.ts
@@ -22,15 +22,22 @@
   return problem && `account ${JSON.stringify(account.name)}: ${problem}`;
 }
 
+/** Blanks at the ends of a header value, which belong to no value. Source: RFC 9110, section 5.5. */
+const OUTER_BLANKS = /^[ \t]|[ \t]$/;
+
 /** Upstreams get the name in a header. */
 function findNameProblem(name: string): string | undefined {
-  for (let index = 0; index < name.length; index++) {
-    const code = name.charCodeAt(index);
+  return hasControls(name) ? 'the name has control characters' : undefined;
+}
+
+function hasControls(text: string): boolean {
+  for (let index = 0; index < text.length; index++) {
+    const code = text.charCodeAt(index);
     if (code < FIRST_PRINTABLE_CODE || code === DELETE_CODE) {
-      return 'the name has control characters';
+      return true;
     }
   }
-  return undefined;
+  return false;
 }
 
 function findQuotaProblem(what: string, value: number): string | undefined {
@@ -48,6 +55,14 @@
     if (Buffer.byteLength(key) > MAXIMUM_KEY_BYTES) {
       return `key ${index + 1} is over ${MAXIMUM_KEY_BYTES} bytes`;
     }
+    // Callers can't send such a key: each of their requests would get a 401.
+    if (OUTER_BLANKS.test(key)) {
+      return `key ${index + 1} begins or ends with a blank`;
+    }
+    // A value may have tabs inside.
+    if (hasControls(key.replaceAll('\t', ''))) {
+      return `key ${index + 1} has control characters`;
+    }
   }
   return undefined;
 }
