--- a/features/balancer/accounts.feature
+++ b/features/balancer/accounts.feature
@@ -126,6 +126,14 @@
     Then the upload is answered 200
     And the workers got 1 requests of it
 
+  # Guards against an upload that runs on the account that its key belonged to before, with that one's quota and regions.
+  Scenario: An upload whose key moves to another account is to be sent again
+    Given an upload with the key "secret-alpha-1" of which half has arrived
+    When the key "secret-alpha-1" moves from "alpha" to "beta"
+    And the rest of the upload arrives
+    Then the upload is answered 503
+    And the workers got 0 requests of it
+
   # Guards against long keys that are searched for or logged, or that end the entry.
   Scenario Outline: A key of <bytes> bytes is refused without harm
     When a look-up is sent with a key of <bytes> bytes
@@ -167,6 +175,8 @@
       | a burst over 10^12       | beta    |
       | a key over 1 kB          | beta    |
       | an empty key             | beta    |
+      | a key with outer blanks  | beta    |
+      | a key with a line break  | beta    |
 
   # Guards against configurations that are refused though nothing in them is wrong.
   Scenario Outline: A configuration with <oddity> is applied
@@ -178,14 +188,21 @@
       | one key twice at one account |
       | an account without keys      |
       | a key of 1 kB                |
+      | a key with inner blanks      |
       | a quota of 10^12             |
       | no accounts in its table     |
 
   # Guards against a mistake in a list of regions that nobody sees, and one that fills the log.
-  Scenario: Unknown regions are logged once for each configuration
+  Scenario: Unknown regions are logged when they change, and not with each version
     When a configuration with an unknown region is written
     Then the newest configuration is in force within 3000 ms
     And the log names the region "moon" and the account "beta" once
+    When a configuration with an unknown region is written
+    Then the newest configuration is in force within 3000 ms
+    And the log has 1 line on unknown regions
+    When a configuration with two unknown regions is written
+    Then the newest configuration is in force within 3000 ms
+    And the log has 2 lines on unknown regions
 
   # Guards against an empty table of accounts that lets everyone in.
   Scenario: An empty table of accounts admits nobody
--- a/features/steps/accounts.steps.ts
+++ b/features/steps/accounts.steps.ts
@@ -41,12 +41,18 @@
   'a burst over 10^12': {beta: {...ACCOUNTS.beta, burst: 1e13}},
   'a key over 1 kB': {beta: {api_keys: [SECRET.padEnd(KILOBYTE + 1, 'x')]}},
   'an empty key': {beta: {api_keys: ['secret-beta', '']}},
+  'a key with outer blanks': {beta: {api_keys: ['secret-beta', 'secret-b ']}},
+  'a key with a line break': {beta: {api_keys: ['secret-beta\nsecret-b']}},
+  'a key with inner blanks': {beta: {api_keys: ['secret-beta \t secret-b']}},
   'one key twice at one account': {
     beta: {api_keys: ['secret-beta', 'secret-beta']},
   },
   'an account without keys': {gamma: {}},
   'a key of 1 kB': {beta: {api_keys: [SECRET.padEnd(KILOBYTE, 'x')]}},
   'a quota of 10^12': {beta: {rate_per_s: QUOTA_LIMIT, burst: QUOTA_LIMIT}},
+  'two unknown regions': {
+    beta: {...ACCOUNTS.beta, allowed_regions: ['moon', 'mars', 'home']},
+  },
   'an unknown region': {
     beta: {...ACCOUNTS.beta, allowed_regions: ['moon', 'home']},
   },
@@ -184,6 +190,18 @@
   },
 );
 
+When(
+  'the key {string} moves from {string} to {string}',
+  async function (this: AccountWorld, key: string, from: string, to: string) {
+    const accounts = {...ACCOUNTS} as Record<string, {api_keys: string[]}>;
+    const kept = accounts[from].api_keys.filter(other => other !== key);
+    const gained = [...accounts[to].api_keys, key];
+    accounts[from] = {...accounts[from], api_keys: kept};
+    accounts[to] = {...accounts[to], api_keys: gained};
+    await configureAccounts(this.balancerSite, accounts);
+  },
+);
+
 Then(
   'the key {string} is refused on its connection',
   async function (this: AccountWorld, key: string) {
@@ -322,6 +340,14 @@
   },
 );
 
+Then(
+  /^the log has (\d+) lines? on unknown regions$/,
+  function (this: AccountWorld, count: string) {
+    const lines = linesOf(this, 'configuration.unknown-regions');
+    assert.equal(lines.length, Number(count));
+  },
+);
+
 async function send(world: AccountWorld, text: string): Promise<number> {
   const connection = await CallerConnection.open(world.balancerSite.callerPort);
   connection.write(text);
--- a/packages/balancer/src/serving/caller-server.ts
+++ b/packages/balancer/src/serving/caller-server.ts
@@ -24,9 +24,13 @@
 import type {RequestDispatcherOptions} from './dispatcher-options.js';
 import {headerBytesOf} from './request-head.js';
 import {onceClosed} from './response-close.js';
-import {STOPPING_RETRY_AFTER_MS} from './refusals.js';
+import {CHANGED_REFUSAL, STOPPING_REFUSAL} from './refusals.js';
 import {toRefusalFields, type RefusedRequest} from './refusal-fields.js';
-import {RequestRouter, type RoutingRejection} from './request-router.js';
+import {
+  RequestRouter,
+  type AccountChange,
+  type RoutingRejection,
+} from './request-router.js';
 import {RequestDispatcher} from './request-dispatcher.js';
 import {statusOf, type Refusal, type RoutedRequest} from './routed-request.js';
 
@@ -204,19 +208,21 @@
       this.#refuseStopping(response, requestId);
       return;
     }
-    const rejection = this.#router.recheck(
-      table,
-      this.#options.table(),
-      url,
-      request.headers,
-      metadata,
-    );
-    if (rejection !== undefined) {
-      this.#reject(response, requestId, rejection);
+    const recheck = () =>
+      this.#router.recheck(
+        {table, account},
+        this.#options.table(),
+        url,
+        request.headers,
+        metadata,
+      );
+    const change = recheck();
+    if (change !== undefined) {
+      this.#refuseChanged(response, requestId, change);
       return;
     }
     const {endsAtMs} = this.#options;
-    await this.#dispatch(response, {
+    const routedRequest: RoutedRequest = {
       requestId,
       method: request.method ?? 'GET',
       url,
@@ -236,7 +242,9 @@
       get deadlineMs() {
         return Math.min(ownDeadlineMs, endsAtMs());
       },
-    });
+      isStillAuthorized: () => recheck() === undefined,
+    };
+    await this.#dispatch(response, routedRequest, recheck);
   }
 
   /** Whether a request that has not been passed on is refused because of the stop of this process. */
@@ -248,6 +256,7 @@
   async #dispatch(
     response: ServerResponse,
     request: RoutedRequest,
+    recheck: () => RoutingRejection | AccountChange | undefined,
   ): Promise<void> {
     if (response.destroyed || response.req.socket.destroyed) {
       return;
@@ -269,8 +278,15 @@
     removeListener();
     if (result.kind === 'answer') {
       this.#sendAnswer(response, request, result.answer);
+      return;
+    }
+    const {refusal} = result;
+    const isChanged = refusal.reason === 'other-configuration';
+    const change = isChanged ? recheck() : undefined;
+    if (change?.kind === 'rejection') {
+      this.#reject(response, request.requestId, change);
     } else {
-      this.#refuse(response, request.requestId, result.refusal, request);
+      this.#refuse(response, request.requestId, refusal, request);
     }
   }
 
@@ -311,6 +327,19 @@
     this.#send(response, rejection.status, {});
   }
 
+  /** Refuses a request that is no longer allowed as it was routed. */
+  #refuseChanged(
+    response: ServerResponse,
+    requestId: string | undefined,
+    change: RoutingRejection | AccountChange,
+  ): void {
+    if (change.kind === 'rejection') {
+      this.#reject(response, requestId, change);
+      return;
+    }
+    this.#refuse(response, requestId, CHANGED_REFUSAL);
+  }
+
   #refuse(
     response: ServerResponse,
     requestId: string | undefined,
@@ -333,11 +362,7 @@
     response: ServerResponse,
     requestId: string | undefined,
   ): void {
-    this.#refuse(response, requestId, {
-      reason: 'stopping',
-      isNotRun: true,
-      retryAfterMs: STOPPING_RETRY_AFTER_MS,
-    });
+    this.#refuse(response, requestId, STOPPING_REFUSAL);
   }
 
   #refuseBody(
