test(balancer): the stubs of place decisions know warm-ups and round trips

Cause: two scenarios failed since the selector also asks for these. Change: the stubs answer as for a service without a warm-up. Measured: place-decisions.feature passes.

--- a/features/steps/place-decisions.steps.ts
+++ b/features/steps/place-decisions.steps.ts
@@ -17,7 +17,11 @@
   type UpstreamSelectorOptions,
   type UpstreamSenderOptions,
 } from '@wasabidyke/balancer';
-import {SeededRandom, UpstreamStatistics} from '@wasabidyke/policy';
+import {
+  RoundTripEstimate,
+  SeededRandom,
+  UpstreamStatistics,
+} from '@wasabidyke/policy';
 import {SystemClock} from '@wasabidyke/shared';
 import {MemoryLog} from '../support/balancer-site.js';
 
@@ -148,7 +152,10 @@
     const reach = {onHeard: () => {}};
     const handle = {
       record: {zone},
-      limit: {requestsPerSecond: undefined},
+      limit: {
+        appliedPerSecond: () => undefined,
+        warmUp: {isConfigured: false},
+      },
       statistics: new UpstreamStatistics(
         'same-zone',
         1,
@@ -163,7 +170,12 @@
       queryLoad: async () => placement.evacuations.apply(evacuated, true),
     };
     const selector = new UpstreamSelector({
-      registry: {list: () => [handle], groupFailureShare: () => group},
+      registry: {
+        list: () => [handle],
+        groupFailureShare: () => group,
+        hasWarmUp: () => false,
+        roundTrip: () => new RoundTripEstimate(1),
+      },
       placement,
       clock: new SystemClock(),
       random: new SeededRandom(1),
