--- a/features/steps/place-decisions.steps.ts
+++ b/features/steps/place-decisions.steps.ts
@@ -154,8 +154,10 @@
       record: {zone},
       limit: {
         appliedPerSecond: () => undefined,
+        mayTryNew: () => false,
         warmUp: {isConfigured: false},
       },
+      warmUp: {warmUp: {isDoubtful: false}},
       statistics: new UpstreamStatistics(
         'same-zone',
         1,
