--- a/packages/policy/src/quota-tolerance.ts
+++ b/packages/policy/src/quota-tolerance.ts
@@ -31,7 +31,7 @@
 /** Share of the tolerance that enlarges the bursts of the regions: a region has only its part of the burst, but as much chance as the whole. */
 const BURST_SHARE = 0.6;
 
-/** Share of the tolerance with which granting entries start: they don't know what the former ones granted. With a tenth, accounts of one request per second were refused 5 in 100 after a start. */
+/** Share of the tolerance with which granting entries start: they don't know what the former ones granted. A tenth refuses accounts of one request per second after a start. */
 const START_SHARE = 0.3;
 
 function tolerated(quota: Quota, tolerance: QuotaTolerance): number {
--- a/packages/policy/src/region-demand.ts
+++ b/packages/policy/src/region-demand.ts
@@ -22,7 +22,7 @@
 /** Demand below this share of the rate's equal part counts as none and is not told. */
 const TOLD_SHARE = 0.1;
 
-/** Change of demand that is told, as a share of what was told last and of the rate. Regions borrow from each other for less; half of these values doubled the messages and refused as many. */
+/** Change of demand that is told, as a share of what was told last and of the rate. Regions borrow from each other for less, so that smaller steps cost messages and save no refusals. */
 const CHANGE_SHARE = 0.5;
 const RATE_CHANGE_SHARE = 0.2;
 
--- a/packages/policy/src/value-admission.ts
+++ b/packages/policy/src/value-admission.ts
@@ -29,15 +29,15 @@
 /**
  * Slots that are reserved for each more urgent priority under full pressure, as
  * a multiple of the square root of the slots considered: the number of free
- * slots varies by about that. A reserve of 0.3 of the slots instead refused one
- * in six usual requests at 0.85 of the capacity with 100 entries.
+ * slots varies by about that. A reserve in proportion to the slots refuses
+ * usual requests of large fleets.
  */
 const RESERVED_ROOTS = 1.5;
 
 /** Free slots up to which they are scarce, as the same multiple: below what is reserved, so that the pressure falls once more is free than the more urgent need. */
 const SCARCE_ROOTS = 0.8;
 
-/** Slots that stay reserved when a request has waited for as long as it may, until refusals of its priority last, as the same multiple. Without this step, more than 1 in 100 requests were refused at 0.6 of the capacity with 100 entries. */
+/** Slots that stay reserved when a request has waited for as long as it may, until refusals of its priority last, as the same multiple: a moment of scarcity refuses nobody. */
 const LAST_RESERVED_ROOTS = 0.4;
 
 /** Largest share of the slots that is reserved in all. */
@@ -49,7 +49,7 @@
 /** Pressure below which no slot is reserved. */
 const NEGLIGIBLE_PRESSURE = 0.2;
 
-/** How often each priority is sent at least, as a part of how often all are. The design page asks for a quarter; with just that as the aim, 0.245 was served at 15 entries, since a request is raised only after its priority has fallen below. */
+/** How often each priority is sent at least, as a part of how often all are: a little over the quarter that is guaranteed, since a priority is raised only after it has fallen below. */
 const FLOOR_SHARE = 0.3;
 
 /** Work as a multiple of the mean of its priority from which on a request gives way to the others of its priority. */
