fix(balancer): the watch of ended workers hears of every connection that ends

Change: the cause of an end is passed on. The watch hears of all, as it did; only broken connections make a warm upstream doubtful.

--- a/features/steps/connections.steps.ts
+++ b/features/steps/connections.steps.ts
@@ -89,8 +89,8 @@
     this.server.listen(0, '127.0.0.1');
     await once(this.server, 'listening');
     const {port} = this.server.address() as AddressInfo;
-    this.pool = new ConnectionPool(`127.0.0.1:${port}`, 1, () => {
-      this.lostCount += 1;
+    this.pool = new ConnectionPool(`127.0.0.1:${port}`, 1, cause => {
+      this.lostCount += Number(cause === 'broken');
     });
   },
 );
--- a/packages/balancer/src/exchange/connection-pool.ts
+++ b/packages/balancer/src/exchange/connection-pool.ts
@@ -12,6 +12,9 @@
 /** An idle connection is closed this long before the timeout that the upstream states, in milliseconds: a request sent while the upstream closes would be lost. */
 const IDLE_TIMEOUT_MARGIN_MS = 1_500;
 
+/** How a connection ended: the upstream or the network broke it, or the client closed it by itself, such as after an idle time or an answer that says so. */
+export type LossCause = 'broken' | 'closed';
+
 /** Code with which the client closes a connection on its own, as it does when the connection was idle for long. */
 const OWN_CLOSE_CODE = 'UND_ERR_INFO';
 
@@ -47,8 +50,8 @@
   /** Whether the head of an answer is expected and none has been checked. */
   #isHeadDue = false;
 
-  /** @param onLost Called when the connection ends, unless by `destroy` or by the client on its own. */
-  constructor(origin: string, onLost: () => void) {
+  /** @param onLost Called when the connection ends, unless by `destroy`. */
+  constructor(origin: string, onLost: (cause: LossCause) => void) {
     this.#client = new Client(origin, {
       pipelining: 1,
       connect: (options, callback) => this.#connect(options, callback),
@@ -59,10 +62,10 @@
       keepAliveTimeoutThreshold: IDLE_TIMEOUT_MARGIN_MS,
     });
     this.#client.on('disconnect', (_origin, _targets, error) => {
-      const isLost = !this.#isBroken && error.code !== OWN_CLOSE_CODE;
+      const wasBroken = this.#isBroken;
       this.#isBroken = true;
-      if (isLost) {
-        onLost();
+      if (!wasBroken) {
+        onLost(error.code === OWN_CLOSE_CODE ? 'closed' : 'broken');
       }
     });
   }
@@ -173,7 +176,7 @@
 /** Idle and busy connections to one upstream, up to a limit. */
 export class ConnectionPool {
   readonly #origin: string;
-  readonly #onLost: () => void;
+  readonly #onLost: (cause: LossCause) => void;
   readonly #idleConnections: UpstreamConnection[] = [];
   readonly #openConnections = new Set<UpstreamConnection>();
   #limit: number;
@@ -183,7 +186,11 @@
    * @param onLost Called when a connection ends that the pool didn't close.
    * @throws TypeError if the address is none, now rather than with the first connection.
    */
-  constructor(address: string, limit: number, onLost: () => void = () => {}) {
+  constructor(
+    address: string,
+    limit: number,
+    onLost: (cause: LossCause) => void = () => {},
+  ) {
     this.#onLost = onLost;
     this.#origin = new URL(`http://${address}`).origin;
     this.#limit = limit;
--- a/packages/balancer/src/members/upstream-handle.ts
+++ b/packages/balancer/src/members/upstream-handle.ts
@@ -13,6 +13,7 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import {
   ConnectionPool,
+  type LossCause,
   type UpstreamConnection,
 } from '../exchange/connection-pool.js';
 import type {AnswerMemory} from '../exchange/answer-memory.js';
@@ -52,7 +53,7 @@
   /** Called when the upstream has answered anything. */
   readonly onHeard: () => void;
   /** Called when a connection to the upstream ends that this entry didn't close. */
-  readonly onConnectionLost: () => void;
+  readonly onConnectionLost: (cause: LossCause) => void;
   /** Called when the upstream says that it is leaving. */
   readonly onLeaving: (record: UpstreamRecord) => void;
   /** Called when the upstream asks for rest. */
--- a/packages/balancer/src/members/upstream-registry.ts
+++ b/packages/balancer/src/members/upstream-registry.ts
@@ -277,8 +277,11 @@
       answerMemory: this.answerMemory,
       onLimit: source => onLimit(handle, source),
       onHeard: () => onHeard(handle),
-      onConnectionLost: () => {
-        warmUpTracker.doubt('connection');
+      onConnectionLost: cause => {
+        // An idle close says nothing of the upstream; one after an answer may be the last sign of a process that ends.
+        if (cause === 'broken') {
+          warmUpTracker.doubt('connection');
+        }
         this.#options.onConnectionLost(handle);
       },
       onRest,
