--- a/features/steps/account-lookup.steps.ts
+++ b/features/steps/account-lookup.steps.ts
@@ -15,6 +15,7 @@
 import {PlatformDecoder, PlatformWireProtocol} from '@wasabidyke/platform';
 import {SeededRandom} from '@wasabidyke/policy';
 import type {MetricRegistry} from '@wasabidyke/shared';
+import {FAULTS, KEY} from '../support/account-faults.js';
 import {SECRET} from '../support/account-site.js';
 import {
   createAccount,
@@ -24,7 +25,6 @@
   decodeConfiguration,
   keysOf,
   writeConfiguration,
-  type WrittenConfiguration,
 } from '../support/account-tables.js';
 import {microsecondsOf} from '../support/lookup-time.js';
 
@@ -39,42 +39,6 @@
   log: JsonDecisionLog;
 }
 
-const KEY = 'secret-4be1c07d92';
-
-/** Faults by which a configuration can't be read. */
-const FAULTS: Readonly<
-  Record<string, (written: WrittenConfiguration) => void>
-> = {
-  'keys that are a text': written => {
-    written.tenants = {alpha: {api_keys: KEY}};
-  },
-  'keys that are an object': written => {
-    written.tenants = {alpha: {api_keys: {[KEY]: true}}};
-  },
-  'a key that is an object': written => {
-    written.tenants = {alpha: {api_keys: [{key: KEY}]}};
-  },
-  'accounts in a list': written => {
-    written.tenants = [{name: 'alpha', api_keys: [KEY]}];
-  },
-  'an account that is its key': written => {
-    written.tenants = {alpha: KEY};
-  },
-  'an account that is a list of keys': written => {
-    written.tenants = {alpha: [KEY]};
-  },
-  'a quota that is a key': written => {
-    written.tenants = {alpha: {api_keys: [KEY], rate_per_s: KEY}};
-  },
-  'a quota beyond all numbers': written => {
-    written.tenants = {alpha: {api_keys: [KEY], rate_per_s: 'HUGE'}};
-  },
-  'a version that is a key': written => {
-    written.version = KEY;
-  },
-  'its second half missing': () => {},
-};
-
 Given(
   /^tables with (\d+) and (\d+) (accounts|routes)$/,
   function (this: LookupWorld, few: string, many: string, what: string) {
--- a/features/steps/balancer-crashes.steps.ts
+++ b/features/steps/balancer-crashes.steps.ts
@@ -12,11 +12,11 @@
 import {SystemClock} from '@wasabidyke/shared';
 import {
   BalancerSite,
-  MemoryLog,
   type CallerAnswer,
   type CallerRequest,
 } from '../support/balancer-site.js';
 import {eventually} from '../support/eventually.js';
+import {MemoryLog} from '../support/memory-log.js';
 import type {CallerHabit} from '../support/worker-ending.js';
 
 /** Pause between sends, in milliseconds, and the one of callers that don't wait for their answers. */
--- a/features/steps/balancer.steps.ts
+++ b/features/steps/balancer.steps.ts
@@ -8,9 +8,9 @@
   BalancerSite,
   ROUTE_TIMEOUT_MS,
   type CallerAnswer,
-  type LoggedEvent,
 } from '../support/balancer-site.js';
 import {eventually} from '../support/eventually.js';
+import type {LoggedEvent} from '../support/memory-log.js';
 import type {WorkerScript} from '../support/scripted-worker.js';
 
 interface BalancerWorld {
--- a/features/steps/feed.steps.ts
+++ b/features/steps/feed.steps.ts
@@ -16,7 +16,7 @@
 import {SeededRandom} from '@wasabidyke/policy';
 import {SystemClock} from '@wasabidyke/shared';
 import {findFreePorts} from '@wasabidyke/stand-ins';
-import {MemoryLog} from '../support/balancer-site.js';
+import {MemoryLog} from '../support/memory-log.js';
 import {Believer} from '../support/believer.js';
 import {eventually} from '../support/eventually.js';
 import {MemoryRecordStore} from '../support/memory-record-store.js';
--- a/features/steps/place-decisions.steps.ts
+++ b/features/steps/place-decisions.steps.ts
@@ -23,7 +23,7 @@
   UpstreamStatistics,
 } from '@wasabidyke/policy';
 import {SystemClock} from '@wasabidyke/shared';
-import {MemoryLog} from '../support/balancer-site.js';
+import {MemoryLog} from '../support/memory-log.js';
 
 interface DecisionWorld {
   placement: Placement;
--- a/features/steps/store-eras.steps.ts
+++ b/features/steps/store-eras.steps.ts
@@ -13,7 +13,7 @@
 import {SeededRandom} from '@wasabidyke/policy';
 import {SystemClock} from '@wasabidyke/shared';
 import {StoreStandIn, type StoreCopy} from '@wasabidyke/soak';
-import {MemoryLog} from '../support/balancer-site.js';
+import {MemoryLog} from '../support/memory-log.js';
 import {eventually} from '../support/eventually.js';
 import {ReadingEntry} from '../support/reading-entry.js';
 
--- a/features/support/balancer-site.ts
+++ b/features/support/balancer-site.ts
@@ -1,12 +1,7 @@
 /** Balancers in this process, with a store in memory and scripted workers. */
 
 import {request as sendRequest, type IncomingHttpHeaders} from 'node:http';
-import {
-  Balancer,
-  DecisionLog,
-  parseBalancerSettings,
-  type LogFields,
-} from '@wasabidyke/balancer';
+import {Balancer, parseBalancerSettings} from '@wasabidyke/balancer';
 import {
   PlatformDiscoveryProtocol,
   PlatformWireProtocol,
@@ -14,43 +9,10 @@
 import {findFreePorts} from '@wasabidyke/stand-ins';
 import {EntryLinks} from './entry-links.js';
 import {eventually} from './eventually.js';
+import {EntryLog, MemoryLog} from './memory-log.js';
 import {MemoryRecordStore} from './memory-record-store.js';
 import {ScriptedWorker} from './scripted-worker.js';
 
-/** A line that was logged. */
-export interface LoggedEvent extends LogFields {
-  readonly event: string;
-}
-
-/** Keeps what is logged. */
-export class MemoryLog extends DecisionLog {
-  readonly events: LoggedEvent[] = [];
-
-  override record(event: string, fields: LogFields): void {
-    this.events.push({event, ...fields});
-  }
-
-  override flush(): void {}
-}
-
-/** Adds the name of an entry to each line. */
-class EntryLog extends DecisionLog {
-  readonly #entry: string;
-  readonly #log: MemoryLog;
-
-  constructor(entry: string, log: MemoryLog) {
-    super();
-    this.#entry = entry;
-    this.#log = log;
-  }
-
-  override record(event: string, fields: LogFields): void {
-    this.#log.record(event, {entry: this.#entry, ...fields});
-  }
-
-  override flush(): void {}
-}
-
 /** What a caller got. */
 export interface CallerAnswer {
   readonly status: number;
--- a/features/support/reading-entry.ts
+++ b/features/support/reading-entry.ts
@@ -9,7 +9,7 @@
 import {SeededRandom} from '@wasabidyke/policy';
 import {SystemClock} from '@wasabidyke/shared';
 import {findFreePorts} from '@wasabidyke/stand-ins';
-import {MemoryLog} from './balancer-site.js';
+import {MemoryLog} from './memory-log.js';
 import {Believer} from './believer.js';
 
 const SEED = 5;
