--- a/features/policy/report-wait.feature
+++ b/features/policy/report-wait.feature
@@ -11,6 +11,11 @@
     Given answers of upstreams that take 2.9 ms
     Then the wait for load reports is between 8 and 8 ms
 
+  # Guards against a busy entry on short links that takes its own delays for the links, and waits longer than it did.
+  Scenario: Zones that are near, and an entry that is busy
+    Given answers of upstreams that take 2.9 ms, two thirds of them 15 ms longer
+    Then the wait for load reports is between 8 and 8 ms
+
   # Guards against the first requests after a start, which were all sent without a
   # report: an upstream that was full looked as free as the others.
   Scenario: Connections that have to be opened first
--- a/features/steps/report-wait.steps.ts
+++ b/features/steps/report-wait.steps.ts
@@ -26,6 +26,19 @@
   },
 );
 
+Given(
+  'answers of upstreams that take {float} ms, two thirds of them {float} ms longer',
+  function (this: ReportWaitWorld, durationMs: number, delayMs: number) {
+    const estimate = new RoundTripEstimate(ASSUMED_MS);
+    for (let count = 0; count < ANSWERS; count++) {
+      const isDelayed = count % 3 !== 0;
+      estimate.onAnswer(durationMs + (isDelayed ? delayMs : 0));
+    }
+    this.roundTripMs = estimate.roundTripMs;
+    this.hasReports = true;
+  },
+);
+
 Given(
   'no upstream has reported its load yet',
   function (this: ReportWaitWorld) {
