fix(balancer): what has no route is not found, however large its headers are

Cause: the size of headers was checked before the route, so that deployments without accounts answered 431 where they had answered 404. Change: the size counts only for requests that have a route. Measured: a new scenario; accounts.feature passes.

--- a/features/balancer/accounts.feature
+++ b/features/balancer/accounts.feature
@@ -65,6 +65,11 @@
     And the worker got no account
     And no key is found in the log, the metrics or at a worker
 
+  # Guards against a refusal for its size of what has no route.
+  Scenario: What has no route is not found, however large its headers are
+    When "GET /other/a" is sent with a key of 20000 bytes
+    Then its status is 404
+
   # Guards against a 401 that hides a wrong path.
   Scenario Outline: What has no route is not found, with or without a key
     When "GET /other/a" is sent with the fields "<fields>"
--- a/features/steps/accounts.steps.ts
+++ b/features/steps/accounts.steps.ts
@@ -101,6 +101,14 @@
   },
 );
 
+When(
+  '{string} is sent with a key of {int} bytes',
+  async function (this: AccountWorld, line: string, bytes: number) {
+    const fields = `Wasabidyke-Key: ${SECRET.padEnd(bytes, 'x')}`;
+    this.status = await send(this, toRequestText(line, fields, ID));
+  },
+);
+
 Then('its status is {int}', function (this: AccountWorld, status: number) {
   assert.equal(this.status, status);
 });
--- a/packages/balancer/src/serving/caller-server.ts
+++ b/packages/balancer/src/serving/caller-server.ts
@@ -166,11 +166,13 @@
       });
       return;
     }
-    if (headerBytesOf(request) > table.limits.headerBytes) {
+    const url = request.url ?? '/';
+    // What has no route is told so, whatever its size.
+    const isTooLarge = headerBytesOf(request) > table.limits.headerBytes;
+    if (isTooLarge && table.findRoute(request.headers.host, url)) {
       this.#send(response, 431, {});
       return;
     }
-    const url = request.url ?? '/';
     const routed = this.#router.route(table, url, request.headers, metadata);
     if (routed.kind === 'rejection') {
       this.#reject(response, requestId, routed);
