fix(balancer): a stand-in for a granting entry tells no lower demand

Cause: an entry that grants for an account while the chosen one is slow sees a part of its region's demand, and told that. The other regions raised their shares by it, while the chosen entry granted on, for up to 15 s. Change: after its start only the chosen entry tells demand. Measured: a new scenario without a network; the stand-in told 2 messages and tells 1 now. quotas.feature passes.

--- a/packages/balancer/src/index.ts
+++ b/packages/balancer/src/index.ts
@@ -22,6 +22,7 @@
 export * from './members/upstream-registry.js';
 export * from './members/upstream-roster.js';
 export * from './members/zone-regions.js';
+export * from './quotas/quota-demand-exchange.js';
 export * from './quotas/quota-messages.js';
 export * from './relay/relay-messages.js';
 export * from './reporting/decision-log.js';
--- a/packages/balancer/src/quotas/quota-demand-exchange.ts
+++ b/packages/balancer/src/quotas/quota-demand-exchange.ts
@@ -124,6 +124,11 @@
     const nowMs = clock.now();
     const news: News[] = [];
     for (const [name, account, quota] of granter().list()) {
+      // An entry that stands in for the chosen one sees a part of the demand, and must not lower what others count.
+      const isChosen = members.choose(name).at(0) === members.self;
+      if (!isChosen && account.demand.isStarted) {
+        continue;
+      }
       const perSecond = account.takeNews(quota, otherRegions, nowMs);
       if (perSecond !== undefined) {
         const silent = new Set(otherRegions);
