Add review case 10: planned stops in turn exceed a quota

Each entry that takes over the granting of a quota starts with 0.3 of the tolerance of a window, which allows for one start.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+cd "$(dirname "$0")" && exec node run.mjs
