--- a/review/10/run.sh
+++ /dev/null
@@ -1,2 +0,0 @@
-#!/bin/sh
-cd "$(dirname "$0")" && exec node run.mjs
--- a/review/8/run.mjs
+++ b/review/8/run.mjs
@@ -1,37 +1,31 @@
-/** QUOTA: the entry that grants the requests of a tenant is cut off from the other entries, and goes on granting beside the entry that takes its place. */
+/** QUOTA: the entry that grants the requests of a tenant stands still for two seconds while that tenant begins to send more than its quota. */
 
 import {setTimeout as sleep} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
 import {IS_DISTURBED, runCase} from '../lib2/case.mjs';
-import {linkEntries} from '../lib2/link.mjs';
 import {QuotaSite, SURGE_FACTOR} from '../lib2/quota-site.mjs';
 
-/** One of six is the share of 0.17 that the site names. */
-const ENTRIES = 6;
+/** One of ten is the share of 0.1 that the bench names. */
+const ENTRIES = 10;
 
 const CALM_MS = 10_000;
 const SURGE_MS = 8_000;
-const CUT_AFTER_MS = 2_000;
-const CUT_MS = 5_500;
+const FREEZE_AFTER_MS = 500;
+const FREEZE_MS = 2_000;
 
 async function play(note) {
   const site = new QuotaSite(note);
-  let links;
-  await site.start(ENTRIES, async entries => {
-    links = await linkEntries(entries, site.store);
-  });
+  await site.start(ENTRIES);
   await site.send(site.usualPerSecond, CALM_MS);
   const granting = site.findGranting();
   const surge = site.send(site.usualPerSecond * SURGE_FACTOR, SURGE_MS);
-  await sleep(CUT_AFTER_MS);
+  await sleep(FREEZE_AFTER_MS);
   if (IS_DISTURBED) {
-    note(`${granting.name}, which grants, is cut off from the other entries`);
-    for (const [name, link] of links) {
-      link.cut(name === granting.name ? undefined : [granting.pid]);
-    }
-    await sleep(CUT_MS);
-    links.forEach(link => link.mend());
-    note('the cut is over');
+    note(`${granting.name}, which grants, stands still for ${FREEZE_MS} ms`);
+    granting.signal('SIGSTOP');
+    await sleep(FREEZE_MS);
+    granting.signal('SIGCONT');
+    note(`${granting.name} runs again`);
   }
   await surge;
   return site.judge();
