Review case 10: one entry of ten, links with the delay of the site

Change: ten entries, one of which is frozen; links of 3 ms; ports below those that the system gives out; processes end with the test.

--- a/review/10/run.mjs
+++ b/review/10/run.mjs
@@ -3,20 +3,25 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {sendAttempt} from '../lib3/caller.mjs';
 import {isTroubled, runCase, toConfiguration} from '../lib3/case.mjs';
-import {Entry} from '../lib3/entry.mjs';
+import {Entry, ZONE_NAMES} from '../lib3/entry.mjs';
+import {Link} from '../lib3/link.mjs';
 import {Store} from '../lib3/store.mjs';
 import {Worker} from '../lib3/worker.mjs';
 
 const SERVICE = 'checkout-svc';
+/** One of these stands still. */
+const ENTRIES = 10;
 const WORKERS = 6;
 const WORK_MS = 78;
 /** A caller's time from its connection to its request; `header_timeout` allows 3,000 ms. */
 const LONGEST_HEAD_DELAY_MS = 300;
+/** One way between callers and entries. */
+const LINK_DELAY_MS = 3;
 const DEADLINE_MS = 5_400;
-const ORDER_INTERVAL_MS = 40;
-const FREEZES = 6;
+const ORDER_INTERVAL_MS = 20;
+const FREEZES = 8;
 const FREEZE_MS = 4_500;
-const PAUSE_MS = 6_000;
+const PAUSE_MS = 5_000;
 const RETRIES = 2;
 
 /** Statuses that promise that a request has not run and never will. */
@@ -45,13 +50,21 @@
     });
     await worker.start();
   }
-  const entry = new Entry({
-    name: 'front-kgn-a-1',
-    zone: 'kgn-a',
-    store: storeAddress,
-    directory,
-  });
-  await entry.start();
+  const entries = [];
+  for (let index = 0; index < ENTRIES; index++) {
+    const zone = ZONE_NAMES[index % ZONE_NAMES.length];
+    const name = `front-${zone}-${Math.floor(index / ZONE_NAMES.length) + 1}`;
+    const entry = new Entry({name, zone, store: storeAddress, directory});
+    await entry.start();
+    entries.push(entry);
+  }
+  /** Callers use the entries of their own zone. */
+  const near = entries.filter(({zone}) => zone === ZONE_NAMES[0]);
+  const ports = [];
+  for (const {port} of near) {
+    ports.push(await new Link({port, delayMs: LINK_DELAY_MS}).listen());
+  }
+  const [frozen] = near;
 
   const answers = [];
   const pending = new Set();
@@ -67,7 +80,7 @@
         return;
       }
       const answer = await sendAttempt({
-        port: entry.port,
+        port: ports[Math.floor(Math.random() * ports.length)],
         method: 'POST',
         path,
         body: 'wheel of aged cheddar',
@@ -90,11 +103,11 @@
   for (let index = 0; index < FREEZES; index++) {
     if (isTroubled) {
       record.add('freeze');
-      entry.signal('SIGSTOP');
+      frozen.signal('SIGSTOP');
     }
     await sleep(FREEZE_MS);
     if (isTroubled) {
-      entry.signal('SIGCONT');
+      frozen.signal('SIGCONT');
       record.add('thaw');
     }
     await sleep(PAUSE_MS);
@@ -102,7 +115,7 @@
   clearInterval(timer);
   await Promise.all(pending);
   await sleep(1_000);
-  entry.signal('SIGKILL');
+  entries.forEach(entry => entry.signal('SIGKILL'));
 
   const byStatus = new Map();
   const runsByPath = new Map();
--- a/review/lib3/caller.mjs
+++ b/review/lib3/caller.mjs
@@ -9,11 +9,11 @@
  * Sends one client attempt. Resolves with its attempt id, the status (0 without
  * an answer), and whether the whole body came.
  * @param options `port`, `method`, `path`, `body`, `deadlineMs`, `record`; `headDelayMs`, the time between the
- *   connection and the request; `pace`, which delays each read of the answer by a number of bytes.
+ *   connection and the request.
  */
 export async function sendAttempt(options) {
   const {port, method, path, deadlineMs, record} = options;
-  const {body = '', headDelayMs = 0, pace} = options;
+  const {body = '', headDelayMs = 0} = options;
   const attempt = randomBytes(8).toString('hex');
   const head = [
     `${method} ${path} HTTP/1.1`,
@@ -46,9 +46,6 @@
     if (answer.bytes >= expected) {
       answer.isWhole = true;
       socket.destroy();
-    } else if (pace !== undefined) {
-      socket.pause();
-      void pace(chunk.length).then(() => socket.resume());
     }
   });
   const timer = setTimeout(() => socket.destroy(), deadlineMs + headDelayMs);
--- a/review/lib3/case.mjs
+++ b/review/lib3/case.mjs
@@ -2,7 +2,7 @@
 
 import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
 import {tmpdir} from 'node:os';
-import {join} from 'node:path';
+import {dirname, join} from 'node:path';
 
 /** Whether the disruption is caused. */
 export const isTroubled = process.env.TROUBLE !== '0';
@@ -26,7 +26,7 @@
 export async function runCase(run) {
   const record = new Record();
   const directory = mkdtempSync(join(tmpdir(), 'review-'));
-  const file = new URL('record.txt', `file://${process.argv[1]}`).pathname;
+  const file = join(dirname(process.argv[1]), 'record.txt');
   let status = 2;
   try {
     const broken = await run(record, directory);
--- a/review/lib3/entry.mjs
+++ b/review/lib3/entry.mjs
@@ -1,7 +1,6 @@
 /** Entries of the deployment as processes of their own, with the command and the settings template of the deploy file. */
 
 import {spawn} from 'node:child_process';
-import {once} from 'node:events';
 import {openSync, readFileSync, writeFileSync} from 'node:fs';
 import {createServer} from 'node:net';
 import {get} from 'node:http';
@@ -10,6 +9,7 @@
 
 const DEPLOY_FILE = 'deploy/system.toml';
 const PORTS = 5;
+const INTERRUPTED_STATUS = 2;
 
 /** Bounds of the site `bmct-gateway`. */
 export const BOUNDS = {
@@ -20,7 +20,17 @@
   probes_per_s: 60,
 };
 
-const ZONES = {'kgn-a': 'kingston', 'kgn-b': 'kingston'};
+const ZONES = {
+  'kgn-a': 'kingston',
+  'kgn-b': 'kingston',
+  'mbj-a': 'montego',
+  'mbj-b': 'montego',
+  'mdv-a': 'mandeville',
+  'mdv-b': 'mandeville',
+};
+
+/** The zones of the site. */
+export const ZONE_NAMES = Object.keys(ZONES);
 
 /** Reads a text value of the role in the deploy file. */
 function readRole(name) {
@@ -43,17 +53,38 @@
     });
 }
 
+/** Ports below those that the system gives to connections. */
+const FIRST_PORT = 12_000;
+const LAST_PORT = 30_000;
+
 /** Returns free ports. */
 export async function findPorts(count) {
-  const servers = [];
-  for (let index = 0; index < count; index++) {
-    const server = createServer().listen(0, '127.0.0.1');
-    await once(server, 'listening');
-    servers.push(server);
+  const ports = new Set();
+  while (ports.size < count) {
+    const port =
+      FIRST_PORT + Math.floor(Math.random() * (LAST_PORT - FIRST_PORT));
+    if (await isFree(port)) {
+      ports.add(port);
+    }
   }
-  const ports = servers.map(server => server.address().port);
-  servers.forEach(server => server.close());
-  return ports;
+  return [...ports];
+}
+
+async function isFree(port) {
+  const server = createServer().listen(port, '127.0.0.1');
+  const isListening = await new Promise(resolve => {
+    server.once('listening', () => resolve(true));
+    server.once('error', () => resolve(false));
+  });
+  server.close();
+  return isListening;
+}
+
+/** Processes that may not outlive this one. */
+const children = new Set();
+process.once('exit', () => children.forEach(child => child.kill('SIGKILL')));
+for (const signal of ['SIGINT', 'SIGTERM']) {
+  process.once(signal, () => process.exit(INTERRUPTED_STATUS));
 }
 
 /** One entry. */
@@ -67,14 +98,14 @@
     this.#options = options;
   }
 
-  get name() {
-    return this.#options.name;
-  }
-
   get port() {
     return this.#ports[0];
   }
 
+  get zone() {
+    return this.#options.zone;
+  }
+
   /** Starts the process and waits until it is ready. */
   async start() {
     const {name, zone, store, directory, bounds} = this.#options;
@@ -108,7 +139,7 @@
         WASABIDYKE_SETTINGS: file,
       },
     });
-    process.once('exit', () => this.#child.kill('SIGKILL'));
+    children.add(this.#child);
     for (let tries = 0; tries < 100; tries++) {
       if ((await this.#readReadiness(readiness)) === 200) {
         return;
@@ -118,26 +149,10 @@
     throw new Error(`${name} is not ready`);
   }
 
-  get pid() {
-    return this.#child.pid;
-  }
-
   signal(signal) {
     this.#child.kill(signal);
   }
 
-  /** Whether the process runs. */
-  get isRunning() {
-    return this.#child.exitCode === null && this.#child.signalCode === null;
-  }
-
-  /** Waits until the process has ended. */
-  async ended() {
-    if (this.isRunning) {
-      await once(this.#child, 'exit');
-    }
-  }
-
   #readReadiness(port) {
     return new Promise(resolve => {
       const options = {port, path: '/-/ready', agent: false, timeout: 1_000};
--- a/review/lib3/link.mjs
+++ b/review/lib3/link.mjs
@@ -1,35 +1,19 @@
-/** A link between callers and one entry: a delay each way, and a bandwidth for what comes from the entry. */
+/** The way between callers and one entry: each byte, and each end of a connection, takes its time. */
 
 import {once} from 'node:events';
 import {connect, createServer} from 'node:net';
-import {setTimeout as sleep} from 'node:timers/promises';
 
-/** Relays connections to a port. */
+/** Passes connections on to a port. */
 export class Link {
   #server;
-  #sockets = new Set();
 
-  /** @param options `port` of the entry, `delayMs` one way, and `bytesPerMs` for each connection. */
-  constructor({port, delayMs, bytesPerMs}) {
-    this.#server = createServer({allowHalfOpen: true}, caller => {
-      const entry = connect({port, host: '127.0.0.1', allowHalfOpen: true});
-      for (const socket of [caller, entry]) {
-        this.#sockets.add(socket);
-        socket.once('close', () => this.#sockets.delete(socket));
-        socket.on('error', () => {});
-      }
-      caller.on('data', chunk =>
-        setTimeout(() => entry.destroyed || entry.write(chunk), delayMs),
-      );
-      caller.once('close', () => setTimeout(() => entry.destroy(), delayMs));
-      entry.on('data', async chunk => {
-        entry.pause();
-        setTimeout(() => caller.destroyed || caller.write(chunk), delayMs);
-        await sleep(chunk.length / bytesPerMs);
-        entry.resume();
-      });
-      entry.once('close', () => setTimeout(() => caller.end(), delayMs));
-      entry.once('end', () => setTimeout(() => caller.end(), delayMs));
+  /** @param options `port` of the entry, and `delayMs` one way. */
+  constructor({port, delayMs}) {
+    const options = {allowHalfOpen: true, noDelay: true};
+    this.#server = createServer(options, caller => {
+      const entry = connect({port, host: '127.0.0.1', ...options});
+      join(caller, entry, delayMs);
+      join(entry, caller, delayMs);
     });
   }
 
@@ -39,9 +23,13 @@
     await once(this.#server, 'listening');
     return this.#server.address().port;
   }
+}
 
-  close() {
-    this.#server.close();
-    this.#sockets.forEach(socket => socket.destroy());
-  }
+/** Passes on what comes from one side. */
+function join(from, to, delayMs) {
+  const later = act => setTimeout(() => to.destroyed || act(), delayMs);
+  from.on('error', () => {});
+  from.on('data', chunk => later(() => to.write(chunk)));
+  from.once('end', () => later(() => to.end()));
+  from.once('close', () => later(() => to.destroy()));
 }
