fix(balancer): each own answer with status 3xx or 4xx is logged and counted with its basis

Seen: proper requests were answered 4xx, and nothing told why. 431 and Node's own 400 and 417 had no line; 404 didn't tell a missing route from weights of 0; 413 named no limit and no request; a refused connection neither status, caller nor what arrived.

Each such answer to a caller now has one line with request, status, reason, host, path, version, age of the configuration, source, revision and age of the records. Refused connections tell the parser's reason, the requests before, and the shape of the refused bytes, of which only a method and a path are literal. Refusals by the feed and discovery servers and of relays are told as well. wasabidyke_own_answers_total counts all by status and reason; wasabidyke_configuration_age_seconds is new. A start with unconfirmed records is logged, and configuration.applied tells the source and age. Callers get the same answers as before; those to a missing host and an unknown Expect are compared with Node's byte by byte.

accounts.steps.ts: the line of a 401 has more fields, which the step checks too; it is as strict as before.

--- a/features/steps/accounts.steps.ts
+++ b/features/steps/accounts.steps.ts
@@ -166,12 +166,18 @@
         path: '/read/a',
       },
     );
-    assert.deepEqual(fields, {
+    const {configurationAgeMs, recordsAgeMs, recordsRevision, ...rest} = fields;
+    for (const value of [configurationAgeMs, recordsAgeMs, recordsRevision]) {
+      assert.ok(Number.isInteger(value), `${value}`);
+    }
+    assert.deepEqual(rest, {
       request: ID,
       route: 'read',
       version,
+      status: 401,
       reason,
       account: undefined,
+      feeder: 'store',
     });
   },
 );
--- a/features/support/memory-record-store.ts
+++ b/features/support/memory-record-store.ts
@@ -22,6 +22,8 @@
   | 'silent-watches'
   /** One watch is cut; all other calls work. */
   | 'cut-watch'
+  /** The revision can't be read; all other calls work. */
+  | 'no-revisions'
   /** Writes are done and answered late. */
   | 'slow-writes'
   | 'history-lost';
@@ -201,7 +203,11 @@
     mayBeOld = true,
   ): Promise<Result<StorePosition, RecordStoreError>> {
     this.#count('read-revision');
-    if (this.fault === 'down' || this.fault === 'swallowing') {
+    const isUnread =
+      this.fault === 'down' ||
+      this.fault === 'swallowing' ||
+      this.fault === 'no-revisions';
+    if (isUnread) {
       return Err(UNAVAILABLE);
     }
     const {era, revision} = mayBeOld ? this.#readOld() : this.#position;
--- a/packages/balancer/src/balancer-gauges.ts
+++ b/packages/balancer/src/balancer-gauges.ts
@@ -1,7 +1,7 @@
 /** Gauges of a balancer's state. */
 
-import type {CrashGuard, LivenessTracker} from '@wasabidyke/policy';
-import type {MetricRegistry} from '@wasabidyke/shared';
+import type {LivenessTracker} from '@wasabidyke/policy';
+import {SECOND_MS, type Clock, type MetricRegistry} from '@wasabidyke/shared';
 import type {ClusterState} from './cluster-state.js';
 import type {FollowerRecordStore} from './feed/follower-record-store.js';
 import type {Evacuations} from './members/evacuations.js';
@@ -9,10 +9,11 @@
 import type {UpstreamRegistry} from './members/upstream-registry.js';
 import type {RouteState} from './serving/route-state.js';
 import type {StoreWatcher} from './store/store-watcher.js';
-import type {ProcessWatch} from './suspects/process-watch.js';
+import type {SuspectParts} from './suspects/suspect-parts.js';
 
 /** The parts that the gauges are read from. */
 export interface GaugeSources {
+  readonly clock: Clock;
   readonly storeWatcher: StoreWatcher;
   readonly store: FollowerRecordStore;
   readonly clusterState: ClusterState;
@@ -20,8 +21,7 @@
   readonly entries: EntryRoster;
   readonly evacuations: Evacuations;
   readonly liveness: LivenessTracker;
-  readonly crashGuard: CrashGuard;
-  readonly processWatch: ProcessWatch;
+  readonly suspects: SuspectParts;
   readonly routeState: RouteState;
 }
 
@@ -30,16 +30,16 @@
   metrics: MetricRegistry,
   sources: GaugeSources,
 ): void {
-  const {storeWatcher, store, clusterState} = sources;
+  const {clock, storeWatcher, store, clusterState} = sources;
   metrics.gauge(
     'wasabidyke_store_age_seconds',
     'Time since the store last answered.',
-    () => storeWatcher.ageMs / 1_000,
+    () => storeWatcher.ageMs / SECOND_MS,
   );
   metrics.gauge(
     'wasabidyke_records_age_seconds',
     'Time since the store itself told that no record is missing, over all entries in between.',
-    () => store.ageMs / 1_000,
+    () => store.ageMs / SECOND_MS,
   );
   metrics.gauge(
     'wasabidyke_records_revision',
@@ -56,6 +56,16 @@
     'Version of the configuration in force.',
     () => clusterState.table?.version ?? 0,
   );
+  metrics.gauge(
+    'wasabidyke_configuration_age_seconds',
+    'Time since this entry applied the configuration in force; 0 before the first one.',
+    () => {
+      const appliedAtMs = clusterState.table?.appliedAtMs;
+      return appliedAtMs === undefined
+        ? 0
+        : (clock.now() - appliedAtMs) / SECOND_MS;
+    },
+  );
   metrics.gauge(
     'wasabidyke_accounts',
     'Client accounts of the configuration in force.',
@@ -104,12 +114,12 @@
   metrics.gauge(
     'wasabidyke_suspects',
     'Requests that were in flight at upstreams that crashed.',
-    () => sources.crashGuard.size,
+    () => sources.suspects.guard.size,
   );
   metrics.gauge(
     'wasabidyke_sends_unsettled',
     'Sends to upstreams that were neither answered nor refused.',
-    () => sources.processWatch.unsettledCount,
+    () => sources.suspects.processWatch.unsettledCount,
   );
   metrics.gauge(
     'wasabidyke_slot_pressure',
--- a/packages/balancer/src/balancer.ts
+++ b/packages/balancer/src/balancer.ts
@@ -28,6 +28,7 @@
 import {RelayReceiver} from './relay/relay-receiver.js';
 import {RelaySender} from './relay/relay-sender.js';
 import type {DecisionLog} from './reporting/decision-log.js';
+import {OwnAnswers} from './reporting/own-answers.js';
 import {createUpstreamReports} from './reporting/upstream-reports.js';
 import type {SiteAdapters} from './site-adapters.js';
 import {createBodyMemory} from './serving/body-reader.js';
@@ -100,6 +101,8 @@
     this.#clock = clock;
     this.#random = new SeededRandom(randomInt(SEED_BOUND));
     const ownRecord = toOwnRecord(settings);
+    const origin = () => this.#store.origin;
+    const ownAnswers = new OwnAnswers({metrics, log, clock, origin});
     this.#liveness = new LivenessTracker(
       {...ownRecord, sequence: Math.round(clock.wallTime())},
       this.#random,
@@ -157,6 +160,7 @@
     });
     this.#feedServer = new FeedServer({
       onFault: error => log.record('message.fault', {cause: String(error)}),
+      ownAnswers,
       history: this.#history,
       departures: () => this.#clusterState.departures,
       onSuspect: record => this.#suspects.monitor.onRecord(record),
@@ -187,6 +191,7 @@
       onReplaced: record => this.#suspects.processWatch.onReplaced(record),
       clock,
       log,
+      origin,
       regions: () => regionsOf(this.#settings),
       onTable: table => {
         this.#callerServer.applyLimits(table.limits);
@@ -215,8 +220,15 @@
       costs: settings.transferCosts,
       queryBudget: this.#loadQueryBudget,
     });
-    this.#relaySender = this.#createRelaySender();
-    const dispatching = this.#createDispatcherOptions();
+    this.#relaySender = new RelaySender({
+      peers: () => this.#entries.listResponsivePeers(),
+      locality: () => toLocality(this.#settings),
+      memory: this.#registry.answerMemory,
+      clock,
+      random: this.#random,
+      log,
+    });
+    const dispatching = {...this.#createDispatcherOptions(), ownAnswers};
     this.#callerServer = new CallerServer({...dispatching, metrics});
     this.#relayReceiver = new RelayReceiver({
       ...dispatching,
@@ -227,11 +239,13 @@
       protocol: site.discoveryProtocol,
       roster: this.#entries,
       metrics,
+      ownAnswers,
       maximumAgeMs: settings.entryListAge,
       isReady: () => this.#state === 'serving',
       table: () => this.#clusterState.table,
     });
     registerGauges(metrics, {
+      clock,
       storeWatcher: this.#storeWatcher,
       store: this.#store,
       clusterState: this.#clusterState,
@@ -239,8 +253,7 @@
       entries: this.#entries,
       evacuations: this.#placement.evacuations,
       liveness: this.#liveness,
-      crashGuard: this.#suspects.guard,
-      processWatch: this.#suspects.processWatch,
+      suspects: this.#suspects,
       routeState: dispatching.routeState,
     });
   }
@@ -358,24 +371,11 @@
     });
   }
 
-  #createRelaySender(): RelaySender {
-    return new RelaySender({
-      peers: () => this.#entries.listResponsivePeers(),
-      locality: () => toLocality(this.#settings),
-      memory: this.#registry.answerMemory,
-      clock: this.#clock,
-      random: this.#random,
-      log: this.#log,
-    });
-  }
-
   #createDispatcherOptions() {
     const routeState = new RouteState({
       random: this.#random,
       repeatBudgetOptions: () => this.#entryShare.repeats,
-      admitsByValue: service =>
-        this.#settings.overload === 'by-value' &&
-        this.#clusterState.table?.hasSeveralPriorities(service) === true,
+      admitsByValue: service => this.#entryShare.admitsByValue(service),
     });
     return {
       selector: this.#upstreamSelector,
--- a/packages/balancer/src/cluster-state.ts
+++ b/packages/balancer/src/cluster-state.ts
@@ -3,6 +3,7 @@
 import {isDeepStrictEqual} from 'node:util';
 import {parseJson, type Clock} from '@wasabidyke/shared';
 import {entryRecordSchema} from './members/entry-record.js';
+import type {RecordsOrigin} from './feed/follower-record-store.js';
 import type {RecordHistory} from './feed/record-history.js';
 import type {EntryRoster} from './members/entry-roster.js';
 import type {Placement} from './members/placement.js';
@@ -10,6 +11,7 @@
 import {UpstreamRoster} from './members/upstream-roster.js';
 import type {UpstreamRegistry} from './members/upstream-registry.js';
 import type {DecisionLog} from './reporting/decision-log.js';
+import {toOriginFields} from './reporting/own-answers.js';
 import {AccountDirectory} from './routing/account-directory.js';
 import type {RoutingConfiguration} from './routing/routing-configuration.js';
 import {RoutingTable} from './routing/routing-table.js';
@@ -46,6 +48,8 @@
   readonly crashMonitor: CrashMonitor;
   /** Called when the announcement of an upstream names a later start, and the earlier one has not said that it leaves. */
   readonly onReplaced: (record: UpstreamRecord) => void;
+  /** Where the records come from. */
+  readonly origin: () => RecordsOrigin;
   /** Records what was read, for the entries that follow this one. */
   readonly history: RecordHistory;
 }
@@ -251,7 +255,7 @@
     if (configuration.version <= currentVersion) {
       return;
     }
-    const {log} = this.#options;
+    const {log, clock, origin} = this.#options;
     const accounts = AccountDirectory.create(
       configuration.accounts ?? [],
       this.#table?.accounts,
@@ -265,13 +269,14 @@
       });
       return;
     }
-    this.#table = new RoutingTable(configuration, accounts.value);
+    this.#table = new RoutingTable(configuration, accounts.value, clock.now());
     log.record('configuration.applied', {
       version: configuration.version,
       formerVersion: currentVersion,
       revision,
       routes: configuration.routes.length,
       accounts: configuration.accounts?.length,
+      ...toOriginFields(origin()),
     });
     this.#logUnknownRegions(configuration);
     this.#options.onTable(this.#table);
--- a/packages/balancer/src/entry-share.ts
+++ b/packages/balancer/src/entry-share.ts
@@ -51,6 +51,15 @@
     return Math.max(MINIMUM_CONNECTIONS, share);
   }
 
+  /** Whether requests of a service are admitted by value. */
+  admitsByValue(service: string): boolean {
+    const {settings, table} = this.#options;
+    return (
+      settings().overload === 'by-value' &&
+      table()?.hasSeveralPriorities(service) === true
+    );
+  }
+
   /** The budget for repeats. */
   get repeats(): RepeatBudgetOptions {
     const {settings, entries} = this.#options;
--- a/packages/balancer/src/feed/feed-server.ts
+++ b/packages/balancer/src/feed/feed-server.ts
@@ -14,6 +14,7 @@
 } from 'node:http';
 import type {SuspectRecord} from '@wasabidyke/policy';
 import {parseJson, parseRequestTarget} from '@wasabidyke/shared';
+import {toLoggedPath, type OwnAnswers} from '../reporting/own-answers.js';
 import type {ListenAddress} from '../serving/discovery-server.js';
 import {UNNAMED_ERA, type StorePosition} from '../store/store-eras.js';
 import type {DepartedStart} from '../members/upstream-record.js';
@@ -106,6 +107,8 @@
   readonly quotas?: QuotaMessageResponder;
   /** Takes requests of other entries. */
   readonly relay?: RelayResponder;
+  /** Counts and logs the answers with status 4xx. */
+  readonly ownAnswers?: OwnAnswers;
   /** Called when a message can't be answered because of a fault in this entry. */
   readonly onFault: (error: unknown) => void;
 }
@@ -158,7 +161,7 @@
   ): Promise<void> {
     const url = parseRequestTarget(request.url ?? '/');
     if (url === undefined) {
-      sendJson(response, 400, '{}');
+      this.#refuse(response, 400, 'unreadable-target');
       return;
     }
     const {relay} = this.#options;
@@ -171,7 +174,7 @@
       return;
     }
     if (url.pathname !== FEED_PATH) {
-      sendJson(response, 404, '{}');
+      this.#refuse(response, 404, 'unknown-feed-path');
       return;
     }
     this.#fedAtMs = performance.now();
@@ -202,7 +205,7 @@
   ): Promise<void> {
     const limitBytes = MAXIMUM_BYTES_BY_PATH[path];
     if (limitBytes === undefined) {
-      sendJson(response, 404, '{}');
+      this.#refuse(response, 404, 'unknown-feed-path');
       return;
     }
     const read = await readBody(request, {
@@ -211,19 +214,28 @@
       withinMs: MESSAGE_TIMEOUT_MS,
     });
     if (read.kind !== 'body') {
-      sendJson(response, 400, '{}');
+      this.#refuse(response, 400, `message-${read.kind}`);
       return;
     }
     const text = read.body?.toString('utf8') ?? '';
     read.release();
     const answer = await this.#answer(path, parseJson(text));
     if (answer === undefined) {
-      sendJson(response, 400, '{}');
+      this.#refuse(response, 400, 'unreadable-message');
     } else {
       sendJson(response, 200, answer);
     }
   }
 
+  #refuse(response: ServerResponse, status: number, reason: string): void {
+    const {url = '/', socket} = response.req;
+    this.#options.ownAnswers?.record(
+      {event: 'message.refused', status, reason},
+      {path: toLoggedPath(url), address: socket.remoteAddress},
+    );
+    sendJson(response, status, '{}');
+  }
+
   /** Returns the answer to a message; undefined if it can't be read. */
   async #answer(path: string, message: unknown): Promise<string | undefined> {
     const {liveness, onLimits, onUpstreamCheck, quotas} = this.#options;
@@ -268,6 +280,8 @@
     const read =
       after === undefined ? history.readAll() : history.readChangesAfter(after);
     if (read === undefined) {
+      // Followers are told so whenever they come late: it is counted only.
+      this.#options.ownAnswers?.count(410, 'history-lost');
       sendJson(response, 410, '{}');
     } else {
       const told = areDeparturesAsked ? departures?.() : undefined;
--- a/packages/balancer/src/feed/follower-record-store.ts
+++ b/packages/balancer/src/feed/follower-record-store.ts
@@ -63,12 +63,26 @@
 /** A failure within this time leaves time to try another feeder, in milliseconds. */
 const QUICK_FAILURE_MS = 200;
 
+/** Where the records were read last, and how old they are. */
+export interface RecordsOrigin {
+  /** Name of the feeder, or `store`. */
+  readonly feeder: string;
+  /** Store revision up to which all records were read; 0 before the first read. */
+  readonly revision: number;
+  /** Time since the store itself last confirmed that none is missing, in milliseconds; infinite if it never did. */
+  readonly ageMs: number;
+}
+
+const STORE_SOURCE = 'store';
+
 /** A record store that reads changes from another entry where possible. */
 export class FollowerRecordStore extends RecordStore {
   readonly #options: FollowerRecordStoreOptions;
   readonly #feeders: FeederSelection;
   #isDirect = true;
   #source: string | undefined;
+  /** Name of the feeder that answered the last read; undefined for the store. */
+  #lastFeeder: string | undefined;
   readonly #freshness = new RecordFreshness();
   /** Name of the feeder that was found to be behind this entry. */
   #feederBehind: string | undefined;
@@ -100,6 +114,12 @@
     return this.#freshness.revision;
   }
 
+  /** Where the records were read last, and how old they are. */
+  get origin(): RecordsOrigin {
+    const {revision, ageMs} = this;
+    return {feeder: this.#lastFeeder ?? STORE_SOURCE, revision, ageMs};
+  }
+
   /** Never returns less than was read before, unless the store itself holds less. */
   override async readAll(
     mayBeOld: boolean,
@@ -114,11 +134,13 @@
       } else {
         const {confirmedAtMs, departures} = fed.value;
         this.#options.onDepartures(departures);
+        this.#lastFeeder = feeder.name;
         this.#freshness.onCompleteRead(fed.value, confirmedAtMs);
         return fed;
       }
     }
     this.#isDirect = true;
+    this.#lastFeeder = undefined;
     return mayBeOld ? this.#readAllCheaply() : this.#readAllFromStore();
   }
 
@@ -159,6 +181,8 @@
     const {revision, era} = read.value;
     if (current.isErr()) {
       // Callers are better served by records that may be old than by none.
+      const {kind, message: cause} = current.error;
+      log.record('records.unconfirmed', {revision, kind, cause});
       this.#freshness.onCompleteRead(read.value, -Infinity);
       return read;
     }
@@ -230,9 +254,12 @@
   /** @param feeder Name of the entry that changes are read from; undefined for the store. */
   #setSource(feeder: string | undefined): void {
     this.#isDirect = feeder === undefined;
+    this.#lastFeeder = feeder;
     if (feeder !== this.#source) {
       this.#source = feeder;
-      this.#options.log.record('records.source', {feeder: feeder ?? 'store'});
+      this.#options.log.record('records.source', {
+        feeder: feeder ?? STORE_SOURCE,
+      });
     }
   }
 
--- a/packages/balancer/src/relay/relay-receiver.ts
+++ b/packages/balancer/src/relay/relay-receiver.ts
@@ -8,6 +8,7 @@
   isRegionAllowed,
   type AllowedRegions,
 } from '../routing/allowed-regions.js';
+import type {OwnAnswers} from '../reporting/own-answers.js';
 import type {RoutingTable} from '../routing/routing-table.js';
 import {canBeFinished} from '../serving/attempt-timing.js';
 import {readBody} from '../serving/body-reader.js';
@@ -37,6 +38,7 @@
   /** Requests of callers in flight. */
   readonly inFlight: () => number;
   readonly clock: Clock;
+  readonly ownAnswers: OwnAnswers;
 }
 
 /** Attempts of one relayed request: the entry that relays it decides on repeats. */
@@ -84,11 +86,15 @@
         this.#onIdle?.();
       }
     });
-    const {isEntry, table} = this.#options;
+    const {isEntry, table, ownAnswers} = this.#options;
     const address = request.socket.remoteAddress ?? '';
     if (!isEntry(address)) {
-      this.#options.log.record('relay.foreign', {address});
-      response.writeHead(403, {connection: 'close'}).end();
+      const status = 403;
+      ownAnswers.record(
+        {event: 'relay.foreign', status, reason: 'foreign-relay'},
+        {address},
+      );
+      response.writeHead(status, {connection: 'close'}).end();
       return;
     }
     const routing = table();
@@ -119,7 +125,14 @@
         ? parseRequest(read.body)
         : undefined;
     if (message === undefined) {
-      response.writeHead(400, {connection: 'close'}).end();
+      const status = 400;
+      const isRead = read.kind === 'body';
+      const reason = isRead ? 'unreadable-relay' : `relay-${read.kind}`;
+      ownAnswers.record(
+        {event: 'relay.unreadable', status, reason},
+        {address, size: read.kind === 'body' ? read.body?.length : undefined},
+      );
+      response.writeHead(status, {connection: 'close'}).end();
       return;
     }
     // The body may have ended after the stop began.
--- a/packages/balancer/src/routing/route-index.ts
+++ b/packages/balancer/src/routing/route-index.ts
@@ -37,6 +37,11 @@
     }
   }
 
+  /** Whether a host has routes. */
+  hasHost(host: string | undefined): boolean {
+    return this.#groupsByHost.has(toHostName(host ?? ''));
+  }
+
   /** Finds the matching route with the longest prefix. @param url Path with or without a query. */
   find(host: string | undefined, url: string): Route | undefined {
     const groups = this.#groupsByHost.get(toHostName(host ?? ''));
--- a/packages/balancer/src/routing/routing-table.ts
+++ b/packages/balancer/src/routing/routing-table.ts
@@ -20,6 +20,8 @@
 export class RoutingTable {
   readonly version: number;
   readonly limits: CallerLimits;
+  /** When this entry applied it, on the monotonic clock in milliseconds. */
+  readonly appliedAtMs: number;
   readonly #routes: RouteIndex;
   /** By host, the regions that all its routes with a list allow; hosts without lists are missing. */
   readonly #regionsByHost = new Map<string, AllowedRegions>();
@@ -32,12 +34,15 @@
 
   /**
    * @param accounts The accounts of the configuration, if they are indexed already.
-   * @throws If they aren't, and one of them is wrong.
+   * @param appliedAtMs When this entry applies it, on the monotonic clock in milliseconds.
+   * @throws If the accounts aren't indexed, and one of them is wrong.
    */
   constructor(
     configuration: RoutingConfiguration,
     accounts = AccountDirectory.create(configuration.accounts ?? []).unwrap(),
+    appliedAtMs = 0,
   ) {
+    this.appliedAtMs = appliedAtMs;
     this.version = configuration.version;
     this.limits = configuration.limits;
     this.#routes = new RouteIndex(configuration.routes);
@@ -57,6 +62,11 @@
     }
   }
 
+  /** Whether a host has routes. */
+  hasHost(host: string | undefined): boolean {
+    return this.#routes.hasHost(host);
+  }
+
   /** Finds the matching route with the longest prefix. @param url Path with or without a query. */
   findRoute(host: string | undefined, url: string): Route | undefined {
     return this.#routes.find(host, url);
--- a/packages/balancer/src/serving/body-reader.ts
+++ b/packages/balancer/src/serving/body-reader.ts
@@ -12,13 +12,27 @@
       /** Returns the memory of the body. */
       readonly release: () => void;
     }
-  | {readonly kind: 'too-large'}
+  | BodyExcess
   | {readonly kind: 'broken-off'}
   /** All bodies together would take more than they may; this one was not read. */
   | {readonly kind: 'no-memory'}
   /** It was not complete in time. */
   | {readonly kind: 'overdue'};
 
+/** A body is over a limit: by the length that its head declares, by the bytes that were read, or by its number of chunks. */
+export interface BodyExcess {
+  readonly kind: 'too-large';
+  readonly measure: 'declared-length' | 'read-length' | 'chunk-count';
+  /** The size by that measure, in bytes or chunks, and the limit that it exceeds. */
+  readonly size: number;
+  readonly limit: number;
+  /** Bytes that were read. */
+  readonly readBytes: number;
+}
+
+/** Why there is no body. */
+export type BodyFailure = Exclude<BodyResult, {kind: 'body'}>;
+
 /** Memory for request bodies, in bytes: the largest body that sites allow, and half of it for others; with the rest of an entry it stays within the memory of the smallest VMs. */
 const CAPACITY_BYTES = 100_663_296;
 
@@ -68,7 +82,14 @@
     return {result, discard: () => {}};
   }
   if (declaredBytes > options.limitBytes) {
-    return {result: {kind: 'too-large'}, discard: () => {}};
+    const result: BodyResult = {
+      kind: 'too-large',
+      measure: 'declared-length',
+      size: declaredBytes,
+      limit: options.limitBytes,
+      readBytes: 0,
+    };
+    return {result, discard: () => {}};
   }
   return isChunked
     ? new ChunkedBody(request, options)
@@ -91,13 +112,13 @@
     this.options = options;
     this.result = new Promise(resolve => (this.#settle = resolve));
     this.#timer = setTimeout(
-      () => this.fail('overdue'),
+      () => this.fail({kind: 'overdue'}),
       Math.min(options.withinMs, LONGEST_TIMER_MS),
     );
     request.on('data', (chunk: Buffer) => this.#onData(chunk));
     request.once('end', () => this.#onEnd());
-    request.once('error', () => this.fail('broken-off'));
-    request.once('close', () => this.fail('broken-off'));
+    request.once('error', () => this.fail({kind: 'broken-off'}));
+    request.once('close', () => this.fail({kind: 'broken-off'}));
   }
 
   discard(): void {
@@ -126,11 +147,11 @@
   /** All that was kept; undefined if there is no memory to put it together. */
   protected abstract complete(): Buffer | undefined;
 
-  protected fail(kind: Exclude<BodyResult['kind'], 'body'>): void {
+  protected fail(failure: BodyFailure): void {
     if (this.#end()) {
       this.#request.pause();
       this.options.memory.release(this.takenBytes);
-      this.#settle({kind});
+      this.#settle(failure);
     }
   }
 
@@ -144,7 +165,7 @@
     const isKept = !this.#isEnded && !this.#isDiscarded;
     const body = isKept ? this.complete() : undefined;
     if (body === undefined && !this.#isDiscarded) {
-      this.fail('no-memory');
+      this.fail({kind: 'no-memory'});
       return;
     }
     if (this.#end()) {
@@ -186,7 +207,7 @@
     this.#declaredBytes = declaredBytes;
     this.#hasMemory = options.memory.take(declaredBytes);
     if (!this.#hasMemory) {
-      this.fail('no-memory');
+      this.fail({kind: 'no-memory'});
     }
   }
 
@@ -234,17 +255,24 @@
     const allowedChunks =
       MAXIMUM_SMALL_CHUNKS + this.#bytes / MINIMUM_CHUNK_BYTES;
     this.#bytes += chunk.length;
-    if (this.#bytes > limitBytes || this.#chunks > allowedChunks) {
-      this.fail('too-large');
+    if (this.#bytes > limitBytes) {
+      this.#exceed('read-length', this.#bytes, limitBytes);
+    } else if (this.#chunks > allowedChunks) {
+      this.#exceed('chunk-count', this.#chunks, Math.floor(allowedChunks));
     } else if (this.isDiscarded) {
       return;
     } else if (this.#take(this.#collector.growthFor(chunk.length))) {
       this.#collector.append(chunk);
     } else {
-      this.fail('no-memory');
+      this.fail({kind: 'no-memory'});
     }
   }
 
+  #exceed(measure: BodyExcess['measure'], size: number, limit: number): void {
+    const readBytes = this.#bytes;
+    this.fail({kind: 'too-large', measure, size, limit, readBytes});
+  }
+
   protected override complete(): Buffer | undefined {
     const {bytes, heldBytes} = this.#collector;
     if (!this.#take(bytes)) {
--- a/packages/balancer/src/serving/caller-answers.ts
+++ b/packages/balancer/src/serving/caller-answers.ts
@@ -1,12 +1,19 @@
 /** Writes answers to callers, and logs the refusals among them. */
 
-import type {ServerResponse} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import {SECOND_MS, type Clock} from '@wasabidyke/shared';
 import type {CompleteAnswer} from '../exchange/exchange.js';
 import type {WireProtocol} from '../exchange/wire-protocol.js';
-import type {DecisionLog} from '../reporting/decision-log.js';
-import type {BodyResult} from './body-reader.js';
+import type {DecisionLog, LogFields} from '../reporting/decision-log.js';
+import {
+  isOwnAnswer,
+  toTargetFields,
+  type OwnAnswers,
+} from '../reporting/own-answers.js';
+import type {RoutingTable} from '../routing/routing-table.js';
+import type {BodyExcess, BodyFailure} from './body-reader.js';
 import type {CallerConnections} from './caller-connections.js';
+import type {ProtocolProblem} from './caller-listener.js';
 import {CHANGED_REFUSAL, STOPPING_REFUSAL} from './refusals.js';
 import {toRefusalFields, type RefusedRequest} from './refusal-fields.js';
 import type {AccountChange, RoutingRejection} from './request-router.js';
@@ -18,6 +25,9 @@
   readonly protocol: WireProtocol;
   readonly clock: Clock;
   readonly log: DecisionLog;
+  readonly ownAnswers: OwnAnswers;
+  /** Returns the current routing table; undefined before the first configuration. */
+  readonly table: () => RoutingTable | undefined;
 }
 
 /** Delay after which a caller may try again whose body found no memory, in milliseconds: another upload has ended by then, or another entry has room. */
@@ -56,19 +66,53 @@
     requestId: string | undefined,
     rejection: RoutingRejection,
   ): void {
-    const {url = '/', headers} = response.req;
-    this.#options.log.record(rejection.event, {
-      request: requestId,
-      host: headers.host,
-      path: url.split('?', 1)[0],
-      route: rejection.route,
-      reason: rejection.reason,
-      account: rejection.account,
-      version: rejection.version,
-    });
+    const {route, account, table} = rejection;
+    const fields = {request: requestId, route, account};
+    this.#options.ownAnswers.recordRequest(
+      rejection,
+      response.req,
+      table,
+      fields,
+    );
     this.send(response, rejection.status, {});
   }
 
+  /** Answers a request that breaks a rule of HTTP, as Node's server would. */
+  refuseProtocol(response: ServerResponse, problem: ProtocolProblem): void {
+    const {ownAnswers, protocol, table} = this.#options;
+    const {req: request} = response;
+    const {requestId} = protocol.readCallerMetadata(
+      request.headers,
+      request.rawHeaders,
+    );
+    const status = problem === 'no-host' ? 400 : 417;
+    ownAnswers.recordRequest(
+      {event: 'request.protocol-error', status, reason: problem},
+      request,
+      table(),
+      {request: requestId, address: request.socket.remoteAddress},
+    );
+    response.writeHead(status, status === 400 ? {Connection: 'close'} : {});
+    response.end();
+  }
+
+  /** Refuses a request whose head is over the configured limit. @param size Size of the head, in bytes. */
+  refuseHead(
+    response: ServerResponse,
+    requestId: string | undefined,
+    size: number,
+    table: RoutingTable,
+  ): void {
+    const status = 431;
+    this.#options.ownAnswers.recordRequest(
+      {event: 'request.head-refused', status, reason: 'head-too-large'},
+      response.req,
+      table,
+      {request: requestId, size, limit: table.limits.headerBytes},
+    );
+    this.send(response, status, {});
+  }
+
   /** Refuses a request that is no longer allowed as it was routed. */
   refuseChanged(
     response: ServerResponse,
@@ -89,16 +133,34 @@
     refusal: Refusal,
     request?: RefusedRequest,
   ): void {
-    const {log, clock} = this.#options;
-    log.record(
-      'request.refused',
-      toRefusalFields(requestId, refusal, request, clock.now()),
-    );
+    const {log, clock, ownAnswers} = this.#options;
+    const status = statusOf(refusal);
+    ownAnswers.count(status, refusal.reason);
+    log.record('request.refused', {
+      ...this.#toBasis(status, response.req, request),
+      ...toRefusalFields(requestId, refusal, request, clock.now()),
+    });
     const headers: Record<string, string> = {};
     if (refusal.retryAfterMs !== undefined) {
       headers['retry-after'] = (refusal.retryAfterMs / SECOND_MS).toFixed(3);
     }
-    this.send(response, statusOf(refusal), headers);
+    this.send(response, status, headers);
+  }
+
+  /** What the line of an own answer below 500 tells beside the refusal. */
+  #toBasis(
+    status: number,
+    target: IncomingMessage,
+    request: RefusedRequest | undefined,
+  ): LogFields {
+    if (!isOwnAnswer(status)) {
+      return {};
+    }
+    const {ownAnswers, table} = this.#options;
+    const newest = table();
+    const isSame = newest?.version === request?.configurationVersion;
+    const basis = ownAnswers.toBasis(isSame ? newest : undefined);
+    return {...toTargetFields(target), ...basis};
   }
 
   /** Refuses a request because this process is stopping. */
@@ -113,21 +175,44 @@
   refuseBody(
     response: ServerResponse,
     requestId: string | undefined,
-    reason: Exclude<BodyResult['kind'], 'body'>,
+    failure: BodyFailure,
+    table: RoutingTable,
   ): void {
-    this.#options.log.record('request.body-refused', {reason});
-    if (reason === 'broken-off' || reason === 'overdue') {
+    if (failure.kind === 'too-large') {
+      this.#refuseExcess(response, requestId, failure, table);
+      return;
+    }
+    const {kind: reason} = failure;
+    this.#options.log.record('request.body-refused', {
+      request: requestId,
+      ...toTargetFields(response.req),
+      reason,
+    });
+    if (reason !== 'no-memory') {
       response.destroy();
       return;
     }
     // The rest of the body stays unread, so the connection can't be reused.
     response.setHeader('connection', 'close');
-    if (reason === 'no-memory') {
-      const retryAfterMs = MEMORY_RETRY_AFTER_MS;
-      this.refuse(response, requestId, {reason, isNotRun: true, retryAfterMs});
-    } else {
-      this.send(response, 413, {});
-    }
+    const retryAfterMs = MEMORY_RETRY_AFTER_MS;
+    this.refuse(response, requestId, {reason, isNotRun: true, retryAfterMs});
+  }
+
+  #refuseExcess(
+    response: ServerResponse,
+    requestId: string | undefined,
+    {measure, size, limit, readBytes}: BodyExcess,
+    table: RoutingTable,
+  ): void {
+    const status = 413;
+    this.#options.ownAnswers.recordRequest(
+      {event: 'request.body-refused', status, reason: measure},
+      response.req,
+      table,
+      {request: requestId, size, limit, readBytes},
+    );
+    response.setHeader('connection', 'close');
+    this.send(response, status, {});
   }
 
   /** Writes an answer without a body. */
--- a/packages/balancer/src/serving/caller-connections.ts
+++ b/packages/balancer/src/serving/caller-connections.ts
@@ -2,9 +2,11 @@
 
 import type {ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
-import {ConnectionRefusals} from '@wasabidyke/shared';
+import {ConnectionRefusals, type ConnectionRefusal} from '@wasabidyke/shared';
 import type {DecisionLog} from '../reporting/decision-log.js';
-import {toMalformedAnswer} from './malformed-request.js';
+import {toLoggedPath, type OwnAnswers} from '../reporting/own-answers.js';
+import {toMalformedAnswer, toMalformedKind} from './malformed-request.js';
+import {describeRefusedBytes} from './refused-bytes.js';
 
 /** Counts the unanswered requests of each connection. */
 export class CallerConnections {
@@ -13,13 +15,12 @@
   readonly #unanswered = new WeakMap<Socket, number>();
   #isClosing = false;
 
-  constructor(log: DecisionLog) {
+  constructor(log: DecisionLog, ownAnswers: OwnAnswers) {
     this.refusals = new ConnectionRefusals({
       toAnswer: toMalformedAnswer,
-      onRefused: ({code, unanswered}) =>
-        log.record('connection.refused', {cause: code, unanswered}),
-      onIgnored: ({url}) =>
-        log.record('request.ignored', {path: url?.split('?', 1)[0]}),
+      onRefused: refusal => recordRefusal(log, ownAnswers, refusal),
+      onIgnored: ({url = '/'}) =>
+        log.record('request.ignored', {path: toLoggedPath(url)}),
     });
   }
 
@@ -47,3 +48,28 @@
     }
   }
 }
+
+function recordRefusal(
+  log: DecisionLog,
+  ownAnswers: OwnAnswers,
+  {error, ...refusal}: ConnectionRefusal,
+): void {
+  const {status, reason} = toMalformedKind(error);
+  const {rawPacket, bytesParsed} = error;
+  if (refusal.unanswered === 0) {
+    ownAnswers.count(status, reason);
+  }
+  log.record('connection.refused', {
+    status,
+    reason,
+    cause: error.code,
+    detail: error.reason,
+    address: refusal.address,
+    unanswered: refusal.unanswered,
+    arrived: refusal.arrived,
+    isReading: refusal.isReading,
+    bytesRead: refusal.bytesRead,
+    bytesParsed,
+    refusedBytes: describeRefusedBytes(rawPacket, bytesParsed),
+  });
+}
--- a/packages/balancer/src/serving/caller-server.ts
+++ b/packages/balancer/src/serving/caller-server.ts
@@ -13,6 +13,7 @@
 import type {WireProtocol} from '../exchange/wire-protocol.js';
 import type {QuotaGate} from '../quotas/quota-gate.js';
 import type {DecisionLog} from '../reporting/decision-log.js';
+import type {OwnAnswers} from '../reporting/own-answers.js';
 import type {CallerLimits} from '../routing/routing-configuration.js';
 import type {RoutingTable} from '../routing/routing-table.js';
 import {canBeFinished} from './attempt-timing.js';
@@ -39,6 +40,7 @@
   readonly quotas: QuotaGate;
   readonly metrics: MetricRegistry;
   readonly log: DecisionLog;
+  readonly ownAnswers: OwnAnswers;
   readonly clock: Clock;
 }
 
@@ -61,7 +63,7 @@
 
   constructor(options: CallerServerOptions) {
     this.#options = options;
-    this.#connections = new CallerConnections(options.log);
+    this.#connections = new CallerConnections(options.log, options.ownAnswers);
     this.#answers = new CallerAnswers({
       ...options,
       connections: this.#connections,
@@ -80,10 +82,12 @@
       'Requests of callers under way.',
       () => this.#inFlight,
     );
-    this.#server = createCallerListener(
-      this.#connections.refusals,
-      (request, response) => this.#accept(request, response),
-    );
+    this.#server = createCallerListener({
+      refusals: this.#connections.refusals,
+      onRequest: (request, response) => this.#accept(request, response),
+      onProtocolError: (response, problem) =>
+        this.#answers.refuseProtocol(response, problem),
+    });
   }
 
   /** Number of requests in flight. */
@@ -169,9 +173,10 @@
     }
     const url = request.url ?? '/';
     // What has no route is told so, whatever its size.
-    const isTooLarge = headerBytesOf(request) > table.limits.headerBytes;
+    const headBytes = headerBytesOf(request);
+    const isTooLarge = headBytes > table.limits.headerBytes;
     if (isTooLarge && table.findRoute(request.headers.host, url)) {
-      this.#answers.send(response, 431, {});
+      this.#answers.refuseHead(response, requestId, headBytes, table);
       return;
     }
     const routed = this.#router.route(table, url, request.headers, metadata);
@@ -202,7 +207,7 @@
       return;
     }
     if (bodyResult.kind !== 'body') {
-      this.#answers.refuseBody(response, requestId, bodyResult.kind);
+      this.#answers.refuseBody(response, requestId, bodyResult, table);
       return;
     }
     onceClosed(response, bodyResult.release);
--- a/packages/balancer/src/serving/discovery-server.ts
+++ b/packages/balancer/src/serving/discovery-server.ts
@@ -9,6 +9,7 @@
 } from 'node:http';
 import {parseRequestTarget, type MetricRegistry} from '@wasabidyke/shared';
 import type {EntryRoster} from '../members/entry-roster.js';
+import {toLoggedPath, type OwnAnswers} from '../reporting/own-answers.js';
 import type {RoutingTable} from '../routing/routing-table.js';
 import type {DiscoveryProtocol} from './discovery-protocol.js';
 
@@ -17,6 +18,7 @@
   readonly protocol: DiscoveryProtocol;
   readonly roster: EntryRoster;
   readonly metrics: MetricRegistry;
+  readonly ownAnswers: OwnAnswers;
   /** How long callers may cache a list of entries, in milliseconds. */
   readonly maximumAgeMs: number;
   readonly isReady: () => boolean;
@@ -95,10 +97,20 @@
         send(response, 200, `${TEXT_TYPE}; version=0.0.4`, metrics.render());
         return;
       default:
-        send(response, 404, TEXT_TYPE, '');
+        this.#refuseUnknown(request, response);
     }
   }
 
+  #refuseUnknown(request: IncomingMessage, response: ServerResponse): void {
+    const {url = '/', socket} = request;
+    const status = 404;
+    this.#options.ownAnswers.record(
+      {event: 'discovery.refused', status, reason: 'unknown-discovery-path'},
+      {path: toLoggedPath(url), address: socket.remoteAddress},
+    );
+    send(response, status, TEXT_TYPE, '');
+  }
+
   #sendEntries(query: URLSearchParams, response: ServerResponse): void {
     const {protocol, roster, table} = this.#options;
     const place = protocol.readPlace(query);
--- a/packages/balancer/src/serving/request-router.ts
+++ b/packages/balancer/src/serving/request-router.ts
@@ -26,6 +26,9 @@
 export type KeyProblem =
   'missing-key' | 'repeated-key' | 'unknown-key' | 'revoked-key';
 
+/** Why a request has no service: its host has no route, none for the path, or the services of its route all have weight 0. */
+export type RouteProblem = 'unknown-host' | 'unknown-path' | 'no-weight';
+
 /** A request that the configuration doesn't allow. */
 export interface RoutingRejection {
   readonly kind: 'rejection';
@@ -33,12 +36,11 @@
   readonly status: number;
   /** Event under which the rejection is logged. */
   readonly event: 'request.unrouted' | 'request.unauthorized';
-  /** Version of the configuration that rejects it. */
-  readonly version: number;
+  /** The configuration that rejects it. */
+  readonly table: RoutingTable;
   /** Name of the route; undefined without one. */
   readonly route?: string;
-  /** Undefined if no route was found. */
-  readonly reason?: KeyProblem;
+  readonly reason: KeyProblem | RouteProblem;
   /** Name of the account that a revoked key belonged to. */
   readonly account?: string;
 }
@@ -80,7 +82,8 @@
   ): RequestDestination | RoutingRejection {
     const route = table.findRoute(headers.host, url);
     if (route === undefined) {
-      return toUnrouted(table);
+      const isKnown = table.hasHost(headers.host);
+      return toUnrouted(table, isKnown ? 'unknown-path' : 'unknown-host');
     }
     const account = findAccount(table, route, keys);
     if (account?.kind === 'rejection') {
@@ -88,7 +91,7 @@
     }
     const service = this.#options.routeState.nextService(route);
     if (service === undefined) {
-      return toUnrouted(table);
+      return toUnrouted(table, 'no-weight', route);
     }
     const found = account?.account;
     return {
@@ -164,12 +167,23 @@
     : toUnauthorized(table, route, 'revoked-key', former);
 }
 
-function toUnrouted({version}: RoutingTable): RoutingRejection {
-  return {kind: 'rejection', status: 404, event: 'request.unrouted', version};
+function toUnrouted(
+  table: RoutingTable,
+  reason: RouteProblem,
+  route?: Route,
+): RoutingRejection {
+  return {
+    kind: 'rejection',
+    status: 404,
+    event: 'request.unrouted',
+    table,
+    route: route?.name,
+    reason,
+  };
 }
 
 function toUnauthorized(
-  {version}: RoutingTable,
+  table: RoutingTable,
   route: Route,
   reason: KeyProblem,
   account?: string,
@@ -178,7 +192,7 @@
     kind: 'rejection',
     status: 401,
     event: 'request.unauthorized',
-    version,
+    table,
     route: route.name,
     reason,
     account,
--- a/packages/shared/src/connection-refusals.ts
+++ b/packages/shared/src/connection-refusals.ts
@@ -18,12 +18,27 @@
   readonly onIgnored?: (request: IncomingMessage) => void;
 }
 
+/** An error of Node's parser. */
+export interface ParserError extends NodeJS.ErrnoException {
+  readonly reason?: string;
+  /** Offset in `rawPacket` at which the parser gave up, in bytes. */
+  readonly bytesParsed?: number;
+  /** The bytes that the parser was reading. */
+  readonly rawPacket?: Buffer;
+}
+
 /** What became of a connection that is refused. */
 export interface ConnectionRefusal {
-  /** Code of the error of Node's parser. */
-  readonly code: string | undefined;
+  readonly error: ParserError;
+  readonly address: string | undefined;
   /** Complete requests that are still at work; the connection closes after their answers. */
   readonly unanswered: number;
+  /** Requests that had arrived on the connection, at least their heads. */
+  readonly arrived: number;
+  /** Whether the body of a request was still arriving. */
+  readonly isReading: boolean;
+  /** Bytes that were read on the connection. */
+  readonly bytesRead: number;
 }
 
 interface Connection {
@@ -121,7 +136,14 @@
     }
     connection.isRefused = true;
     const unanswered = countComplete(connection);
-    this.#options.onRefused?.({code: error.code, unanswered});
+    this.#options.onRefused?.({
+      error,
+      address: socket.remoteAddress,
+      unanswered,
+      arrived: connection.arrived,
+      isReading: connection.unanswered.size > unanswered,
+      bytesRead: socket.bytesRead,
+    });
     if (unanswered === 0) {
       socket.write(this.#options.toAnswer(error));
       this.#close(socket);
