fix(balancer): only a confirmed configuration denies requests

Callers saw: an entry that the store had told nothing for seconds answered 404 for a route that had been added meanwhile, 401 for a key that had been added, and 413 or 431 by limits that had been replaced. Callers take these answers as final, and ask no other entry.

Cause: a denial says something about the newest configuration, but was given by whichever one the entry knew, however long ago the store had confirmed it: while the entry is cut off, while the store is down, and after a start whose check of the revision failed, so that the records were seconds old.

Change: the configuration denies a request only if the store has confirmed within 2.5 s that no record is missing. Otherwise the request is refused as not run (503, unconfirmed-configuration), as by an entry that knows no configuration yet; callers come back, or ask another entry. A line request.denial-withheld tells what the denial would have been.

Five of the six scenarios of unconfirmed-configuration.feature failed before (404, 404, 404, 431 and 401 instead of 503).

--- a/packages/balancer/src/reporting/own-answers.ts
+++ b/packages/balancer/src/reporting/own-answers.ts
@@ -46,6 +46,11 @@
     this.#options = options;
   }
 
+  /** Time since the store confirmed that no record is missing, in milliseconds; infinite if it never did. */
+  get recordsAgeMs(): number {
+    return this.#options.origin().ageMs;
+  }
+
   /** Counts an answer, unless its status is none of 3xx and 4xx. @param reason One of a fixed set. */
   count(status: number, reason: string): void {
     if (isOwnAnswer(status)) {
--- a/packages/balancer/src/serving/caller-answers.ts
+++ b/packages/balancer/src/serving/caller-answers.ts
@@ -8,12 +8,14 @@
 import {
   isOwnAnswer,
   toTargetFields,
+  type OwnAnswer,
   type OwnAnswers,
 } from '../reporting/own-answers.js';
 import type {RoutingTable} from '../routing/routing-table.js';
 import type {BodyExcess, BodyFailure} from './body-reader.js';
 import type {CallerConnections} from './caller-connections.js';
 import type {ProtocolProblem} from './caller-listener.js';
+import {mayDeny, UNCONFIRMED_REFUSAL} from './denial.js';
 import {CHANGED_REFUSAL, STOPPING_REFUSAL} from './refusals.js';
 import {toRefusalFields, type RefusedRequest} from './refusal-fields.js';
 import type {AccountChange, RoutingRejection} from './request-router.js';
@@ -68,13 +70,7 @@
   ): void {
     const {route, account, table} = rejection;
     const fields = {request: requestId, route, account};
-    this.#options.ownAnswers.recordRequest(
-      rejection,
-      response.req,
-      table,
-      fields,
-    );
-    this.send(response, rejection.status, {});
+    this.#deny(response, rejection, table, fields);
   }
 
   /** Answers a request that breaks a rule of HTTP, as Node's server would. */
@@ -103,14 +99,34 @@
     size: number,
     table: RoutingTable,
   ): void {
-    const status = 431;
-    this.#options.ownAnswers.recordRequest(
-      {event: 'request.head-refused', status, reason: 'head-too-large'},
-      response.req,
+    this.#deny(
+      response,
+      {event: 'request.head-refused', status: 431, reason: 'head-too-large'},
       table,
       {request: requestId, size, limit: table.limits.headerBytes},
     );
-    this.send(response, status, {});
+  }
+
+  /** Denies a request, or refuses it if the configuration by which it would be denied may be outdated. */
+  #deny(
+    response: ServerResponse,
+    answer: OwnAnswer,
+    table: RoutingTable,
+    fields: LogFields & {readonly request: string | undefined},
+  ): void {
+    const {ownAnswers, log} = this.#options;
+    if (mayDeny(ownAnswers.recordsAgeMs)) {
+      ownAnswers.recordRequest(answer, response.req, table, fields);
+      this.send(response, answer.status, {});
+      return;
+    }
+    log.record('request.denial-withheld', {
+      ...toTargetFields(response.req),
+      ...fields,
+      ...ownAnswers.toBasis(table),
+      reason: answer.reason,
+    });
+    this.refuse(response, fields.request, UNCONFIRMED_REFUSAL);
   }
 
   /** Refuses a request that is no longer allowed as it was routed. */
@@ -204,15 +220,13 @@
     {measure, size, limit, readBytes}: BodyExcess,
     table: RoutingTable,
   ): void {
-    const status = 413;
-    this.#options.ownAnswers.recordRequest(
-      {event: 'request.body-refused', status, reason: measure},
-      response.req,
+    response.setHeader('connection', 'close');
+    this.#deny(
+      response,
+      {event: 'request.body-refused', status: 413, reason: measure},
       table,
       {request: requestId, size, limit, readBytes},
     );
-    response.setHeader('connection', 'close');
-    this.send(response, status, {});
   }
 
   /** Writes an answer without a body. */
--- a/packages/balancer/src/serving/routed-request.ts
+++ b/packages/balancer/src/serving/routed-request.ts
@@ -59,6 +59,8 @@
 const refusalReasonSchema = z.enum([
   /** This entry has no configuration yet. */
   'no-configuration',
+  /** The configuration that would deny the request may be outdated. */
+  'unconfirmed-configuration',
   /** The configuration that is now in force, or that of the entry that a request was relayed to, doesn't allow it. */
   'other-configuration',
   /** The entry that a request was relayed to has as many as it takes. */
