--- a/features/balancer/paged-reads.feature
+++ b/features/balancer/paged-reads.feature
@@ -11,3 +11,9 @@
       | first | second | position |
       | 10    | 7      | 7        |
       | 10    | 12     | 10       |
+
+  # Guards against a page without a key to go on from, whose successors are left out without an error.
+  Scenario: A page of which no item has a key, and which is not the last one
+    Given a store whose first page has no key and is not the last one
+    When all of its records are read
+    Then the read fails as malformed
--- a/features/steps/paged-reads.steps.ts
+++ b/features/steps/paged-reads.steps.ts
@@ -53,6 +53,13 @@
   },
 );
 
+Given(
+  'a store whose first page has no key and is not the last one',
+  function (this: PagesWorld) {
+    return listen(this, [{items: [{}], has_more: true, current_rev: 3}]);
+  },
+);
+
 When('all of its records are read', async function (this: PagesWorld) {
   this.pagedRead = await this.pagedStore.readAll(true);
 });
@@ -71,3 +78,8 @@
     assert.equal(this.pagedRead.unwrap().revision, revision);
   },
 );
+
+Then('the read fails as malformed', function (this: PagesWorld) {
+  assert.ok(this.pagedRead.isErr());
+  assert.equal(this.pagedRead.error.kind, 'malformed');
+});
