fix(balancer): a suspended machine denies nothing by what it knew before

What callers could see: an entry whose machine was suspended for seconds answers the requests that wait at its end before the store's answers, and took its configuration for confirmed: the monotonic clock, by which that age is counted, may leave out suspensions (DEPLOY.md).

Change: DenialGate finds suspensions as the quotas do, and a confirmation from before one counts no more. A step of the time of day looks the same; requests are then refused as not run until the store's next answer, within two seconds.

One scenario of denial-gate.feature fails without the second condition.

--- a/packages/balancer/src/index.ts
+++ b/packages/balancer/src/index.ts
@@ -43,6 +43,7 @@
 export * from './routing/unknown-regions.js';
 export * from './serving/body-reader.js';
 export * from './serving/charged-body.js';
+export * from './serving/denial-gate.js';
 export * from './serving/discovery-protocol.js';
 export * from './serving/limit-gate.js';
 export * from './serving/request-dispatcher.js';
--- a/packages/balancer/src/serving/caller-answers.ts
+++ b/packages/balancer/src/serving/caller-answers.ts
@@ -15,7 +15,7 @@
 import type {BodyExcess, BodyFailure} from './body-reader.js';
 import type {CallerConnections} from './caller-connections.js';
 import type {ProtocolProblem} from './caller-listener.js';
-import {mayDeny, UNCONFIRMED_REFUSAL} from './denial.js';
+import {UNCONFIRMED_REFUSAL, type DenialGate} from './denial-gate.js';
 import {CHANGED_REFUSAL, STOPPING_REFUSAL} from './refusals.js';
 import {toRefusalFields, type RefusedRequest} from './refusal-fields.js';
 import type {AccountChange, RoutingRejection} from './request-router.js';
@@ -28,6 +28,7 @@
   readonly clock: Clock;
   readonly log: DecisionLog;
   readonly ownAnswers: OwnAnswers;
+  readonly denialGate: DenialGate;
   /** Returns the current routing table; undefined before the first configuration. */
   readonly table: () => RoutingTable | undefined;
 }
@@ -114,8 +115,8 @@
     table: RoutingTable,
     fields: LogFields & {readonly request: string | undefined},
   ): void {
-    const {ownAnswers, log} = this.#options;
-    if (mayDeny(ownAnswers.recordsAgeMs)) {
+    const {ownAnswers, denialGate, log} = this.#options;
+    if (denialGate.mayDeny) {
       ownAnswers.recordRequest(answer, response.req, table, fields);
       this.send(response, answer.status, {});
       return;
--- a/packages/balancer/src/serving/caller-server.ts
+++ b/packages/balancer/src/serving/caller-server.ts
@@ -23,6 +23,7 @@
 import {createCallerListener} from './caller-listener.js';
 import {awaitChargedBody} from './charged-body.js';
 import type {RequestDispatcherOptions} from './dispatcher-options.js';
+import {DenialGate} from './denial-gate.js';
 import {headerBytesOf} from './request-head.js';
 import {
   RequestRouter,
@@ -57,6 +58,7 @@
   readonly #dispatchers = new Set<RequestDispatcher>();
   readonly #connections: CallerConnections;
   readonly #answers: CallerAnswers;
+  readonly #denialGate: DenialGate;
   #inFlight = 0;
   #isStopping = false;
   #onIdle: (() => void) | undefined;
@@ -64,8 +66,13 @@
   constructor(options: CallerServerOptions) {
     this.#options = options;
     this.#connections = new CallerConnections(options.log, options.ownAnswers);
+    this.#denialGate = new DenialGate({
+      recordsAgeMs: () => options.ownAnswers.recordsAgeMs,
+      clock: options.clock,
+    });
     this.#answers = new CallerAnswers({
       ...options,
+      denialGate: this.#denialGate,
       connections: this.#connections,
     });
     this.#router = new RequestRouter(options);
@@ -135,6 +142,7 @@
     const {socket} = request;
     this.#inFlight += 1;
     this.#requests.add();
+    this.#denialGate.onRequest();
     this.#connections.onRequest(socket);
     onceClosed(response, () => this.#onClose(socket, arrivedAtMs));
     this.#serve(request, response, arrivedAtMs).catch((error: unknown) => {
