--- a/features/balancer/denied-forms.feature
+++ b/features/balancer/denied-forms.feature
@@ -24,3 +24,10 @@
   Scenario: A host with an empty port is served
     When a look-up with the target "/read/a" is sent to the host "shop.example:"
     Then each of them was answered 200
+
+  # Guards against a 404 on a route that is there, which callers don't send again, because none of its services takes requests now.
+  Scenario: A route whose services all have the weight 0 isn't taken for none
+    Given a route whose services all have the weight 0
+    And the newest configuration is in force within 2000 ms
+    When a look-up with the target "/read/weightless/a" is sent to the host "shop.example"
+    Then each of them was answered 503
--- a/features/steps/denied.steps.ts
+++ b/features/steps/denied.steps.ts
@@ -1,7 +1,7 @@
 /** Steps for proper requests that must not be answered 4xx. */
 
 import assert from 'node:assert/strict';
-import {Then, When} from '@cucumber/cucumber';
+import {Given, Then, When} from '@cucumber/cucumber';
 import type {BalancerSite} from '../support/balancer-site.js';
 import {cutInto, exchangeRaw} from '../support/raw-exchange.js';
 
@@ -79,6 +79,24 @@
   return `${text.length.toString(16)}\r\n${text}\r\n`;
 }
 
+Given(
+  'a route whose services all have the weight 0',
+  function (this: DeniedWorld) {
+    const site = this.balancerSite;
+    site.configure({
+      weightless: {
+        host: 'shop.example',
+        prefix: '/read/weightless/',
+        kind: 'safe',
+        weighted_services: ['shop', 'shop'].map(service => ({
+          service,
+          weight: 0,
+        })),
+      },
+    });
+  },
+);
+
 When(
   /^(\d+) callers close in an orderly way (within|between)(.+)$/,
   async function (
