test(soak): a judge of DENIED

The soak judged no 3xx or 4xx of an entry's own but 401, so that an entry could turn proper requests away unnoticed. The check `denied` finds each one that every configuration which may be in force allows. At an entry in touch these are the ones of the last 2.5 s; a process doesn't go back from a version that was in force there. What all configurations allow counts at any entry.

Configurations note their routes and limits, and have a route that is split and one with a service of weight 0. features/soak shows what the check finds and what it leaves alone; the rows failed before, since no check saw them.

--- a/features/soak/soak.feature
+++ b/features/soak/soak.feature
@@ -70,6 +70,42 @@
       | a new key was refused shortly after it came     |
       | an account ran as much as its quota allows      |
 
+  # Guards against a judge that sees no 3xx or 4xx of an entry's own for proper requests.
+  Scenario Outline: With changing routes, the check "denied" finds that <what>
+    Given a history of requests that were served
+    And with changing routes <what>
+    Then the check "denied" finds something, and no other does
+
+    Examples:
+      | what                                                                  |
+      | an entry in touch answered 404 on a route that came long before       |
+      | an entry out of touch answered 404 on a route that was always there   |
+      | an entry out of touch answered 404 on a route that it had long served |
+      | a head at the limit of all versions was answered 431                  |
+      | a body within a limit that rose long before was answered 413          |
+      | a look-up was answered 400                                            |
+      | a look-up was redirected                                              |
+
+  # Guards against a judge that counts what a configuration that may be in force refuses.
+  Scenario Outline: With changing routes, it is no finding that <what>
+    Given a history of requests that were served
+    And with changing routes <what>
+    Then no check finds anything
+
+    Examples:
+      | what                                                                    |
+      | 404 came shortly after its route was added                              |
+      | 404 came shortly after its route was removed                            |
+      | 404 came long after its route was removed                               |
+      | 404 came for a route that never was                                     |
+      | 404 came for a path whose route is on another host                      |
+      | 404 came for a route without a service of positive weight               |
+      | an entry out of touch answered 404 on a route that came meanwhile       |
+      | an entry that was started answered 404 on a route that came long before |
+      | 413 came shortly after the limit fell                                   |
+      | a request was answered 421, 429 or 408                                  |
+      | a worker answered 404                                                   |
+
   Scenario: A crashing request that reaches three workers late is no finding
     Given a history of requests that were served
     And in it a request crashed workers, and three more much later
--- a/features/steps/soak.steps.ts
+++ b/features/steps/soak.steps.ts
@@ -16,6 +16,7 @@
 } from '@wasabidyke/soak';
 import {Link} from '@wasabidyke/stand-ins';
 import {eventually} from '../support/eventually.js';
+import {toConfigurationRecord} from '../support/soak-configuration.js';
 
 /** Length of a made-up history, and time between its requests, in milliseconds. */
 const LENGTH_MS = 30_000;
@@ -63,7 +64,7 @@
   this.history = new History();
   this.history.calmFromMs = CALM_FROM_MS;
   this.history.starts.push({entry: ENTRY, atMs: -LONG_MS});
-  this.history.configurations.push({version: 1, movedTo: 'reads', atMs: 0});
+  this.history.configurations.push(toConfigurationRecord(1, 'reads', 0));
   for (let atMs = 0; atMs < LENGTH_MS; atMs += GAP_MS) {
     addServed(this.history, {id: `served-${atMs}`, sentAtMs: atMs});
   }
@@ -96,11 +97,11 @@
   },
   'a request ran by a configuration that was replaced': history => {
     // Another entry than that of the check for steps back: each is at version 1.
-    history.configurations.push({version: 2, movedTo: 'writes', atMs: LONG_MS});
+    history.configurations.push(toConfigurationRecord(2, 'writes', LONG_MS));
     addServed(history, {path: '/moving/1', sentAtMs: 2 * LONG_MS});
   },
   'an entry went back to an older configuration': history => {
-    history.configurations.push({version: 2, movedTo: 'writes', atMs: LONG_MS});
+    history.configurations.push(toConfigurationRecord(2, 'writes', LONG_MS));
     const moving = {path: '/moving/1', sentAtMs: LONG_MS + GAP_MS};
     addServed(history, moving, {service: 'writes'});
     addServed(history, {path: '/moving/2', sentAtMs: LONG_MS + 10 * GAP_MS});
--- a/packages-private/soak/src/acts-on-callers.ts
+++ b/packages-private/soak/src/acts-on-callers.ts
@@ -5,9 +5,9 @@
 import {SeededRandom} from '@wasabidyke/policy';
 import {chooseSteadyKey, SURGING_KEY} from './accounts.js';
 import type {Site} from './acts.js';
-import {HOST} from './caller.js';
 import type {EntryProcess} from './entry-process.js';
 import {nowMs, type CallRecord, type History} from './history.js';
+import {HOST} from './routes.js';
 import type {Step} from './schedule.js';
 
 /** Requests per second of the account that surges: five times its quota. */
--- a/packages-private/soak/src/acts-on-stops.ts
+++ b/packages-private/soak/src/acts-on-stops.ts
@@ -4,9 +4,9 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {chooseSteadyKey, toKeyFields} from './accounts.js';
 import type {Site} from './acts.js';
-import {HOST} from './caller.js';
 import {STOP_WITHIN_MS} from './entry-process.js';
 import {nowMs, type CallRecord} from './history.js';
+import {HOST} from './routes.js';
 import type {Step} from './schedule.js';
 import {LONG_PREFIX} from './worker-stand-in.js';
 
--- a/packages-private/soak/src/caller.ts
+++ b/packages-private/soak/src/caller.ts
@@ -6,9 +6,7 @@
 import {toKeyFields, type KeyChoice} from './accounts.js';
 import type {EntryProcess} from './entry-process.js';
 import {nowMs, type CallRecord, type History} from './history.js';
-
-/** Host of all routes. */
-export const HOST = 'shop.example';
+import {HOST} from './routes.js';
 
 /** Paths, and what may be repeated there. */
 const PATHS = [
--- a/packages-private/soak/src/checks-reach.ts
+++ b/packages-private/soak/src/checks-reach.ts
@@ -39,7 +39,8 @@
     isCrashing === undefined &&
     isRevocable === undefined &&
     isSurging === undefined &&
-    call.isLate === undefined
+    call.isLate === undefined &&
+    call.isProbe === undefined
   );
 }
 
--- a/packages-private/soak/src/checks.ts
+++ b/packages-private/soak/src/checks.ts
@@ -6,6 +6,7 @@
   type ConfigurationRecord,
   type History,
 } from './history.js';
+import {checkDenied} from './checks-denied.js';
 import {checkEvacuated} from './checks-evacuated.js';
 import {checkKeys, checkUnauthorized} from './checks-keys.js';
 import {checkLimit} from './checks-limit.js';
@@ -13,8 +14,14 @@
 import {checkQuota} from './checks-quota.js';
 import {checkReach} from './checks-reach.js';
 import {checkUnfinished} from './checks-stop.js';
+import {checkRecover} from './checks-recover.js';
 import {checkLeft, checkRest} from './checks-rest.js';
 import {isInTouch, STABLE_WINDOW_MS} from './checks-touch.js';
+import {
+  COMING_PREFIX,
+  SPLIT_PREFIX,
+  WEIGHTLESS_PREFIX,
+} from './changing-routes.js';
 import {toAnswer} from './worker-stand-in.js';
 
 /** A promise that was broken. */
@@ -48,15 +55,15 @@
 /** Longest time in seconds for which a request may be told to stay away that crashes nothing: room is back long before. */
 const BLAMED_SECONDS = 60;
 
-/** Share of requests that must be served once all faults are over. Source: a system without faults and at low load serves all; the rest are requests that faults still hold. */
-const CALM_SHARE = 0.95;
-
 /** Services that a path may go to. */
 const SERVICES: Readonly<Record<string, readonly string[]>> = {
   '/read/': ['reads'],
   '/write/': ['writes'],
   '/moving/': ['reads', 'writes'],
   '/long/': ['writes'],
+  [COMING_PREFIX]: ['reads', 'writes'],
+  [SPLIT_PREFIX]: ['reads', 'writes'],
+  [WEIGHTLESS_PREFIX]: ['reads'],
 };
 
 const NOT_RUN_STATUSES = [401, 408, 421, 429, 503];
@@ -87,6 +94,7 @@
     unfinished: checkUnfinished,
     keys: checkKeys,
     unauthorized: checkUnauthorized,
+    denied: checkDenied,
     recover: checkRecover,
     exits: ({exits}) =>
       exits.map(({entry, status}) => `${entry} ended with status ${status}`),
@@ -254,7 +262,7 @@
     const sent = (backMs: number) =>
       calls.filter(
         ({path, sentAtMs}) =>
-          SERVICES[toPrefix(path)].includes(service) &&
+          SERVICES[toPrefix(path)]?.includes(service) &&
           inWindow(sentAtMs, backMs),
       ).length;
     const most = Math.max(sent(0), sent(windowMs / 2), sent(windowMs));
@@ -351,22 +359,6 @@
     .map(({id, entry, error}) => `${id} was lost at ${entry}: ${error}`);
 }
 
-function checkRecover({calls, calmFromMs}: History): string[] {
-  const late = calls.filter(
-    ({sentAtMs, endedAtMs, leftAtMs, isCrashing, isRevocable, isSurging}) =>
-      sentAtMs > calmFromMs &&
-      endedAtMs !== undefined &&
-      leftAtMs === undefined &&
-      isCrashing === undefined &&
-      isRevocable === undefined &&
-      isSurging === undefined,
-  );
-  const served = late.filter(({status}) => status === 200).length;
-  return served < CALM_SHARE * late.length || late.length === 0
-    ? [`${served} of ${late.length} requests were served after all faults`]
-    : [];
-}
-
 function groupRuns(arrivals: readonly ArrivalRecord[]): Map<string, number> {
   const runs = new Map<string, number>();
   for (const {id, hasRun} of arrivals) {
--- a/packages-private/soak/src/crashing-request.ts
+++ b/packages-private/soak/src/crashing-request.ts
@@ -8,9 +8,9 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {SeededRandom, type RandomSource} from '@wasabidyke/policy';
 import {chooseSteadyKey, toKeyFields} from './accounts.js';
-import {HOST} from './caller.js';
 import type {EntryProcess} from './entry-process.js';
 import {nowMs, type CallRecord, type History} from './history.js';
+import {HOST} from './routes.js';
 import {drawEnding, toEndingPath} from './worker-ending.js';
 
 /** Pause between sends, in milliseconds. */
--- a/packages-private/soak/src/history.ts
+++ b/packages-private/soak/src/history.ts
@@ -1,6 +1,7 @@
 /** What callers and workers saw, and what was done to the system. Times are on one monotonic clock, in milliseconds. */
 
 import type {KeyRecord} from './accounts.js';
+import type {LimitRecord, RouteRecord} from './routes.js';
 
 /** One send of a request by a caller, and what became of it. */
 export interface CallRecord {
@@ -26,6 +27,13 @@
   readonly isSurging?: true;
   /** Whether it came long after its connection was opened, so that it may be refused for that. */
   readonly isLate?: true;
+  /** Whether it tries what entries may refuse; checks that count how many are served leave it out. */
+  readonly isProbe?: true;
+  /** The usual one if undefined. */
+  readonly host?: string;
+  /** Size of its head and body in bytes, where they are near the limits. */
+  readonly headBytes?: number;
+  readonly bodyBytes?: number;
   /** When the caller gave up. */
   leftAtMs?: number;
   /** Key of its client account. */
@@ -72,10 +80,12 @@
   readonly atMs: number;
 }
 
-/** A configuration that was written: which service the moving route goes to. */
+/** A configuration that was written: which service the moving route goes to, all routes, and the limits. */
 export interface ConfigurationRecord {
   readonly version: number;
   readonly movedTo: string;
+  readonly routes: readonly RouteRecord[];
+  readonly limits: LimitRecord;
   readonly atMs: number;
 }
 
--- a/packages-private/soak/src/operator.ts
+++ b/packages-private/soak/src/operator.ts
@@ -1,19 +1,31 @@
 /** Operators and workers as the store sees them: configurations, announcements and leavings. */
 
+import type {RandomSource} from '@wasabidyke/policy';
 import type {Accounts} from './accounts.js';
-import {HOST} from './caller.js';
+import {ChangingRoutes} from './changing-routes.js';
 import {nowMs, type History} from './history.js';
+import {HOST, type RouteRecord} from './routes.js';
 import type {StoreStandIn} from './store-stand-in.js';
 import {LONG_PREFIX} from './worker-stand-in.js';
 
 const ROUTE = {
-  host: HOST,
   timeout: '1500ms',
   target_latency: '300ms',
   priority: 1,
   max_attempts: 3,
 };
 
+/** Time after which entries close idle connections, in milliseconds. */
+export const IDLE_TIMEOUT_MS = 15_000;
+
+/** Routes that stay as they are. */
+const USUAL_ROUTES: ReadonlyArray<[string, RouteRecord]> = [
+  ['read', {host: HOST, prefix: '/read/', weights: {reads: 1}}],
+  ['write', {host: HOST, prefix: '/write/', weights: {writes: 1}}],
+  ['long', {host: HOST, prefix: LONG_PREFIX, weights: {writes: 1}}],
+];
+const UNSAFE_PREFIXES = ['/write/', LONG_PREFIX];
+
 /** What a worker writes of itself. */
 interface Announcement {
   readonly status: {readonly seq: number};
@@ -24,6 +36,7 @@
   readonly #store: StoreStandIn;
   readonly #history: History;
   readonly #accounts: Accounts | undefined;
+  readonly #changing = new ChangingRoutes();
   #version = 0;
   #sequence = 0;
   /** The last announcements, by worker. */
@@ -45,36 +58,41 @@
     this.#version += 1;
     const movedTo = this.#version % 2 === 0 ? 'writes' : 'reads';
     const service = {health_path: '/health', max_connections: 100};
+    const {limits} = this.#changing;
+    const routes = new Map<string, RouteRecord>([
+      ...USUAL_ROUTES,
+      ['moving', {host: HOST, prefix: '/moving/', weights: {[movedTo]: 1}}],
+      ...this.#changing.routes,
+    ]);
     this.#store.set('op/config', {
       version: this.#version.toString(16).padStart(8, '0'),
-      routes: {
-        read: {...ROUTE, prefix: '/read/', kind: 'safe', service: 'reads'},
-        write: {...ROUTE, prefix: '/write/', kind: 'unsafe', service: 'writes'},
-        long: {
-          ...ROUTE,
-          timeout: '20s',
-          prefix: LONG_PREFIX,
-          kind: 'unsafe',
-          service: 'writes',
-        },
-        moving: {...ROUTE, prefix: '/moving/', kind: 'safe', service: movedTo},
-      },
+      routes: Object.fromEntries(
+        [...routes].map(([name, route]) => [name, toWire(route)]),
+      ),
       tenants: this.#accounts?.createNext(),
       services: {reads: service, writes: service},
       limits: {
-        max_header_bytes: 8_192,
-        max_body_bytes: 100_000,
+        max_header_bytes: limits.headBytes,
+        max_body_bytes: limits.bodyBytes,
         header_timeout: '3s',
-        idle_timeout: '15s',
+        idle_timeout: `${IDLE_TIMEOUT_MS}ms`,
       },
     });
     this.#history.configurations.push({
       version: this.#version,
       movedTo,
+      routes: [...routes.values()],
+      limits,
       atMs: nowMs(),
     });
   }
 
+  /** Writes a configuration with other routes and limits, in which `/moving/` moves as well. */
+  changeRoutes(random: RandomSource): void {
+    this.#changing.change(random);
+    this.moveRoute();
+  }
+
   /** Announces a worker. */
   announce(
     id: string,
@@ -128,3 +146,24 @@
     }
   }
 }
+
+function toWire({host, prefix, weights}: RouteRecord): object {
+  const [service, ...others] = Object.keys(weights);
+  const target =
+    others.length === 0
+      ? {service}
+      : {
+          weighted_services: Object.entries(weights).map(([name, weight]) => ({
+            service: name,
+            weight,
+          })),
+        };
+  return {
+    ...ROUTE,
+    ...(prefix === LONG_PREFIX ? {timeout: '20s'} : {}),
+    ...target,
+    host,
+    prefix,
+    kind: UNSAFE_PREFIXES.includes(prefix) ? 'unsafe' : 'safe',
+  };
+}
