test(soak): routes come, go and come back, and limits change

Twice in a series of 14 s, three times in a burst, beside kills of the entry that reads the store, and beside faults that overlap.

--- a/packages-private/soak/src/acts.ts
+++ b/packages-private/soak/src/acts.ts
@@ -13,6 +13,7 @@
 import {drillStore, silenceWatches} from './acts-on-store.js';
 import {stopBesideLongOrders} from './acts-on-stops.js';
 import {sendLateOrders, surgeAccount} from './acts-on-callers.js';
+import {changeBesideFaults, changeRoutes} from './acts-on-routes.js';
 import {cutEntries} from './entry-cut.js';
 import {sendCrashing} from './crashing-request.js';
 import type {Operator} from './operator.js';
@@ -115,6 +116,10 @@
     if (site.history.keys.length > 0) {
       await surgeAccount(site, step);
     }
+  } else if (step.act === 'routes-and-faults') {
+    await changeBesideFaults(site, step, act);
+  } else if (step.act.startsWith('routes-')) {
+    await changeRoutes(site, step);
   } else if (step.act === 'late-orders') {
     await sendLateOrders(site, step);
   } else if (step.act === 'watches-silent') {
--- a/packages-private/soak/src/schedule.ts
+++ b/packages-private/soak/src/schedule.ts
@@ -30,7 +30,7 @@
   'move-route',
 ] as const;
 
-/** One kind of act. The others are no part of a series: a request that crashes workers, the loss of all entries at once, an entry that joins, one that stands still for long, workers that name a limit, entries that lose their links to workers, workers that ask for rest, one that says only in its answers that it leaves, bursts of configurations, the loss or a pause of an entry that reads the store, the replacement of an older build, odd records of other writers, announcements that are written after a departure, configurations beside kills of the entry that reads the store, a store that comes back from an older copy, a stop with two signals beside long orders, watches of the store that fall silent, workers that answer in tiny chunks without end, evacuations of zones, an account that exceeds its quota, and orders that come late on their connections. */
+/** One kind of act. The others are no part of a series: a request that crashes workers, the loss of all entries at once, an entry that joins, one that stands still for long, workers that name a limit, entries that lose their links to workers, workers that ask for rest, one that says only in its answers that it leaves, bursts of configurations, the loss or a pause of an entry that reads the store, the replacement of an older build, odd records of other writers, announcements that are written after a departure, configurations beside kills of the entry that reads the store, a store that comes back from an older copy, a stop with two signals beside long orders, watches of the store that fall silent, workers that answer in tiny chunks without end, evacuations of zones, an account that exceeds its quota, orders that come late on their connections, and routes and limits that change in series, in bursts, beside kills of the entry that reads the store and beside faults that overlap. */
 export type Act =
   | (typeof ACTS)[number]
   | 'crashing-request'
@@ -56,7 +56,11 @@
   | 'worker-tiny-chunks'
   | 'zone-evacuate'
   | 'account-surge'
-  | 'late-orders';
+  | 'late-orders'
+  | 'routes-change'
+  | 'routes-burst'
+  | 'routes-and-kills'
+  | 'routes-and-faults';
 
 /** One act of a run. */
 export interface Step {
@@ -108,6 +112,10 @@
   'zone-evacuate': 9_000,
   'account-surge': 9_000,
   'late-orders': 6_000,
+  'routes-change': 14_000,
+  'routes-burst': 2_000,
+  'routes-and-kills': 6_000,
+  'routes-and-faults': 7_000,
 };
 
 /** Draws the steps of one run. @param acts Those to draw from. */
@@ -188,9 +196,21 @@
     'late-orders',
     'late-orders',
   ];
+  const routes: Act[] = [
+    'routes-change',
+    'routes-change',
+    'routes-burst',
+    'routes-burst',
+    'routes-and-kills',
+  ];
+  const lastChange = draw('routes-burst');
   return [
     ...drawn,
     {...last, atMs: Math.max(1, endMs - last.forMs)},
     ...callers.map(draw),
+    ...routes.map(draw),
+    // It ends before the drill that is the last act, and what it leaves is in force in the calm.
+    {...lastChange, atMs: Math.max(1, endMs - 2 * lastChange.forMs)},
+    draw('routes-and-faults'),
   ];
 }
