--- a/packages-private/soak/src/soak.ts
+++ b/packages-private/soak/src/soak.ts
@@ -13,6 +13,7 @@
 import {EntrySockets} from './entry-sockets.js';
 import {History, nowMs} from './history.js';
 import {Operator} from './operator.js';
+import {RawCaller} from './raw-caller.js';
 import {CALM_MS, type Schedule} from './schedule.js';
 import {StoreStandIn} from './store-stand-in.js';
 import {WorkerSlot} from './worker-slot.js';
@@ -46,6 +47,9 @@
 const ZONES = Object.keys(REGION_BY_ZONE);
 const PORTS_PER_ENTRY = 5;
 
+/** Usual callers for each one that sends what entries may refuse. */
+const CALLERS_PER_RAW_ONE = 2;
+
 /** Longest time for all entries to be ready, in milliseconds. */
 const READY_MS = 15_000;
 const READY_CHECK_MS = 50;
@@ -184,8 +188,21 @@
       }),
     );
   }
+  const rawCallers = Array.from(
+    {length: Math.ceil(options.callers / CALLERS_PER_RAW_ONE)},
+    (_, index) =>
+      new RawCaller({
+        name: `raw-${index + 1}`,
+        listEntries: () => [...site.entries, ...site.joined],
+        history,
+        random: new SeededRandom(seed + options.callers + 1 + index),
+        chooseKey: chooseSteadyKey(history, index),
+        // Half of them reach entries directly, past the faults of links.
+        linkOf: index % 2 === 0 ? undefined : address => links.get(address),
+      }),
+  );
   const startMs = nowMs();
-  const calls = callers.map(caller => caller.run());
+  const calls = [...callers, ...rawCallers].map(caller => caller.run());
   const acts = steps.map(async step => {
     await sleep(step.atMs);
     await act(site, step);
@@ -195,7 +212,7 @@
   history.calmFromMs = nowMs() + RECOVER_MS;
   await sleep(endMs - nowMs());
   history.isOver = true;
-  callers.forEach(caller => caller.stop());
+  [...callers, ...rawCallers].forEach(caller => caller.stop());
   await Promise.all(calls);
 }
 
