--- a/packages-private/soak/src/raw-caller.ts
+++ b/packages-private/soak/src/raw-caller.ts
@@ -13,7 +13,8 @@
 import type {EntryProcess} from './entry-process.js';
 import {nowMs, type CallRecord, type History} from './history.js';
 import {IDLE_TIMEOUT_MS} from './operator.js';
-import {RawConnection, type RawAnswer} from './raw-connection.js';
+import {noteAnswer} from './raw-answer.js';
+import {RawConnection} from './raw-connection.js';
 import {
   toRawRequest,
   type RawRequest,
@@ -109,7 +110,7 @@
     });
     const taken = Promise.all(
       answers.map(async (answer, index) =>
-        note(requests[index].call, await answer),
+        noteAnswer(requests[index].call, await answer),
       ),
     );
     const timer = setTimeout(() => {
@@ -207,21 +208,6 @@
   }
 }
 
-/** Takes an answer. Returns whether its connection ends with it. */
-function note(call: CallRecord, answer: RawAnswer | undefined): boolean {
-  call.endedAtMs = nowMs();
-  if (answer === undefined) {
-    call.error = 'the connection ended without a whole answer';
-    return false;
-  }
-  const {status, body, fields} = answer;
-  call.status = status;
-  call.body = body;
-  call.worker = fields.get('wasabidyke-server-seal')?.replace('seal-', '');
-  call.retryAfterSeconds = Number(fields.get('retry-after'));
-  return fields.get('connection') === 'close';
-}
-
 /** What was sent behind an answer that closes its connection counts as not read. */
 function giveUpBehind(
   calls: readonly CallRecord[],
--- a/packages-private/soak/src/soak.ts
+++ b/packages-private/soak/src/soak.ts
@@ -14,6 +14,7 @@
 import {History, nowMs} from './history.js';
 import {Operator} from './operator.js';
 import {RawCaller} from './raw-caller.js';
+import {RouteProber} from './route-prober.js';
 import {CALM_MS, type Schedule} from './schedule.js';
 import {StoreStandIn} from './store-stand-in.js';
 import {WorkerSlot} from './worker-slot.js';
@@ -201,8 +202,15 @@
         linkOf: index % 2 === 0 ? undefined : address => links.get(address),
       }),
   );
+  const prober = new RouteProber({
+    listEntries: () => [...site.entries, ...site.joined],
+    history,
+    random: new SeededRandom(seed + 2 * options.callers + 1),
+    chooseKey: chooseSteadyKey(history, 0),
+  });
+  const all = [...callers, ...rawCallers, prober];
   const startMs = nowMs();
-  const calls = [...callers, ...rawCallers].map(caller => caller.run());
+  const calls = all.map(caller => caller.run());
   const acts = steps.map(async step => {
     await sleep(step.atMs);
     await act(site, step);
@@ -212,7 +220,7 @@
   history.calmFromMs = nowMs() + RECOVER_MS;
   await sleep(endMs - nowMs());
   history.isOver = true;
-  [...callers, ...rawCallers].forEach(caller => caller.stop());
+  all.forEach(caller => caller.stop());
   await Promise.all(calls);
 }
 
