fix(shared): a request that its caller cuts is not answered 400

Callers saw: 400 when they closed their side of a connection within a request, of which no byte was wrong; and a 400 behind the answer that they had already when they closed instead of sending a body that had been refused. That 400 belongs to no request.

Cause: the parser reports the end of the connection within a request as an error, and ConnectionRefusals answered each error of the parser as bytes that are no request.

Change: such a connection is closed without an answer, and its line says "cut". The entry and the operators' interface use the same code.

--- a/packages/balancer/src/serving/caller-connections.ts
+++ b/packages/balancer/src/serving/caller-connections.ts
@@ -56,12 +56,13 @@
 ): void {
   const {status, reason} = toMalformedKind(error);
   const {rawPacket, bytesParsed} = error;
-  if (refusal.unanswered === 0) {
+  const isAnswered = refusal.unanswered === 0 && !refusal.isCut;
+  if (isAnswered) {
     ownAnswers.count(status, reason);
   }
   log.record('connection.refused', {
-    status,
-    reason,
+    status: isAnswered ? status : undefined,
+    reason: refusal.isCut ? 'cut' : reason,
     cause: error.code,
     detail: error.reason,
     address: refusal.address,
--- a/packages/shared/src/connection-refusals.ts
+++ b/packages/shared/src/connection-refusals.ts
@@ -39,6 +39,8 @@
   readonly isReading: boolean;
   /** Bytes that were read on the connection. */
   readonly bytesRead: number;
+  /** Whether the caller closed its side within a request, which gets no answer. */
+  readonly isCut: boolean;
 }
 
 interface Connection {
@@ -50,6 +52,7 @@
 
 const TIMEOUT_CODE = 'ERR_HTTP_REQUEST_TIMEOUT';
 const RESET_CODE = 'ECONNRESET';
+const CUT_CODE = 'HPE_INVALID_EOF_STATE';
 
 /** Time for the rest of a request of which more has arrived when its time is over, in milliseconds: as long as Node's checks are apart. */
 const REST_WITHIN_MS = 1_000;
@@ -135,6 +138,8 @@
       return;
     }
     connection.isRefused = true;
+    // What has arrived of a cut request may be well-formed, and its caller has left.
+    const isCut = error.code === CUT_CODE;
     const unanswered = countComplete(connection);
     this.#options.onRefused?.({
       error,
@@ -143,11 +148,15 @@
       arrived: connection.arrived,
       isReading: connection.unanswered.size > unanswered,
       bytesRead: socket.bytesRead,
+      isCut,
     });
-    if (unanswered === 0) {
+    if (unanswered > 0) {
+      return;
+    }
+    if (!isCut) {
       socket.write(this.#options.toAnswer(error));
-      this.#close(socket);
     }
+    this.#close(socket);
   }
 
   /** Ends this side; the connection is not destroyed at once, because unread bytes would reset it before the answer is read. */
