fix(balancer): a target in absolute form finds its route

Callers saw: 404 for `GET http://host/path`, which servers must accept (RFC 9112, section 3.2.2). The whole target was looked up as a path.

Change: the target is rewritten to origin form before anything else reads it, and its host replaces that of the header; the upstream gets path and query as they were.

--- a/packages/balancer/src/serving/caller-server.ts
+++ b/packages/balancer/src/serving/caller-server.ts
@@ -25,6 +25,7 @@
 import type {RequestDispatcherOptions} from './dispatcher-options.js';
 import {DenialGate} from './denial-gate.js';
 import {headerBytesOf} from './request-head.js';
+import {toOriginForm} from './request-target.js';
 import {
   RequestRouter,
   type AccountChange,
@@ -140,6 +141,7 @@
   #accept(request: IncomingMessage, response: ServerResponse): void {
     const arrivedAtMs = this.#options.clock.now();
     const {socket} = request;
+    toOriginForm(request);
     this.#inFlight += 1;
     this.#requests.add();
     this.#denialGate.onRequest();
