fix(balancer): an empty port belongs to no host

Callers saw: 404 for a host that ends with a colon, which has an empty port (RFC 3986, section 3.2.3). The colon stayed in the name that was looked up.

--- a/packages/balancer/src/routing/route-index.ts
+++ b/packages/balancer/src/routing/route-index.ts
@@ -80,6 +80,7 @@
 /** Normalizes a `Host` header: without a port, and in lower case. */
 export function toHostName(host: string): string {
   const portAt = host.lastIndexOf(':');
-  const hasPort = portAt > -1 && /^\d+$/.test(host.slice(portAt + 1));
+  // The port may be empty (RFC 3986, section 3.2.3).
+  const hasPort = portAt > -1 && /^\d*$/.test(host.slice(portAt + 1));
   return (hasPort ? host.slice(0, portAt) : host).toLowerCase();
 }
