fix(balancer): a complete read takes back nothing that was polled

Callers saw: 503 of an entry that had dropped workers right after its start and took them no more.

Cause: an entry that starts polls records that are newer than the position of its first read, and doesn't raise that position, since a poll tells no deletions. A feeder between the two didn't count as behind, so that a complete read from it took back what was polled: workers vanished, and their unchanged announcements were refused as outdated from then on.

Change: the highest revision that was polled counts where a complete read is judged; the entry then reads the store itself.

--- a/packages/balancer/src/feed/follower-record-store.ts
+++ b/packages/balancer/src/feed/follower-record-store.ts
@@ -164,7 +164,7 @@
   }
 
   #isFeederBehind(fed: StorePosition): boolean {
-    return fed.era < this.eras.current || this.#freshness.isBehind(fed);
+    return fed.era < this.eras.current || this.#freshness.wouldTakeBack(fed);
   }
 
   /** Reads records that may be old, and the revision beside it. Reads all again if a record is missing. */
@@ -288,10 +288,11 @@
     if (read.isOk() && isBefore(read.value, after)) {
       return undefined;
     }
-    return read.map(({changes}) => ({
-      changes: changes.filter(({revision}) => revision > after.revision),
-      ...after,
-    }));
+    return read.map(({changes}) => {
+      const newer = changes.filter(({revision}) => revision > after.revision);
+      this.#freshness.onPolled(newer.map(({revision}) => revision));
+      return {changes: newer, ...after};
+    });
   }
 
   override get confirmationMs(): number {
--- a/packages/balancer/src/feed/record-freshness.ts
+++ b/packages/balancer/src/feed/record-freshness.ts
@@ -13,6 +13,8 @@
 /** Tracks the revision of the records and their age. */
 export class RecordFreshness {
   #revision = 0;
+  /** Highest revision of the records that were polled, between which others may be missing. */
+  #polledRevision = 0;
   #era = UNNAMED_ERA;
   #confirmedAtMs = -Infinity;
 
@@ -31,6 +33,17 @@
     return isBefore(position, {era: this.#era, revision: this.#revision});
   }
 
+  /** Whether a complete read at this position would take back what this entry knows, also from polls. */
+  wouldTakeBack(position: StorePosition): boolean {
+    const revision = Math.max(this.#revision, this.#polledRevision);
+    return isBefore(position, {era: this.#era, revision});
+  }
+
+  /** Records the revisions of records that were polled. */
+  onPolled(revisions: readonly number[]): void {
+    this.#polledRevision = Math.max(this.#polledRevision, ...revisions);
+  }
+
   /** Records a complete read, which replaces what was known. */
   onCompleteRead({era, revision}: StorePosition, confirmedAtMs: number): void {
     if (era !== this.#era) {
@@ -38,6 +51,7 @@
       this.#confirmedAtMs = -Infinity;
     }
     this.#revision = revision;
+    this.#polledRevision = 0;
     this.#confirm(confirmedAtMs);
   }
 
