fix(balancer): what was asked before a pause confirms no configuration

Cause: an answer of the store or of a feeder that has waited in the buffer during a pause is read with the time of its reading, so that it confirms a state from before the pause.

Change: a confirmation counts for a denial only if its call was sent after the last pause. How old records are for followers is counted as before.

One scenario of denial-gate.feature guards it.

--- a/features/steps/denial-gate.steps.ts
+++ b/features/steps/denial-gate.steps.ts
@@ -21,43 +21,80 @@
 interface DenialWorld {
   denialClock: SuspendableClock;
   confirmedAtMs: number;
+  askedAtMs: number;
   denialGate: DenialGate;
 }
 
-function createGate(world: DenialWorld, confirmedAtMs: number): void {
-  world.denialClock = new SuspendableClock();
-  world.confirmedAtMs = confirmedAtMs;
+/** Time for which a call waits for its answer, in milliseconds. */
+const CALL_MS = 1;
+
+/** Time between requests, in milliseconds: shorter than what counts as a pause. */
+const REQUEST_GAP_MS = 100;
+
+function createGate(world: DenialWorld): void {
+  const clock = new SuspendableClock();
+  world.denialClock = clock;
   world.denialGate = new DenialGate({
-    recordsAgeMs: () => world.denialClock.now() - world.confirmedAtMs,
-    clock: world.denialClock,
+    confirmation: () => ({
+      ageMs: clock.now() - world.confirmedAtMs,
+      askedAtMs: world.askedAtMs,
+    }),
+    clock,
   });
 }
 
+/** The store answers a call. */
+function confirm(world: DenialWorld): void {
+  world.askedAtMs = world.denialClock.now();
+  world.denialClock.advance(CALL_MS);
+  world.confirmedAtMs = world.denialClock.now();
+}
+
+/** Lets time pass in which requests come. */
+function passTime(world: DenialWorld, milliseconds: number): void {
+  for (let leftMs = milliseconds; leftMs > 0; leftMs -= REQUEST_GAP_MS) {
+    world.denialClock.advance(Math.min(leftMs, REQUEST_GAP_MS));
+    world.denialGate.onRequest();
+  }
+}
+
 Given('a configuration that the store confirms', function (this: DenialWorld) {
-  createGate(this, 0);
+  createGate(this);
+  confirm(this);
 });
 
 Given(
   'a configuration that the store has never confirmed',
   function (this: DenialWorld) {
-    createGate(this, -Infinity);
+    createGate(this);
+    this.confirmedAtMs = -Infinity;
+    this.askedAtMs = -Infinity;
   },
 );
 
 When(
   '{int} ms pass for the entry, and its machine is suspended for {int} ms',
   function (this: DenialWorld, passedMs: number, suspendedMs: number) {
-    this.denialClock.advance(passedMs);
+    passTime(this, passedMs);
     this.denialClock.suspend(suspendedMs);
     this.denialGate.onRequest();
   },
 );
 
+When(
+  'the entry asks the store, and the answer waits in the buffer while the entry stands still for {int} ms',
+  function (this: DenialWorld, pauseMs: number) {
+    this.askedAtMs = this.denialClock.now();
+    this.denialClock.advance(pauseMs);
+    this.confirmedAtMs = this.denialClock.now();
+    this.denialGate.onRequest();
+  },
+);
+
 When(
   'the store confirms the configuration again',
   function (this: DenialWorld) {
-    this.denialClock.advance(1);
-    this.confirmedAtMs = this.denialClock.now();
+    confirm(this);
   },
 );
 
--- a/packages/balancer/src/feed/feeder-connection.ts
+++ b/packages/balancer/src/feed/feeder-connection.ts
@@ -24,6 +24,8 @@
 export interface FedChanges extends RecordChanges {
   /** When the store confirmed that none is missing, on the monotonic clock in milliseconds. */
   readonly confirmedAtMs: number;
+  /** When they were asked for, on the same clock. */
+  readonly askedAtMs: number;
   /** Upstreams that have left, in the first answer of a feeder. */
   readonly departures: readonly DepartedStart[];
 }
@@ -93,6 +95,7 @@
       ? {}
       : {[DEPARTURES_QUERY]: '1'};
     const path = `${FEED_PATH}?${String(new URLSearchParams({...query, ...asked}))}`;
+    const askedAtMs = this.#clock.now();
     try {
       const signal = AbortSignal.timeout(timeoutMs);
       const response = await this.#pool.request({method: 'GET', path, signal});
@@ -116,7 +119,8 @@
       this.#hasDepartures = true;
       const {ageMs = Infinity, departures} = parsed.data;
       const confirmedAtMs = this.#clock.now() - ageMs;
-      return Ok({...toRecordChanges(parsed.data), confirmedAtMs, departures});
+      const changes = toRecordChanges(parsed.data);
+      return Ok({...changes, confirmedAtMs, askedAtMs, departures});
     } catch (error) {
       return unavailable(String(error));
     }
--- a/packages/balancer/src/feed/follower-record-store.ts
+++ b/packages/balancer/src/feed/follower-record-store.ts
@@ -71,6 +71,8 @@
   readonly revision: number;
   /** Time since the store itself last confirmed that none is missing, in milliseconds; infinite if it never did. */
   readonly ageMs: number;
+  /** When the call was sent whose answer confirmed it, on the monotonic clock in milliseconds. */
+  readonly askedAtMs: number;
 }
 
 const STORE_SOURCE = 'store';
@@ -117,7 +119,9 @@
   /** Where the records were read last, and how old they are. */
   get origin(): RecordsOrigin {
     const {revision, ageMs} = this;
-    return {feeder: this.#lastFeeder ?? STORE_SOURCE, revision, ageMs};
+    const {askedAtMs} = this.#freshness;
+    const feeder = this.#lastFeeder ?? STORE_SOURCE;
+    return {feeder, revision, ageMs, askedAtMs};
   }
 
   /** Never returns less than was read before, unless the store itself holds less. */
@@ -132,10 +136,10 @@
       } else if (this.#isFeederBehind(fed.value)) {
         this.#onFeederBehind(feeder, fed.value);
       } else {
-        const {confirmedAtMs, departures} = fed.value;
+        const {confirmedAtMs, askedAtMs, departures} = fed.value;
         this.#options.onDepartures(departures);
         this.#lastFeeder = feeder.name;
-        this.#freshness.onCompleteRead(fed.value, confirmedAtMs);
+        this.#freshness.onCompleteRead(fed.value, confirmedAtMs, askedAtMs);
         return fed;
       }
     }
@@ -183,7 +187,7 @@
       // Callers are better served by records that may be old than by none.
       const {kind, message: cause} = current.error;
       log.record('records.unconfirmed', {revision, kind, cause});
-      this.#freshness.onCompleteRead(read.value, -Infinity);
+      this.#freshness.onCompleteRead(read.value, -Infinity, askedAtMs);
       return read;
     }
     const storeRevision = current.value.revision;
@@ -191,14 +195,16 @@
       log.record('records.old', {revision, storeRevision});
       return this.#readAllFromStore();
     }
-    this.#freshness.onCompleteRead(read.value, askedAtMs);
+    this.#freshness.onCompleteRead(read.value, askedAtMs, askedAtMs);
     return read;
   }
 
   async #readAllFromStore(): Promise<Result<RecordChanges, RecordStoreError>> {
-    const read = await this.#options.store.readAll(false);
+    const {store, clock} = this.#options;
+    const askedAtMs = clock.now();
+    const read = await store.readAll(false);
     if (read.isOk()) {
-      this.#freshness.onCompleteRead(read.value, this.#options.clock.now());
+      this.#freshness.onCompleteRead(read.value, clock.now(), askedAtMs);
     }
     return read;
   }
@@ -237,9 +243,11 @@
       this.#toOwnWaitMs(waitMs),
       this.#feeders.remainingDirectMs,
     );
+    const askedAtMs = this.#options.clock.now();
     const watched = await this.#options.store.watch(after, limitMs, signal);
     if (watched.isOk() && watched.value.revision >= after.revision) {
-      this.#freshness.onChanges(watched.value, this.#options.clock.now());
+      const {clock} = this.#options;
+      this.#freshness.onChanges(watched.value, clock.now(), askedAtMs);
     }
     return watched;
   }
@@ -352,7 +360,7 @@
     if (fed.isErr()) {
       return fed;
     }
-    const {era, revision, confirmedAtMs, departures} = fed.value;
+    const {era, revision, confirmedAtMs, askedAtMs, departures} = fed.value;
     this.#options.onDepartures(departures);
     this.eras.onNamed(era);
     if (after.era !== this.eras.current) {
@@ -360,7 +368,7 @@
     }
     if (!isBefore(fed.value, after)) {
       this.#feederBehind = undefined;
-      this.#freshness.onChanges(fed.value, confirmedAtMs);
+      this.#freshness.onChanges(fed.value, confirmedAtMs, askedAtMs);
       return fed;
     }
     this.#onFeederBehind(feeder, fed.value);
--- a/packages/balancer/src/feed/record-freshness.ts
+++ b/packages/balancer/src/feed/record-freshness.ts
@@ -17,6 +17,7 @@
   #polledRevision = 0;
   #era = UNNAMED_ERA;
   #confirmedAtMs = -Infinity;
+  #askedAtMs = -Infinity;
 
   /** Store revision up to which all records were read; 0 before the first read. */
   get revision(): number {
@@ -28,6 +29,11 @@
     return nowMs - this.#confirmedAtMs;
   }
 
+  /** When the call was sent whose answer confirmed it last, on the monotonic clock in milliseconds. */
+  get askedAtMs(): number {
+    return this.#askedAtMs;
+  }
+
   /** Whether a source that answers with this position knows less than this entry. */
   isBehind(position: StorePosition): boolean {
     return isBefore(position, {era: this.#era, revision: this.#revision});
@@ -44,26 +50,37 @@
     this.#polledRevision = Math.max(this.#polledRevision, ...revisions);
   }
 
-  /** Records a complete read, which replaces what was known. */
-  onCompleteRead({era, revision}: StorePosition, confirmedAtMs: number): void {
+  /** Records a complete read, which replaces what was known. @param askedAtMs When it was asked for, on the monotonic clock in milliseconds. */
+  onCompleteRead(
+    {era, revision}: StorePosition,
+    confirmedAtMs: number,
+    askedAtMs: number,
+  ): void {
     if (era !== this.#era) {
       this.#era = era;
       this.#confirmedAtMs = -Infinity;
     }
     this.#revision = revision;
     this.#polledRevision = 0;
-    this.#confirm(confirmedAtMs);
+    this.#confirm(confirmedAtMs, askedAtMs);
   }
 
-  /** Records changes up to a position. */
-  onChanges({era, revision}: StorePosition, confirmedAtMs: number): void {
+  /** Records changes up to a position. @param askedAtMs When they were asked for, on the monotonic clock in milliseconds. */
+  onChanges(
+    {era, revision}: StorePosition,
+    confirmedAtMs: number,
+    askedAtMs: number,
+  ): void {
     if (era === this.#era) {
       this.#revision = Math.max(this.#revision, revision);
-      this.#confirm(confirmedAtMs);
+      this.#confirm(confirmedAtMs, askedAtMs);
     }
   }
 
-  #confirm(atMs: number): void {
-    this.#confirmedAtMs = Math.max(this.#confirmedAtMs, atMs);
+  #confirm(atMs: number, askedAtMs: number): void {
+    if (atMs >= this.#confirmedAtMs) {
+      this.#confirmedAtMs = atMs;
+      this.#askedAtMs = atMs === -Infinity ? -Infinity : askedAtMs;
+    }
   }
 }
--- a/packages/balancer/src/index.ts
+++ b/packages/balancer/src/index.ts
@@ -46,6 +46,7 @@
 export * from './serving/denial-gate.js';
 export * from './serving/discovery-protocol.js';
 export * from './serving/limit-gate.js';
+export * from './serving/pause-detector.js';
 export * from './serving/request-dispatcher.js';
 export * from './serving/request-router.js';
 export * from './serving/route-state.js';
--- a/packages/balancer/src/reporting/own-answers.ts
+++ b/packages/balancer/src/reporting/own-answers.ts
@@ -46,9 +46,9 @@
     this.#options = options;
   }
 
-  /** Time since the store confirmed that no record is missing, in milliseconds; infinite if it never did. */
-  get recordsAgeMs(): number {
-    return this.#options.origin().ageMs;
+  /** Where the records come from, and how old they are. */
+  get origin(): RecordsOrigin {
+    return this.#options.origin();
   }
 
   /** Counts an answer, unless its status is none of 3xx and 4xx. @param reason One of a fixed set. */
--- a/packages/balancer/src/serving/caller-server.ts
+++ b/packages/balancer/src/serving/caller-server.ts
@@ -68,7 +68,7 @@
     this.#options = options;
     this.#connections = new CallerConnections(options.log, options.ownAnswers);
     this.#denialGate = new DenialGate({
-      recordsAgeMs: () => options.ownAnswers.recordsAgeMs,
+      confirmation: () => options.ownAnswers.origin,
       clock: options.clock,
     });
     this.#answers = new CallerAnswers({
@@ -105,6 +105,7 @@
 
   /** Starts to listen. @throws If the address can't be bound. */
   async listen(host: string, port: number): Promise<void> {
+    this.#denialGate.start();
     this.#server.listen(port, host);
     await once(this.#server, 'listening');
   }
@@ -124,6 +125,7 @@
   /** Refuses new connections and requests; resolves once the requests in flight are answered. */
   async stop(): Promise<void> {
     this.#isStopping = true;
+    this.#denialGate.stop();
     this.#server.close();
     this.#server.closeIdleConnections();
     if (this.#inFlight > 0) {
--- a/packages/balancer/src/serving/denial-gate.ts
+++ b/packages/balancer/src/serving/denial-gate.ts
@@ -4,13 +4,21 @@
  * entry, so it needs a configuration that is known to be the newest one.
  */
 
-import {ElapsedClock, type Clock} from '@wasabidyke/shared';
+import type {Clock} from '@wasabidyke/shared';
+import {PauseDetector} from './pause-detector.js';
 import type {Refusal} from './routed-request.js';
 
+/** How the store confirmed last that no record is missing. */
+export interface Confirmation {
+  /** Time since then, in milliseconds; infinite if it never did. */
+  readonly ageMs: number;
+  /** When the call was sent whose answer confirmed it, on the monotonic clock in milliseconds. */
+  readonly askedAtMs: number;
+}
+
 /** Options of `DenialGate`. */
 export interface DenialGateOptions {
-  /** Time since the store confirmed that no record is missing, in milliseconds; infinite if it never did. */
-  readonly recordsAgeMs: () => number;
+  readonly confirmation: () => Confirmation;
   readonly clock: Clock;
 }
 
@@ -30,32 +38,31 @@
 /** Knows whether the configuration is confirmed. */
 export class DenialGate {
   readonly #options: DenialGateOptions;
-  readonly #elapsedClock: ElapsedClock;
-  #suspendedMs: number;
-  /** When the last suspension was found, on the monotonic clock in milliseconds. */
-  #resumedAtMs = -Infinity;
+  readonly #pauses: PauseDetector;
 
   constructor(options: DenialGateOptions) {
     this.#options = options;
-    this.#elapsedClock = new ElapsedClock(options.clock);
-    const {steadyMs, elapsedMs} = this.#elapsedClock.now();
-    this.#suspendedMs = elapsedMs - steadyMs;
+    this.#pauses = new PauseDetector(options.clock);
+  }
+
+  start(): void {
+    this.#pauses.start();
+  }
+
+  stop(): void {
+    this.#pauses.stop();
   }
 
-  /** Finds suspensions; called with each request, since clocks also drift apart slowly. */
+  /** Called with each request before it is served. */
   onRequest(): void {
-    const {steadyMs, elapsedMs} = this.#elapsedClock.now();
-    const suspendedMs = elapsedMs - steadyMs;
-    if (suspendedMs > this.#suspendedMs) {
-      this.#suspendedMs = suspendedMs;
-      this.#resumedAtMs = steadyMs;
-    }
+    this.#pauses.look();
   }
 
-  /** Whether the configuration may deny requests. The age of its confirmation lacks the time of a suspension, which counts as none since. */
+  /** Whether the configuration may deny requests. An answer to a call from before a pause may have waited in the buffer all the while, and confirms nothing. */
   get mayDeny(): boolean {
-    const ageMs = this.#options.recordsAgeMs();
-    const confirmedAtMs = this.#options.clock.now() - ageMs;
-    return ageMs <= MAXIMUM_DENIAL_AGE_MS && confirmedAtMs > this.#resumedAtMs;
+    const {ageMs, askedAtMs} = this.#options.confirmation();
+    return (
+      ageMs <= MAXIMUM_DENIAL_AGE_MS && askedAtMs >= this.#pauses.resumedAtMs
+    );
   }
 }
