fix(balancer): a route without weight isn't taken for no route

Callers saw: 404 on a route that is there, while the services among which it is divided all have weight 0. They take 404 as final, though the route takes requests again as soon as a weight is raised.

Change: such a request is refused as not run (503, no-weight) and may come back after a second; its line names the route.

The row of own-answers.feature that asked for 404 is replaced by a scenario that asks for 503, the reason and the route.

--- a/features/balancer/own-answers.feature
+++ b/features/balancer/own-answers.feature
@@ -17,7 +17,6 @@
       | what                               | status | event                  | reason              |
       | a look-up for an unknown host      | 404    | request.unrouted       | unknown-host        |
       | a look-up for an unknown path      | 404    | request.unrouted       | unknown-path        |
-      | a look-up for a route of no weight | 404    | request.unrouted       | no-weight           |
       | a head over the limit              | 431    | request.head-refused   | head-too-large      |
       | a long body with its length        | 413    | request.body-refused   | declared-length     |
       | a long body in chunks              | 413    | request.body-refused   | read-length         |
@@ -25,10 +24,12 @@
       | a request without a host           | 400    | request.protocol-error | no-host             |
       | a request with an odd expectation  | 417    | request.protocol-error | unknown-expectation |
 
-  # Guards against a 404 for want of weight that can't be told from one for want of a route.
-  Scenario: A 404 for want of weight names the route
+  # Guards against a 404 for want of weight, which callers take as final.
+  Scenario: A look-up for a route of no weight is refused as not run, and its line names the route
     When a caller sends a look-up for a route of no weight
-    Then the line "request.unrouted" has the route "idle"
+    Then it gets the status 503
+    And one line "request.refused" tells the reason "no-weight"
+    And the line "request.refused" has the route "idle"
 
   # Guards against limits that callers and entries measure in different ways, which the log can't show.
   Scenario Outline: The line tells the size of <what>, and the limit
--- a/packages/balancer/src/serving/caller-server.ts
+++ b/packages/balancer/src/serving/caller-server.ts
@@ -25,6 +25,7 @@
 import type {RequestDispatcherOptions} from './dispatcher-options.js';
 import {DenialGate} from './denial-gate.js';
 import {headerBytesOf} from './request-head.js';
+import {NO_WEIGHT_REFUSAL} from './refusals.js';
 import {toOriginForm} from './request-target.js';
 import {
   RequestRouter,
@@ -196,6 +197,15 @@
       this.#answers.reject(response, requestId, routed);
       return;
     }
+    if (routed.kind === 'unserved') {
+      this.#answers.refuse(response, requestId, NO_WEIGHT_REFUSAL, {
+        ...routed,
+        priority: routed.account?.priority ?? routed.route.priority,
+        configurationVersion: table.version,
+        arrivedAtMs,
+      });
+      return;
+    }
     const {route, service, account, priority, allowedRegions} = routed;
     const timeoutMs = Math.min(route.timeoutMs, remainingMs ?? Infinity);
     const ownDeadlineMs = arrivedAtMs + timeoutMs;
--- a/packages/balancer/src/serving/refusal-fields.ts
+++ b/packages/balancer/src/serving/refusal-fields.ts
@@ -6,13 +6,11 @@
 /** What is known of a request that is refused; less of one whose body was not read yet. */
 export type RefusedRequest = Pick<
   RoutedRequest,
-  | 'service'
-  | 'arrivedAtMs'
-  | 'route'
-  | 'account'
-  | 'priority'
-  | 'configurationVersion'
->;
+  'arrivedAtMs' | 'route' | 'account' | 'priority' | 'configurationVersion'
+> & {
+  /** Undefined if no service of the route takes requests. */
+  readonly service?: string;
+};
 
 /** Returns the fields of `request.refused`. @param request Undefined if the request was not routed. */
 export function toRefusalFields(
--- a/packages/balancer/src/serving/refusals.ts
+++ b/packages/balancer/src/serving/refusals.ts
@@ -56,6 +56,13 @@
   retryAfterMs: CHANGED_RETRY_AFTER_MS,
 };
 
+/** Refusal of a request whose route is divided among services that all have weight 0. */
+export const NO_WEIGHT_REFUSAL: Refusal = {
+  reason: 'no-weight',
+  isNotRun: true,
+  retryAfterMs: PLACEMENT_RETRY_AFTER_MS,
+};
+
 /** Creates the refusals of one request. */
 export class Refusals {
   readonly #request: RoutedRequest;
--- a/packages/balancer/src/serving/request-router.ts
+++ b/packages/balancer/src/serving/request-router.ts
@@ -22,12 +22,19 @@
   readonly headers: IncomingHttpHeaders;
 }
 
+/** A route whose services all have weight 0: its requests are allowed, but none takes them now. */
+export interface UnservedRoute {
+  readonly kind: 'unserved';
+  readonly route: Route;
+  readonly account: ClientAccount | undefined;
+}
+
 /** Why a request is not authorized. */
 export type KeyProblem =
   'missing-key' | 'repeated-key' | 'unknown-key' | 'revoked-key';
 
 /** Why a request has no service: its host has no route, none for the path, or the services of its route all have weight 0. */
-export type RouteProblem = 'unknown-host' | 'unknown-path' | 'no-weight';
+export type RouteProblem = 'unknown-host' | 'unknown-path';
 
 /** A request that the configuration doesn't allow. */
 export interface RoutingRejection {
@@ -79,7 +86,7 @@
     url: string,
     headers: IncomingHttpHeaders,
     keys: RequestKeys,
-  ): RequestDestination | RoutingRejection {
+  ): RequestDestination | UnservedRoute | RoutingRejection {
     const route = table.findRoute(headers.host, url);
     if (route === undefined) {
       const isKnown = table.hasHost(headers.host);
@@ -91,7 +98,7 @@
     }
     const service = this.#options.routeState.nextService(route);
     if (service === undefined) {
-      return toUnrouted(table, 'no-weight', route);
+      return {kind: 'unserved', route, account: account?.account};
     }
     const found = account?.account;
     return {
@@ -170,14 +177,12 @@
 function toUnrouted(
   table: RoutingTable,
   reason: RouteProblem,
-  route?: Route,
 ): RoutingRejection {
   return {
     kind: 'rejection',
     status: 404,
     event: 'request.unrouted',
     table,
-    route: route?.name,
     reason,
   };
 }
--- a/packages/balancer/src/serving/routed-request.ts
+++ b/packages/balancer/src/serving/routed-request.ts
@@ -67,6 +67,8 @@
   'relays-full',
   /** The bodies of requests take all memory that they may. */
   'no-memory',
+  /** The services among which the route is divided all have weight 0. */
+  'no-weight',
   /** No upstream is usable. */
   'no-upstream',
   /** No usable upstream is in a region in which the request may be served. */
