--- a/features/balancer/own-answers.feature
+++ b/features/balancer/own-answers.feature
@@ -28,8 +28,7 @@
   Scenario: A look-up for a route of no weight is refused as not run, and its line names the route
     When a caller sends a look-up for a route of no weight
     Then it gets the status 503
-    And one line "request.refused" tells the reason "no-weight"
-    And the line "request.refused" has the route "idle"
+    And it is refused as not run on the route "idle", with the reason "no-weight"
 
   # Guards against limits that callers and entries measure in different ways, which the log can't show.
   Scenario Outline: The line tells the size of <what>, and the limit
--- a/features/steps/own-answers.steps.ts
+++ b/features/steps/own-answers.steps.ts
@@ -230,6 +230,17 @@
   },
 );
 
+Then(
+  'it is refused as not run on the route {string}, with the reason {string}',
+  function (this: OwnAnswerWorld, route: string, reason: string) {
+    const line = onlyLineOf(this, 'request.refused');
+    assert.deepEqual(
+      [line.request, line.status, line.isNotRun, line.route, line.reason],
+      [ID, 503, true, route, reason],
+    );
+  },
+);
+
 Then(
   /^it gets the status(?:es)? (\d+)(?: and (\d+))?$/,
   function (this: OwnAnswerWorld, first: string, second: string | null) {
