fix(balancer): a replaced configuration denies no upload that it began

Callers saw: 413 for an upload over the limit under which it began, though a configuration with a higher limit was applied before the limit was passed: a chunked body of over 100,000 bytes, by a script over real sockets.

Change: a denial needs the table that is in force now; otherwise the request is refused as not run, and comes back under the newer one.

--- a/packages/balancer/src/serving/caller-answers.ts
+++ b/packages/balancer/src/serving/caller-answers.ts
@@ -116,7 +116,8 @@
     fields: LogFields & {readonly request: string | undefined},
   ): void {
     const {ownAnswers, denialGate, log} = this.#options;
-    if (denialGate.mayDeny) {
+    // An upload may end under a later configuration than it began.
+    if (denialGate.mayDeny && table === this.#options.table()) {
       ownAnswers.recordRequest(answer, response.req, table, fields);
       this.send(response, answer.status, {});
       return;
