fix(balancer): a confirmation is no younger than its call allows

What could happen: the time of a confirmation was that of its reading.

Change: a complete read confirms as of its call, and a watch as of the latest time at which the store can have answered it. The origin of the records has a file of its own, and ClusterState tells whether a newer configuration was read that it couldn't apply.

--- a/packages/balancer/src/cluster-state.ts
+++ b/packages/balancer/src/cluster-state.ts
@@ -3,7 +3,7 @@
 import {isDeepStrictEqual} from 'node:util';
 import {parseJson, type Clock} from '@wasabidyke/shared';
 import {entryRecordSchema} from './members/entry-record.js';
-import type {RecordsOrigin} from './feed/follower-record-store.js';
+import type {RecordsOrigin} from './feed/records-origin.js';
 import type {RecordHistory} from './feed/record-history.js';
 import type {EntryRoster} from './members/entry-roster.js';
 import type {Placement} from './members/placement.js';
@@ -59,6 +59,8 @@
   readonly #options: ClusterStateOptions;
   readonly #upstreams: UpstreamRoster;
   #table: RoutingTable | undefined;
+  /** Whether the newest configuration that was read is in force, rather than one before it. */
+  #isTableNewest = true;
   /** Unknown regions of the applied configuration. */
   #unknownRegions: UnknownRegions | undefined;
   /** Position of the read that is applied. */
@@ -110,6 +112,11 @@
     return this.#table;
   }
 
+  /** Whether no newer configuration was read that couldn't be applied. */
+  get isTableNewest(): boolean {
+    return this.#isTableNewest;
+  }
+
   onRead(read: RecordChanges, isComplete: boolean): void {
     const {history, entries} = this.#options;
     history.apply(read, isComplete);
@@ -245,6 +252,7 @@
   ): void {
     const currentVersion = this.#table?.version ?? -1;
     if (configuration === undefined) {
+      this.#isTableNewest = false;
       this.#options.log.record('configuration.unreadable', {
         version: currentVersion,
         revision,
@@ -260,6 +268,7 @@
       configuration.accounts ?? [],
       this.#table?.accounts,
     );
+    this.#isTableNewest = accounts.isOk();
     if (accounts.isErr()) {
       log.record('configuration.refused', {
         version: currentVersion,
--- a/packages/balancer/src/feed/follower-record-store.ts
+++ b/packages/balancer/src/feed/follower-record-store.ts
@@ -24,6 +24,7 @@
 import type {FedChanges, FeederConnection} from './feeder-connection.js';
 import {FeederSelection} from './feeder-selection.js';
 import {RecordFreshness} from './record-freshness.js';
+import {STORE_SOURCE, type RecordsOrigin} from './records-origin.js';
 
 /** Constructor options. */
 export interface FollowerRecordStoreOptions {
@@ -63,20 +64,6 @@
 /** A failure within this time leaves time to try another feeder, in milliseconds. */
 const QUICK_FAILURE_MS = 200;
 
-/** Where the records were read last, and how old they are. */
-export interface RecordsOrigin {
-  /** Name of the feeder, or `store`. */
-  readonly feeder: string;
-  /** Store revision up to which all records were read; 0 before the first read. */
-  readonly revision: number;
-  /** Time since the store itself last confirmed that none is missing, in milliseconds; infinite if it never did. */
-  readonly ageMs: number;
-  /** When the call was sent whose answer confirmed it, on the monotonic clock in milliseconds. */
-  readonly askedAtMs: number;
-}
-
-const STORE_SOURCE = 'store';
-
 /** A record store that reads changes from another entry where possible. */
 export class FollowerRecordStore extends RecordStore {
   readonly #options: FollowerRecordStoreOptions;
@@ -204,7 +191,7 @@
     const askedAtMs = clock.now();
     const read = await store.readAll(false);
     if (read.isOk()) {
-      this.#freshness.onCompleteRead(read.value, clock.now(), askedAtMs);
+      this.#freshness.onCompleteRead(read.value, askedAtMs, askedAtMs);
     }
     return read;
   }
@@ -243,11 +230,12 @@
       this.#toOwnWaitMs(waitMs),
       this.#feeders.remainingDirectMs,
     );
-    const askedAtMs = this.#options.clock.now();
-    const watched = await this.#options.store.watch(after, limitMs, signal);
+    const {clock, store} = this.#options;
+    const askedAtMs = clock.now();
+    const watched = await store.watch(after, limitMs, signal);
     if (watched.isOk() && watched.value.revision >= after.revision) {
-      const {clock} = this.#options;
-      this.#freshness.onChanges(watched.value, clock.now(), askedAtMs);
+      const answeredByMs = Math.min(clock.now(), askedAtMs + limitMs);
+      this.#freshness.onChanges(watched.value, answeredByMs, askedAtMs);
     }
     return watched;
   }
--- a/packages/balancer/src/reporting/own-answers.ts
+++ b/packages/balancer/src/reporting/own-answers.ts
@@ -6,7 +6,7 @@
 
 import type {IncomingMessage} from 'node:http';
 import type {Clock, MetricRegistry} from '@wasabidyke/shared';
-import type {RecordsOrigin} from '../feed/follower-record-store.js';
+import type {RecordsOrigin} from '../feed/records-origin.js';
 import type {RoutingTable} from '../routing/routing-table.js';
 import type {DecisionLog, LogFields} from './decision-log.js';
 
