fix(balancer): a configuration denies nothing once a newer one is known

Callers saw: 404 for a path of a configuration that an entry had read and couldn't apply, by the one before it, which the entry knew was not the newest.

Change: while the newest configuration that was read isn't in force, because it can't be read or was refused, nothing is denied; requests with a route are served by the former one, as before. Until an operator writes a sound one, unknown paths get 503 and may come back.

The new scenarios of denial-gate.feature and unconfirmed-configuration.feature fail without the condition. The last scenario of the latter cuts a watch for certain now; before, the cut never came about.

--- a/features/balancer/denial-gate.feature
+++ b/features/balancer/denial-gate.feature
@@ -32,3 +32,9 @@
   Scenario: A configuration that was never confirmed denies nothing
     Given a configuration that the store has never confirmed
     Then requests may not be denied
+
+  # Guards against denials by a configuration that operators have replaced by one that this entry can't read.
+  Scenario: A configuration denies nothing once a newer one was read that can't be applied
+    Given a configuration that the store confirms
+    When a newer configuration is read that cannot be applied
+    Then requests may not be denied
--- a/features/balancer/unconfirmed-configuration.feature
+++ b/features/balancer/unconfirmed-configuration.feature
@@ -44,6 +44,12 @@
   # Guards against callers that ask again and again for what isn't there.
   Scenario: What has no route is denied while the store answers
     When 2600 ms pass at the site
+    And the next watch of the store is cut
     Then the look-up "/added/a" is answered 404
-    When the store is "cut-watch"
-    Then the look-up "/added/a" is answered 404
+
+  # Guards against denials by a configuration that operators have replaced by one that this entry can't read.
+  Scenario: What has no route is refused as not run while a newer configuration can't be read
+    When the store shows a configuration that can't be read
+    Then the look-up "/added/a" is soon refused as not run
+    When a route below "/added/" is added
+    Then the look-up "/added/a" is soon served
--- a/features/steps/denial-gate.steps.ts
+++ b/features/steps/denial-gate.steps.ts
@@ -22,6 +22,7 @@
   denialClock: SuspendableClock;
   confirmedAtMs: number;
   askedAtMs: number;
+  isTableNewest: boolean;
   denialGate: DenialGate;
 }
 
@@ -34,11 +35,13 @@
 function createGate(world: DenialWorld): void {
   const clock = new SuspendableClock();
   world.denialClock = clock;
+  world.isTableNewest = true;
   world.denialGate = new DenialGate({
     confirmation: () => ({
       ageMs: clock.now() - world.confirmedAtMs,
       askedAtMs: world.askedAtMs,
     }),
+    isTableNewest: () => world.isTableNewest,
     clock,
   });
 }
@@ -105,3 +108,10 @@
 Then('requests may not be denied', function (this: DenialWorld) {
   assert.equal(this.denialGate.mayDeny, false);
 });
+
+When(
+  'a newer configuration is read that cannot be applied',
+  function (this: DenialWorld) {
+    this.isTableNewest = false;
+  },
+);
--- a/features/steps/unconfirmed-configuration.steps.ts
+++ b/features/steps/unconfirmed-configuration.steps.ts
@@ -108,6 +108,18 @@
   },
 );
 
+Then(
+  'the look-up {string} is soon refused as not run',
+  async function (this: UnconfirmedWorld, path: string) {
+    const isRead = () =>
+      this.balancerSite.log.events.some(
+        ({event}) => event === 'configuration.unreadable',
+      );
+    await eventually('the configuration is read', isRead);
+    await assertRefused(this, {path});
+  },
+);
+
 Then(
   'the look-up {string} with the key {string} is refused as not run',
   function (this: UnconfirmedWorld, path: string, key: string) {
--- a/packages/balancer/src/balancer.ts
+++ b/packages/balancer/src/balancer.ts
@@ -393,6 +393,7 @@
       bodyMemory: createBodyMemory(),
       endsAtMs: () => this.#endsAtMs,
       table: () => this.#clusterState.table,
+      isTableNewest: () => this.#clusterState.isTableNewest,
     };
   }
 }
--- a/packages/balancer/src/serving/caller-server.ts
+++ b/packages/balancer/src/serving/caller-server.ts
@@ -39,6 +39,8 @@
 export interface CallerServerOptions extends RequestDispatcherOptions {
   /** Returns the current routing table; undefined before the first configuration. */
   readonly table: () => RoutingTable | undefined;
+  /** Whether no newer configuration was read that couldn't be applied. */
+  readonly isTableNewest: () => boolean;
   readonly protocol: WireProtocol;
   readonly quotas: QuotaGate;
   readonly metrics: MetricRegistry;
@@ -70,6 +72,7 @@
     this.#connections = new CallerConnections(options.log, options.ownAnswers);
     this.#denialGate = new DenialGate({
       confirmation: () => options.ownAnswers.origin,
+      isTableNewest: options.isTableNewest,
       clock: options.clock,
     });
     this.#answers = new CallerAnswers({
--- a/packages/balancer/src/serving/denial-gate.ts
+++ b/packages/balancer/src/serving/denial-gate.ts
@@ -19,6 +19,8 @@
 /** Options of `DenialGate`. */
 export interface DenialGateOptions {
   readonly confirmation: () => Confirmation;
+  /** Whether no newer configuration was read that couldn't be applied. */
+  readonly isTableNewest: () => boolean;
   readonly clock: Clock;
 }
 
@@ -60,9 +62,12 @@
 
   /** Whether the configuration may deny requests. An answer to a call from before a pause may have waited in the buffer all the while, and confirms nothing. */
   get mayDeny(): boolean {
-    const {ageMs, askedAtMs} = this.#options.confirmation();
+    const {confirmation, isTableNewest} = this.#options;
+    const {ageMs, askedAtMs} = confirmation();
     return (
-      ageMs <= MAXIMUM_DENIAL_AGE_MS && askedAtMs >= this.#pauses.resumedAtMs
+      isTableNewest() &&
+      ageMs <= MAXIMUM_DENIAL_AGE_MS &&
+      askedAtMs >= this.#pauses.resumedAtMs
     );
   }
 }
