fix(balancer): a reset during an upload ends no answer

A caller got a part of an answer as a whole one (MIXED): a worker answered a long upload at once without a length, sent part of the body and reset the connection while the upload was still being written.

The event loop reported the end of the connection before the failure of the pending write, and the HTTP client closed the socket in between, so that the reset was never recorded. The socket now stays open until the next turn, by which the pending write or the probe behind it has failed or not. Answers that end in order during an upload are still taken.

--- /dev/null
+++ b/features/balancer/early-answers.feature
@@ -0,0 +1,34 @@
+Feature: An answer that begins before its request has arrived is whole, or isn't taken
+
+  Background:
+    Given a balancer on the platform
+    And a configuration
+    And a configuration that allows bodies of 10000000 bytes
+
+  # Guards against a part of an answer that a caller gets as a whole one, after a reset while its request was being written.
+  Scenario Outline: An upload of <bytes> bytes whose answer <framing> is cut by a <ending> is not answered by the worker
+    Given a worker that answers at once "200 OK" <framing>, and then a <ending>
+    When 5 uploads of <bytes> bytes are sent one after the other
+    Then each of them is answered 502 without a part of the answer
+
+    Examples:
+      | bytes   | framing                 | ending      |
+      | 100     | without a length        | reset       |
+      | 100000  | without a length        | reset       |
+      | 6000000 | without a length        | reset       |
+      | 6000000 | without a length        | reset later |
+      | 6000000 | that closes             | reset       |
+      | 6000000 | that closes             | reset later |
+
+  # Guards against a whole answer that is thrown away because its request was still being written.
+  Scenario Outline: An upload of 6000000 bytes whose answer <framing> has an <ending> in order is answered by the worker
+    Given a worker that answers at once "413 Too Large" <framing>, and then an <ending>
+    When 5 uploads of 6000000 bytes are sent one after the other
+    Then each of them is answered 413 with the answer of the worker
+
+    Examples:
+      | framing          | ending               |
+      | without a length | end                  |
+      | without a length | end after the upload |
+      | that closes      | end                  |
+      | that closes      | end after the upload |
--- /dev/null
+++ b/features/steps/early-answers.steps.ts
@@ -0,0 +1,87 @@
+/** Steps for workers that answer before they have a request whole. */
+
+import assert from 'node:assert/strict';
+import {After, Given, Then, When} from '@cucumber/cucumber';
+import type {BalancerSite, CallerAnswer} from '../support/balancer-site.js';
+import {
+  EARLY_BODY,
+  EarlyWorker,
+  type EarlyEnding,
+} from '../support/early-worker.js';
+
+interface EarlyWorld {
+  balancerSite: BalancerSite;
+  earlyWorker: EarlyWorker;
+  earlyAnswers: CallerAnswer[];
+}
+
+/** Header lines that tell where the body of an answer ends. */
+const FRAMINGS: Readonly<Record<string, string>> = {
+  'without a length': '',
+  'that closes': 'Connection: close\r\n',
+};
+
+/** Deadline of an upload, in milliseconds. */
+const UPLOAD_DEADLINE_MS = 5_000;
+
+Given(
+  /^a worker that answers at once "([^"]*)" (.*), and then an? (.*)$/,
+  async function (
+    this: EarlyWorld,
+    status: string,
+    framing: string,
+    ending: EarlyEnding,
+  ) {
+    const answer = {status, framing: FRAMINGS[framing], ending};
+    assert.ok(answer.framing !== undefined, framing);
+    this.earlyWorker = new EarlyWorker('early', answer);
+    await this.earlyWorker.listen();
+    this.balancerSite.store.set('servers/early', {
+      address: this.earlyWorker.address,
+      born: 1,
+      info: {service: 'shop', version: 'v1', zone: 'home-a', slots: 4},
+      status: {state: 'ready', seq: 1, warmup_left: '0ms'},
+    });
+    await this.balancerSite.settle();
+  },
+);
+
+After(function (this: Partial<EarlyWorld>) {
+  this.earlyWorker?.close();
+});
+
+When(
+  '{int} uploads of {int} bytes are sent one after the other',
+  async function (this: EarlyWorld, count: number, bytes: number) {
+    const body = 'x'.repeat(bytes);
+    const deadlineMs = UPLOAD_DEADLINE_MS;
+    this.earlyAnswers = [];
+    for (let index = 0; index < count; index++) {
+      const upload = {path: '/write/a', method: 'POST', body, deadlineMs};
+      this.earlyAnswers.push(await this.balancerSite.call(upload));
+    }
+  },
+);
+
+Then(
+  'each of them is answered {int} without a part of the answer',
+  function (this: EarlyWorld, expected: number) {
+    assert.ok(this.earlyWorker.requests > 0);
+    for (const {status, headers, body} of this.earlyAnswers) {
+      assert.equal(status, expected, body);
+      assert.equal(headers['wasabidyke-server-seal'], undefined);
+      assert.ok(!body.includes(EARLY_BODY), body);
+    }
+  },
+);
+
+Then(
+  'each of them is answered {int} with the answer of the worker',
+  function (this: EarlyWorld, expected: number) {
+    for (const {status, headers, body} of this.earlyAnswers) {
+      assert.equal(status, expected, body);
+      assert.equal(headers['wasabidyke-server-seal'], 'seal-of-early');
+      assert.equal(body, EARLY_BODY);
+    }
+  },
+);
--- a/packages/balancer/src/exchange/connection-pool.ts
+++ b/packages/balancer/src/exchange/connection-pool.ts
@@ -142,6 +142,7 @@
       socket?.once('error', error => this.#recordReset(error));
       socket?.once('end', () => {
         socket.write(PROBE_LINE, error => this.#recordReset(error));
+        closeInNextTurn(socket);
       });
       callback(...result);
     });
@@ -173,6 +174,19 @@
   }
 }
 
+/**
+ * Keeps a socket open until the next turn of the event loop. The client closes
+ * it as soon as an answer ends, and with it what is still being written, whose
+ * failure in this turn tells that a reset ended the connection.
+ */
+function closeInNextTurn(socket: Socket): void {
+  const destroy = socket.destroy.bind(socket);
+  socket.destroy = error => {
+    setImmediate(() => destroy(error));
+    return socket;
+  };
+}
+
 /** Idle and busy connections to one upstream, up to a limit. */
 export class ConnectionPool {
   readonly #origin: string;
