fix(balancer): an answer whose coding ends with its connection may be cut

A caller got a part of an answer as a whole one (MIXED) if the answer named a transfer coding whose last one isn't `chunked`, such as `gzip`, `identity` or `chunked, gzip`, and its connection was reset.

Only answers without any coding were checked for a reset. RFC 9112, section 6.3: a body whose last coding isn't chunked ends with its connection as well. Such an answer is now whole only if its connection ended in order.

--- a/features/balancer/early-answers.feature
+++ b/features/balancer/early-answers.feature
@@ -32,3 +32,24 @@
       | without a length | end after the upload |
       | that closes      | end                  |
       | that closes      | end after the upload |
+
+  # Guards against a part of an answer that counts as whole because it names a coding whose end is that of the connection.
+  Scenario Outline: An upload of <bytes> bytes whose answer <framing> is cut by a reset is not answered by the worker
+    Given a worker that answers at once "200 OK" <framing>, and then a reset
+    When 5 uploads of <bytes> bytes are sent one after the other
+    Then each of them is answered 502 without a part of the answer
+
+    Examples:
+      | bytes   | framing                |
+      | 100     | coded gzip             |
+      | 6000000 | coded gzip             |
+      | 100     | coded identity         |
+      | 6000000 | coded identity         |
+      | 100     | coded chunked, gzip    |
+      | 100     | coded chunked and gzip |
+
+  # Guards against an answer that is thrown away although its connection ended in order.
+  Scenario: An answer whose coding ends with its connection is whole when that ends in order
+    Given a worker that answers at once "200 OK" coded identity, and then an end
+    When 5 uploads of 6000000 bytes are sent one after the other
+    Then each of them is answered 200 with the answer of the worker
--- a/features/steps/early-answers.steps.ts
+++ b/features/steps/early-answers.steps.ts
@@ -19,6 +19,11 @@
 const FRAMINGS: Readonly<Record<string, string>> = {
   'without a length': '',
   'that closes': 'Connection: close\r\n',
+  'coded gzip': 'Transfer-Encoding: gzip\r\n',
+  'coded identity': 'Transfer-Encoding: identity\r\n',
+  'coded chunked, gzip': 'Transfer-Encoding: chunked, gzip\r\n',
+  'coded chunked and gzip':
+    'Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n',
 };
 
 /** Deadline of an upload, in milliseconds. */
--- a/packages/balancer/src/exchange/exchange.ts
+++ b/packages/balancer/src/exchange/exchange.ts
@@ -4,7 +4,11 @@
  */
 
 import type {IncomingHttpHeaders} from 'node:http';
-import {ByteCollector, type HeaderFields} from '@wasabidyke/shared';
+import {
+  ByteCollector,
+  isDelimitedByConnection,
+  type HeaderFields,
+} from '@wasabidyke/shared';
 import type {Dispatcher} from 'undici';
 import type {AnswerMemory} from './answer-memory.js';
 import type {UpstreamConnection} from './connection-pool.js';
@@ -253,9 +257,7 @@
 
   /** @internal */
   onResponseEnd(): void {
-    const {'content-length': length, 'transfer-encoding': encoding} =
-      this.#headers;
-    if (length === undefined && encoding === undefined) {
+    if (isDelimitedByConnection(this.#headers)) {
       // Whether the connection was reset is known only after this call.
       setImmediate(() => this.#onComplete());
     } else {
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -1,6 +1,7 @@
 /** Types and utilities that the other packages share. */
 
 export * from './address.js';
+export * from './answer-framing.js';
 export * from './backoff.js';
 export * from './byte-collector.js';
 export * from './clock.js';
