fix(balancer): a status outside 100 to 599 is no answer

A caller got the statuses 600 and 999 of a worker in trouble as its answer, and a load query that was answered so counted as answered. 000 and 099 failed only by an assertion inside the HTTP client, with a cause that told nothing.

RFC 9110, section 15: such a status is invalid. The exchange now breaks off with the status as the cause in the log; an order gets 502 without the worker's seal. 599 is passed on unchanged.

--- a/features/steps/early-answers.steps.ts
+++ b/features/steps/early-answers.steps.ts
@@ -3,6 +3,7 @@
 import assert from 'node:assert/strict';
 import {After, Given, Then, When} from '@cucumber/cucumber';
 import type {BalancerSite, CallerAnswer} from '../support/balancer-site.js';
+import {eventually} from '../support/eventually.js';
 import {
   EARLY_BODY,
   EarlyWorker,
@@ -18,6 +19,7 @@
 /** Header lines that tell where the body of an answer ends. */
 const FRAMINGS: Readonly<Record<string, string>> = {
   'without a length': '',
+  'of its length': `Content-Length: ${EARLY_BODY.length}\r\n`,
   'that closes': 'Connection: close\r\n',
   'coded gzip': 'Transfer-Encoding: gzip\r\n',
   'coded identity': 'Transfer-Encoding: identity\r\n',
@@ -80,6 +82,34 @@
   },
 );
 
+Given(
+  'it answers load queries {string}',
+  function (this: EarlyWorld, status: string) {
+    this.earlyWorker.loadStatus = status;
+  },
+);
+
+Then(
+  'the log tells of attempts that were broken because {string}',
+  function (this: EarlyWorld, cause: string) {
+    const lines = this.balancerSite.log.events.filter(
+      ({event, result}) => event === 'attempt.ended' && result === 'broken',
+    );
+    assert.ok(lines.length > 0);
+    lines.forEach(line => assert.equal(line.cause, cause));
+  },
+);
+
+Then(
+  'the log tells that load queries failed because {string}',
+  async function (this: EarlyWorld, cause: string) {
+    await eventually('a load query failed', async () => {
+      await this.balancerSite.call({path: '/read/a'});
+      return this.balancerSite.log.events.some(line => line.cause === cause);
+    });
+  },
+);
+
 Then(
   'each of them is answered {int} with the answer of the worker',
   function (this: EarlyWorld, expected: number) {
--- a/packages/balancer/src/exchange/exchange.ts
+++ b/packages/balancer/src/exchange/exchange.ts
@@ -6,6 +6,7 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import {
   ByteCollector,
+  findStatusFault,
   isDelimitedByConnection,
   type HeaderFields,
 } from '@wasabidyke/shared';
@@ -193,6 +194,11 @@
     if (this.#isEnded) {
       return;
     }
+    const statusFault = findStatusFault(status);
+    if (statusFault !== undefined) {
+      this.#breakOff(controller, statusFault);
+      return;
+    }
     if (status < FIRST_FINAL_STATUS) {
       this.#informationalAnswers += 1;
       if (this.#informationalAnswers > MAXIMUM_INFORMATIONAL_ANSWERS) {
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -2,6 +2,7 @@
 
 export * from './address.js';
 export * from './answer-framing.js';
+export * from './answer-status.js';
 export * from './backoff.js';
 export * from './byte-collector.js';
 export * from './clock.js';
