fix(entry): an answer whose coding ends with its connection may be cut

A caller got a part of an answer as a whole one: an upstream named a transfer coding whose last one isn't `chunked`, such as `gzip` or `identity`, sent part of the body and reset the connection.

The attempt refused answers without a length, whose end can't be told from a cut, but took any transfer coding for a length. It now refuses all whose body ends with the connection (RFC 9112, section 6.3).

--- a/features/steps/early-answers.steps.ts
+++ b/features/steps/early-answers.steps.ts
@@ -7,6 +7,7 @@
 import {
   EARLY_BODY,
   EarlyWorker,
+  toFraming,
   type EarlyEnding,
 } from '../support/early-worker.js';
 
@@ -16,18 +17,6 @@
   earlyAnswers: CallerAnswer[];
 }
 
-/** Header lines that tell where the body of an answer ends. */
-const FRAMINGS: Readonly<Record<string, string>> = {
-  'without a length': '',
-  'of its length': `Content-Length: ${EARLY_BODY.length}\r\n`,
-  'that closes': 'Connection: close\r\n',
-  'coded gzip': 'Transfer-Encoding: gzip\r\n',
-  'coded identity': 'Transfer-Encoding: identity\r\n',
-  'coded chunked, gzip': 'Transfer-Encoding: chunked, gzip\r\n',
-  'coded chunked and gzip':
-    'Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n',
-};
-
 /** Deadline of an upload, in milliseconds. */
 const UPLOAD_DEADLINE_MS = 5_000;
 
@@ -39,8 +28,7 @@
     framing: string,
     ending: EarlyEnding,
   ) {
-    const answer = {status, framing: FRAMINGS[framing], ending};
-    assert.ok(answer.framing !== undefined, framing);
+    const answer = {status, framing: toFraming(framing), ending};
     this.earlyWorker = new EarlyWorker('early', answer);
     await this.earlyWorker.listen();
     this.balancerSite.store.set('servers/early', {
--- a/features/support/early-worker.ts
+++ b/features/support/early-worker.ts
@@ -30,6 +30,27 @@
 /** The body of the answer. */
 export const EARLY_BODY = 'a part of an answer';
 
+/** Header lines that tell where the body of an answer ends. */
+const FRAMINGS: Readonly<Record<string, string>> = {
+  'without a length': '',
+  'of its length': `Content-Length: ${EARLY_BODY.length}\r\n`,
+  'that closes': 'Connection: close\r\n',
+  'coded gzip': 'Transfer-Encoding: gzip\r\n',
+  'coded identity': 'Transfer-Encoding: identity\r\n',
+  'coded chunked, gzip': 'Transfer-Encoding: chunked, gzip\r\n',
+  'coded chunked and gzip':
+    'Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n',
+};
+
+/** Returns the header lines of a framing by its name in the features. */
+export function toFraming(name: string): string {
+  const framing = FRAMINGS[name];
+  if (framing === undefined) {
+    throw new Error(`no framing ${name}`);
+  }
+  return framing;
+}
+
 const HEAD_END = '\r\n\r\n';
 
 /** Time from the answer to a later reset, in milliseconds. */
--- a/packages/entry/src/data-path/attempt.ts
+++ b/packages/entry/src/data-path/attempt.ts
@@ -8,6 +8,7 @@
 import type {Readable} from 'node:stream';
 import type {Dispatcher} from 'undici';
 import type {AttemptEnd} from '@wasabidyke/policy';
+import {isDelimitedByConnection} from '@wasabidyke/shared';
 import type {AnswerSink} from './answer-sink.js';
 import {OUTCOME_HEADER, type HeaderFields} from './headers.js';
 
@@ -153,7 +154,7 @@
     if (this.#isCloseDelimited) {
       controller.abort(
         new Error(
-          'the answer has neither Content-Length nor Transfer-Encoding',
+          'the answer has neither a length nor chunked as its last coding',
         ),
       );
       return;
@@ -223,10 +224,7 @@
       this.#options.request.method === 'HEAD' ||
       status === 204 ||
       status === 304;
-    const isDelimited =
-      headers['content-length'] !== undefined ||
-      headers['transfer-encoding'] !== undefined;
-    return !hasNoBody && !isDelimited;
+    return !hasNoBody && isDelimitedByConnection(headers);
   }
 
   #endBroken(result: AttemptResult): void {
