fix(entry): a status outside 100 to 599 is no answer

A caller got the statuses 600 and 999 of an upstream in trouble as its answer. 000 and 099 failed only by an assertion inside the HTTP client, with a cause that told nothing.

RFC 9110, section 15: such a status is invalid. The attempt now refuses it, and its status is the cause. The same method refuses answers whose end can't be told from a cut.

The four scenarios failed before. `features/path` and `features/promises` pass.

--- a/features/path/broken-answers.feature
+++ b/features/path/broken-answers.feature
@@ -15,3 +15,16 @@
       | 100     | coded identity      | reset  |
       | 6000000 | coded identity      | reset  |
       | 100     | coded chunked, gzip | reset  |
+
+  # Guards against a status of an upstream in trouble that a caller gets as an answer, and against a cause that tells nothing.
+  Scenario Outline: An upload that is answered <status> is broken
+    Given an upstream that answers at once "<status> Odd" of its length, and then an end
+    When an entry sends it 2 uploads of <bytes> bytes
+    Then each of the uploads is broken because "the status <number> is outside 100 to 599"
+
+    Examples:
+      | status | number | bytes   |
+      | 000    | 0      | 100     |
+      | 099    | 99     | 6000000 |
+      | 600    | 600    | 100     |
+      | 999    | 999    | 6000000 |
--- a/packages/entry/src/data-path/attempt.ts
+++ b/packages/entry/src/data-path/attempt.ts
@@ -8,7 +8,7 @@
 import type {Readable} from 'node:stream';
 import type {Dispatcher} from 'undici';
 import type {AttemptEnd} from '@wasabidyke/policy';
-import {isDelimitedByConnection} from '@wasabidyke/shared';
+import {findStatusFault, isDelimitedByConnection} from '@wasabidyke/shared';
 import type {AnswerSink} from './answer-sink.js';
 import {OUTCOME_HEADER, type HeaderFields} from './headers.js';
 
@@ -65,7 +65,6 @@
   #isSent = false;
   #isGivenUp = false;
   #isShed = false;
-  #isCloseDelimited = false;
   #isFinished = false;
   #status = 0;
   #retryAfterSeconds = DEFAULT_RETRY_AFTER_SECONDS;
@@ -135,6 +134,11 @@
     status: number,
     headers: IncomingHttpHeaders,
   ): void {
+    const statusFault = findStatusFault(status);
+    if (statusFault !== undefined) {
+      this.#refuse(controller, statusFault);
+      return;
+    }
     if (status < FIRST_FINAL_STATUS || this.#isFinished) {
       return;
     }
@@ -150,12 +154,10 @@
       controller.abort(new Error('a connection is not used after a refusal'));
       return;
     }
-    this.#isCloseDelimited = this.#hasCloseDelimitedBody(status, headers);
-    if (this.#isCloseDelimited) {
-      controller.abort(
-        new Error(
-          'the answer has neither a length nor chunked as its last coding',
-        ),
+    if (this.#hasCloseDelimitedBody(status, headers)) {
+      this.#refuse(
+        controller,
+        'the answer has neither a length nor chunked as its last coding',
       );
       return;
     }
@@ -207,7 +209,7 @@
       this.#end({kind: 'shed', retryAfterSeconds});
       return;
     }
-    const isConnectionLost = !this.#isCloseDelimited && isSocketError(error);
+    const isConnectionLost = isSocketError(error);
     this.#endBroken({
       kind: 'broken',
       message: toMessage(error),
@@ -215,6 +217,14 @@
     });
   }
 
+  /** Refuses an answer because of its head, and closes its connection. */
+  #refuse(controller: Dispatcher.DispatchController, message: string): void {
+    if (!this.#isFinished) {
+      this.#endBroken({kind: 'broken', message, isConnectionLost: false});
+    }
+    controller.abort(new Error(message));
+  }
+
   /** Whether the end of the body is marked only by the end of the connection, so that a cut goes unnoticed. */
   #hasCloseDelimitedBody(
     status: number,
