fix(entry): an upstream that ends while a caller reads slowly ends no entry

An entry ended with an uncaught assertion, and with it all requests that it had, when an upstream's answer had `Connection: close`, was held back because its caller read slowly, and its connection was reset or closed meanwhile.

Undici finishes its parser when such a connection ends, and asserts that the parser isn't paused. The attempt is now told of the end of its connection before undici is, lets go on what it holds back, and holds back nothing more. A pool passes the attempt along with its dispatch options.

--- a/packages/entry/src/at-most-once/home-forwarder.ts
+++ b/packages/entry/src/at-most-once/home-forwarder.ts
@@ -1,11 +1,12 @@
 /** Forwards a request to the entry that is the home of its idempotency key. */
 
 import type {Clock} from '@wasabidyke/shared';
-import {Pool} from 'undici';
+import type {Pool} from 'undici';
 import type {
   EntryMember,
   MemberDirectory,
 } from '../control/member-directory.js';
+import {createAttemptPool} from '../data-path/attempt-pool.js';
 import {CallerSink} from '../data-path/answer-sink.js';
 import {Attempt, type AttemptResult} from '../data-path/attempt.js';
 import type {CallerRequest} from '../data-path/caller-request.js';
@@ -152,9 +153,8 @@
       return existing;
     }
     this.#closeOldest();
-    const pool = new Pool(`http://${address}`, {
+    const pool = createAttemptPool(`http://${address}`, {
       connections: CONNECTIONS_PER_ENTRY,
-      pipelining: 1,
       connectTimeout: CONNECT_TIMEOUT_MS,
     });
     this.#pools.set(address, pool);
--- a/packages/entry/src/data-path/attempt.ts
+++ b/packages/entry/src/data-path/attempt.ts
@@ -20,6 +20,11 @@
   readonly body: Buffer | Readable | null;
 }
 
+/** What a pool is told of an attempt: it gets its handler only wrapped. */
+export interface AttemptDispatchOptions extends Dispatcher.DispatchOptions {
+  readonly attempt: Attempt;
+}
+
 /** How an attempt ended. */
 export type AttemptResult =
   /** The sink has the complete answer. */
@@ -66,6 +71,7 @@
   #isGivenUp = false;
   #isShed = false;
   #isFinished = false;
+  #hasConnectionEnded = false;
   #status = 0;
   #retryAfterSeconds = DEFAULT_RETRY_AFTER_SECONDS;
 
@@ -85,15 +91,14 @@
   start(): void {
     const {dispatcher, request} = this.#options;
     try {
-      dispatcher.dispatch(
-        {
-          ...request,
-          method: request.method as Dispatcher.HttpMethod,
-          headersTimeout: 0,
-          bodyTimeout: 0,
-        },
-        this,
-      );
+      const options: AttemptDispatchOptions = {
+        ...request,
+        method: request.method as Dispatcher.HttpMethod,
+        headersTimeout: 0,
+        bodyTimeout: 0,
+        attempt: this,
+      };
+      dispatcher.dispatch(options, this);
     } catch (error) {
       this.#end({kind: 'not-sent', message: toMessage(error)});
     }
@@ -117,6 +122,12 @@
     });
   }
 
+  /** Called when the connection has ended; what was read of the answer is held back no longer. */
+  onConnectionEnd(): void {
+    this.#hasConnectionEnded = true;
+    this.#controller?.resume();
+  }
+
   /** @internal */
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this.#controller = controller;
@@ -161,7 +172,10 @@
       );
       return;
     }
-    this.#options.sink.onHead(status, headers, controller);
+    this.#options.sink.onHead(status, headers, {
+      pause: () => this.#hasConnectionEnded || controller.pause(),
+      resume: () => controller.resume(),
+    });
   }
 
   /** @internal */
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -14,6 +14,10 @@
 export {RevisionGuard} from './control/manifest-keeper.js';
 export {AnswerSink, type FlowControl} from './data-path/answer-sink.js';
 export {Attempt} from './data-path/attempt.js';
+export {
+  createAttemptPool,
+  type AttemptPoolOptions,
+} from './data-path/attempt-pool.js';
 export {Dispatch} from './data-path/dispatch.js';
 export type {DispatchJob} from './data-path/dispatch-job.js';
 export {RequestDispatcher} from './data-path/dispatcher.js';
--- a/packages/entry/src/upstreams/upstream-handle.ts
+++ b/packages/entry/src/upstreams/upstream-handle.ts
@@ -8,7 +8,8 @@
   type RandomSource,
 } from '@wasabidyke/policy';
 import {Chart, LifeCycle, type Clock} from '@wasabidyke/shared';
-import {Pool} from 'undici';
+import type {Pool} from 'undici';
+import {createAttemptPool} from '../data-path/attempt-pool.js';
 
 /** States of an upstream's life cycle. */
 export type UpstreamState =
@@ -179,9 +180,8 @@
   }
 
   #createPool({address}: Upstream): Pool {
-    const pool = new Pool(`http://${address}`, {
+    const pool = createAttemptPool(`http://${address}`, {
       connections: this.#connectionLimit,
-      pipelining: 1,
       connectTimeout: CONNECT_TIMEOUT_MS,
       keepAliveTimeout: IDLE_CONNECTION_TIMEOUT_MS,
       keepAliveMaxTimeout: IDLE_CONNECTION_TIMEOUT_MS,
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -12,6 +12,7 @@
 export * from './elapsed-clock.js';
 export * from './finding.js';
 export * from './header-fields.js';
+export * from './held-answer.js';
 export * from './life-cycle.js';
 export * from './limited-body.js';
 export * from './metrics.js';
