fix(balancer): a worker that ends while its answer waits ends no entry

An entry ended with an uncaught assertion, and with it all requests that it had, when workers sent answers of many chunks with `Connection: close`, which take turns, and reset their connections meanwhile.

As in packages/entry: undici finishes its parser when such a connection ends, and asserts that the parser isn't paused. The exchange is now told of the end before undici is, and lets what was read go on.

--- a/features/balancer/early-answers.feature
+++ b/features/balancer/early-answers.feature
@@ -53,3 +53,18 @@
     Given a worker that answers at once "200 OK" coded identity, and then an end
     When 5 uploads of 6000000 bytes are sent one after the other
     Then each of them is answered 200 with the answer of the worker
+
+  # Guards against an entry that ends with an error, and all its requests with it, when a worker ends while its answers wait for their turn.
+  Scenario Outline: Answers in many chunks that are cut by <ending> while they wait for their turn are not taken
+    Given a worker that answers at once "200 OK" in chunks that closes, and then <ending>
+    And its answers have <chunks> chunks of one byte
+    When 40 orders are sent to it at the same time
+    Then each of them ends without a success
+
+    Examples:
+      | chunks | ending        |
+      | 1025   | a reset       |
+      | 1025   | a reset later |
+      | 1500   | a reset later |
+      | 3000   | a reset later |
+      | 1025   | an end        |
--- a/features/steps/early-answers.steps.ts
+++ b/features/steps/early-answers.steps.ts
@@ -71,6 +71,23 @@
 );
 
 Given(
+  'its answers have {int} chunks of one byte',
+  function (this: EarlyWorld, chunks: number) {
+    const body = '1\r\nx\r\n'.repeat(chunks);
+    this.earlyWorker.answer = {...this.earlyWorker.answer, body};
+  },
+);
+
+When(
+  '{int} orders are sent to it at the same time',
+  async function (this: EarlyWorld, count: number) {
+    const order = {path: '/write/a', method: 'POST', body: 'order'};
+    const call = () => this.balancerSite.call(order);
+    this.earlyAnswers = await Promise.all(Array.from({length: count}, call));
+  },
+);
+
+When(
   'it answers load queries {string}',
   function (this: EarlyWorld, status: string) {
     this.earlyWorker.loadStatus = status;
@@ -98,6 +115,13 @@
   },
 );
 
+Then('each of them ends without a success', function (this: EarlyWorld) {
+  assert.ok(this.earlyWorker.requests > 0);
+  for (const {status} of this.earlyAnswers) {
+    assert.ok(status >= 500, String(status));
+  }
+});
+
 Then(
   'each of them is answered {int} with the answer of the worker',
   function (this: EarlyWorld, expected: number) {
--- a/features/support/early-worker.ts
+++ b/features/support/early-worker.ts
@@ -25,6 +25,8 @@
   /** Header lines that tell where the body ends, each with its line end. */
   readonly framing: string;
   readonly ending: EarlyEnding;
+  /** Bytes after the head; a part of an answer unless stated. */
+  readonly body?: string;
 }
 
 /** The body of the answer. */
@@ -35,6 +37,8 @@
   'without a length': '',
   'of its length': `Content-Length: ${EARLY_BODY.length}\r\n`,
   'that closes': 'Connection: close\r\n',
+  'in chunks that closes':
+    'Transfer-Encoding: chunked\r\nConnection: close\r\n',
   'coded gzip': 'Transfer-Encoding: gzip\r\n',
   'coded identity': 'Transfer-Encoding: identity\r\n',
   'coded chunked, gzip': 'Transfer-Encoding: chunked, gzip\r\n',
@@ -127,9 +131,9 @@
   #answer(socket: Socket, head: string, bodyBytes: number): void {
     const {headers} = parseHead(head);
     const id = headers.get('wasabidyke-attempt-id') ?? '';
-    const {status, framing, ending} = this.answer;
+    const {status, framing, ending, body = EARLY_BODY} = this.answer;
     const signed = `Wasabidyke-Attempt-Id: ${id}\r\nWasabidyke-Server-Seal: seal-of-${this.id}\r\n`;
-    const part = `HTTP/1.1 ${status}\r\n${signed}${framing}\r\n${EARLY_BODY}`;
+    const part = `HTTP/1.1 ${status}\r\n${signed}${framing}\r\n${body}`;
     this.requests += 1;
     if (ending === 'end') {
       socket.resume().end(part);
--- a/packages/balancer/src/exchange/connection-pool.ts
+++ b/packages/balancer/src/exchange/connection-pool.ts
@@ -1,6 +1,7 @@
 /** Pool of HTTP connections to one upstream. */
 
 import type {Socket} from 'node:net';
+import {endHeldAnswer} from '@wasabidyke/shared';
 import {buildConnector, Client, type Dispatcher} from 'undici';
 
 /** Time limit for opening a connection, in milliseconds: three round trips between regions and a delayed handshake. */
@@ -47,6 +48,7 @@
   #isReset = false;
   #isUsed = false;
   #socket: Socket | undefined;
+  #onEnd: () => void = () => {};
   /** Whether the head of an answer is expected and none has been checked. */
   #isHeadDue = false;
 
@@ -90,10 +92,13 @@
     return this.#isReset;
   }
 
+  /** @param onEnd Called when the connection ends in order, before the client ends the answer. */
   dispatch(
     options: Dispatcher.DispatchOptions,
     handler: Dispatcher.DispatchHandler,
+    onEnd: () => void = () => {},
   ): void {
+    this.#onEnd = onEnd;
     this.#isHeadDue = true;
     this.#isUsed = true;
     this.#client.dispatch(options, handler);
@@ -144,6 +149,9 @@
         socket.write(PROBE_LINE, error => this.#recordReset(error));
         closeInNextTurn(socket);
       });
+      if (socket) {
+        endHeldAnswer(socket, () => this.#onEnd());
+      }
       callback(...result);
     });
   }
--- a/packages/balancer/src/exchange/exchange.ts
+++ b/packages/balancer/src/exchange/exchange.ts
@@ -95,6 +95,7 @@
   #isEnded = false;
   #isAborted = false;
   #isComplete = false;
+  #hasConnectionEnded = false;
   #answerKind: AnswerKind | undefined;
   #status = 0;
   #headers: IncomingHttpHeaders = {};
@@ -147,6 +148,7 @@
       this.#connection.dispatch(
         {...this.#request, method: method as Dispatcher.HttpMethod},
         this,
+        () => this.#onConnectionEnd(),
       );
     } catch (error) {
       this.#end({kind: 'not-sent', message: toMessage(error)});
@@ -240,12 +242,18 @@
       return;
     }
     this.#body.append(chunk);
-    if (!memory.pace.take()) {
+    if (!memory.pace.take() && !this.#hasConnectionEnded) {
       controller.pause();
       memory.pace.wait(() => controller.resume());
     }
   }
 
+  /** What was read of the answer waits for its turn no longer. */
+  #onConnectionEnd(): void {
+    this.#hasConnectionEnded = true;
+    this.#controller?.resume();
+  }
+
   /** The parser skips the extensions of chunks and much else without end. */
   #checkFraming(): void {
     const bytes = this.#connection.receivedBytes - this.#initialBytes;
