fix(entry): a request that doesn't arrive in time gets 408, not 400

A caller on a slow link was told that its request is malformed, which is final: every error of the connection but an oversized head was answered 400.

A cut head to an entry that runs as a process: 400 before, 408 after; the scenario failed before.

--- a/features/path/whole-path.feature
+++ b/features/path/whole-path.feature
@@ -25,3 +25,8 @@
   Scenario: Bytes that are no request get no answer before that to the look-up before them
     When every upstream answers after 600 ms
     Then a look-up with bytes that are no request behind it gets one answer, with status 200
+
+  # Guards against a proper request on a slow link that is called malformed, so that its caller never sends it again.
+  Scenario: A request whose head doesn't arrive in time is told so
+    When a caller sends a part of the head of a look-up, and waits for an answer
+    Then the connection is answered with the status 408 for "request-timeout"
--- a/features/steps/whole-path.steps.ts
+++ b/features/steps/whole-path.steps.ts
@@ -31,8 +31,12 @@
 /** Later than the deadline of every request. */
 const TOO_LATE_MS = 20_000;
 
+/** Time in which a head that is cut is refused, in milliseconds: its limit, and the time between Node's checks. */
+const HEAD_REFUSED_WITHIN_MS = 45_000;
+
 interface PathWorld {
   site: Site;
+  slowCaller: CallerSocket;
 }
 
 interface Sent {
@@ -227,3 +231,29 @@
     assert.deepEqual(connection.statuses, [status]);
   },
 );
+
+When(
+  'a caller sends a part of the head of a look-up, and waits for an answer',
+  async function (this: PathWorld) {
+    const [host, port] = this.site.entries[0].callers.split(':');
+    this.slowCaller = new CallerSocket(Number(port), host);
+    await this.slowCaller.opened();
+    this.slowCaller.write('GET /shop/cheese HTTP/1.1\r\nHost: ');
+    await eventually(
+      'it is closed',
+      () => this.slowCaller.isEnded,
+      HEAD_REFUSED_WITHIN_MS,
+    );
+  },
+);
+
+Then(
+  'the connection is answered with the status {int} for {string}',
+  function (this: PathWorld, status: number, reason: string) {
+    const {received, statuses} = this.slowCaller;
+    this.slowCaller.close();
+    assert.deepEqual(statuses, [status]);
+    assert.ok(received.includes(`"${reason}"`), received);
+    assert.match(received, /^Wasabidyke-Outcome: not-run\r$/im);
+  },
+);
--- a/packages/entry/src/data-path/caller-listener.ts
+++ b/packages/entry/src/data-path/caller-listener.ts
@@ -49,7 +49,12 @@
 /** Time for the last answers to be written, in milliseconds: well within what is left before the process is killed. */
 const LAST_ANSWERS_MS = 300;
 
-const HEADERS_TOO_LARGE_CODE = 'HPE_HEADER_OVERFLOW';
+/** Reasons by the code of an error of Node's parser; all others are `bad-request`. */
+const REASON_BY_CODE: ReadonlyMap<string | undefined, Problem['reason']> =
+  new Map([
+    ['HPE_HEADER_OVERFLOW', 'headers-too-large'],
+    ['ERR_HTTP_REQUEST_TIMEOUT', 'request-timeout'],
+  ]);
 
 /** Accepts connections of callers and answers their requests. */
 export class CallerListener {
@@ -263,9 +268,8 @@
 
 /** The answer to bytes that are not HTTP, can't be parsed safely, or don't arrive in time. */
 function toMalformedAnswer({code}: NodeJS.ErrnoException): string {
-  const isTooLarge = code === HEADERS_TOO_LARGE_CODE;
   const problem: Problem = {
-    reason: isTooLarge ? 'headers-too-large' : 'bad-request',
+    reason: REASON_BY_CODE.get(code) ?? 'bad-request',
     outcome: 'not-run',
     detail: 'It was refused before it was read whole.',
   };
--- a/packages/entry/src/data-path/problem.ts
+++ b/packages/entry/src/data-path/problem.ts
@@ -27,6 +27,10 @@
     status: 405,
     title: 'The service has no rule for this method',
   },
+  'request-timeout': {
+    status: 408,
+    title: 'The request did not arrive in time',
+  },
   'key-lapsed': {status: 410, title: 'The idempotency key has lapsed'},
   'body-too-large': {status: 413, title: 'The body is too large'},
   'key-reused': {
