fix(operator): late and oversized heads get 408 and 431, not 400

An operator whose request didn't arrive in time, or whose head was too large, was told that it isn't well-formed HTTP: each error of a connection was answered 400.

--- a/features/operator/interface.feature
+++ b/features/operator/interface.feature
@@ -36,6 +36,18 @@
     When the operator submits a manifest with bytes that are no request behind it
     Then the connection gets one answer, with status 201
 
+  # Guards against an operator who is told that a proper request is malformed when its head is cut or too large.
+  Scenario Outline: A head that <fault> is answered <status>
+    Given an operators' server
+    When the operator sends a head that <fault>
+    Then the connection gets one answer, with status <status>
+
+    Examples:
+      | fault                   | status |
+      | is too large            | 431    |
+      | doesn't arrive in time  | 408    |
+      | is no request           | 400    |
+
   Scenario: A manifest over the size limit is refused
     Given an operators' server
     When the operator submits a manifest of 700001 bytes
--- a/features/steps/operator-interface.steps.ts
+++ b/features/steps/operator-interface.steps.ts
@@ -23,6 +23,13 @@
 
 const ANY_PORT = '127.0.0.1:0';
 const SHORT_DEADLINE_MS = 300;
+
+/** More than Node takes for a head, in bytes. */
+const LARGE_HEAD_BYTES = 70_000;
+
+/** Time in which a connection is closed whose request is cut, in milliseconds: the server's limit, and the time between its checks. */
+const CLOSED_WITHIN_MS = 40_000;
+
 const PROBLEM_TYPE = 'application/problem+json; charset=utf-8';
 
 interface OperatorWorld {
@@ -206,6 +213,27 @@
   },
 );
 
+When(
+  /^the operator sends a head that (is too large|doesn't arrive in time|is no request)$/,
+  async function (this: OperatorWorld, fault: string) {
+    const part = 'GET /v1/status HTTP/1.1\r\nHost: localhost\r\nX-Name: ';
+    const heads: Readonly<Record<string, string>> = {
+      'is too large': `${part}${'x'.repeat(LARGE_HEAD_BYTES)}`,
+      "doesn't arrive in time": part,
+      'is no request': NO_REQUEST,
+    };
+    const port = Number(this.address.split(':')[1]);
+    this.connection = new CallerSocket(port);
+    await this.connection.opened();
+    this.connection.write(heads[fault]);
+    await eventually(
+      'it is closed',
+      () => this.connection.isEnded,
+      CLOSED_WITHIN_MS,
+    );
+  },
+);
+
 Then(
   'the connection gets one answer, with status {int}',
   function (this: OperatorWorld, status: number) {
--- a/packages/operator/src/problem.ts
+++ b/packages/operator/src/problem.ts
@@ -13,6 +13,7 @@
   | 'forbidden-host'
   | 'not-found'
   | 'no-manifest'
+  | 'request-timeout'
   | 'too-large'
   | 'unsupported-media-type'
   | 'superseded'
--- a/packages/operator/src/server.ts
+++ b/packages/operator/src/server.ts
@@ -37,6 +37,9 @@
 /** Time for a request to arrive whole. */
 const REQUEST_TIMEOUT_MS = 30 * SECOND_MS;
 
+/** Time between two checks of it. */
+const CONNECTION_CHECK_INTERVAL_MS = SECOND_MS;
+
 /** How to serve operators. */
 export interface OperatorServerOptions {
   /** IP address and port; port 0 leaves the choice to the operating system. */
@@ -54,6 +57,13 @@
   readonly message: string;
 }
 
+/** An answer outside the path of requests. */
+interface Refusal {
+  readonly kind: ProblemKind;
+  readonly status: number;
+  readonly detail: string;
+}
+
 /** Creates a server; it listens only when told to. */
 export function createOperatorServer(
   options: OperatorServerOptions,
@@ -154,6 +164,7 @@
   const fastify = Fastify({
     bodyLimit: MAXIMUM_BODY_BYTES,
     requestTimeout: REQUEST_TIMEOUT_MS,
+    http: {connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS},
     forceCloseConnections: 'idle',
     clientErrorHandler: (error, socket) => refusals.onError(error, socket),
     frameworkErrors: (error, _request, reply) => {
@@ -171,12 +182,39 @@
   return fastify;
 }
 
-/** The answer to bytes that are not HTTP, or that don't arrive in time. */
-function toMalformedAnswer(): string {
-  const detail = 'The request is not well-formed HTTP.';
-  const body = JSON.stringify(createProblem('bad-request', 400, detail));
+/** Answers to errors of a connection by the code of Node's parser. */
+const REFUSAL_BY_CODE: ReadonlyMap<string | undefined, Refusal> = new Map([
+  [
+    'ERR_HTTP_REQUEST_TIMEOUT',
+    {
+      kind: 'request-timeout',
+      status: 408,
+      detail: 'The request did not arrive in time.',
+    },
+  ],
+  [
+    'HPE_HEADER_OVERFLOW',
+    {
+      kind: 'too-large',
+      status: 431,
+      detail: 'The head of the request is too large.',
+    },
+  ],
+]);
+
+const MALFORMED: Refusal = {
+  kind: 'bad-request',
+  status: 400,
+  detail: 'The request is not well-formed HTTP.',
+};
+
+/** The answer to bytes that are not HTTP, that are too many, or that don't arrive in time. */
+function toMalformedAnswer({code}: NodeJS.ErrnoException): string {
+  const {kind, status, detail} = REFUSAL_BY_CODE.get(code) ?? MALFORMED;
+  const problem = createProblem(kind, status, detail);
+  const body = JSON.stringify(problem);
   const head = [
-    'HTTP/1.1 400 Bad Request',
+    `HTTP/1.1 ${status} ${problem.title}`,
     `Content-Type: ${PROBLEM_MEDIA_TYPE}`,
     `Content-Length: ${Buffer.byteLength(body)}`,
     'Connection: close',
