--- a/packages/balancer/src/exchange/exchange.ts
+++ b/packages/balancer/src/exchange/exchange.ts
@@ -4,7 +4,12 @@
  */
 
 import type {IncomingHttpHeaders} from 'node:http';
-import {ByteCollector, type HeaderFields} from '@wasabidyke/shared';
+import {
+  ByteCollector,
+  findStatusFault,
+  isDelimitedByConnection,
+  type HeaderFields,
+} from '@wasabidyke/shared';
 import type {Dispatcher} from 'undici';
 import type {AnswerMemory} from './answer-memory.js';
 import type {UpstreamConnection} from './connection-pool.js';
@@ -90,6 +95,7 @@
   #isEnded = false;
   #isAborted = false;
   #isComplete = false;
+  #hasConnectionEnded = false;
   #answerKind: AnswerKind | undefined;
   #status = 0;
   #headers: IncomingHttpHeaders = {};
@@ -142,6 +148,7 @@
       this.#connection.dispatch(
         {...this.#request, method: method as Dispatcher.HttpMethod},
         this,
+        () => this.#onConnectionEnd(),
       );
     } catch (error) {
       this.#end({kind: 'not-sent', message: toMessage(error)});
@@ -189,6 +196,11 @@
     if (this.#isEnded) {
       return;
     }
+    const statusFault = findStatusFault(status);
+    if (statusFault !== undefined) {
+      this.#breakOff(controller, statusFault);
+      return;
+    }
     if (status < FIRST_FINAL_STATUS) {
       this.#informationalAnswers += 1;
       if (this.#informationalAnswers > MAXIMUM_INFORMATIONAL_ANSWERS) {
@@ -230,12 +242,18 @@
       return;
     }
     this.#body.append(chunk);
-    if (!memory.pace.take()) {
+    if (!memory.pace.take() && !this.#hasConnectionEnded) {
       controller.pause();
       memory.pace.wait(() => controller.resume());
     }
   }
 
+  /** What was read of the answer waits for its turn no longer. */
+  #onConnectionEnd(): void {
+    this.#hasConnectionEnded = true;
+    this.#controller?.resume();
+  }
+
   /** The parser skips the extensions of chunks and much else without end. */
   #checkFraming(): void {
     const bytes = this.#connection.receivedBytes - this.#initialBytes;
@@ -253,9 +271,7 @@
 
   /** @internal */
   onResponseEnd(): void {
-    const {'content-length': length, 'transfer-encoding': encoding} =
-      this.#headers;
-    if (length === undefined && encoding === undefined) {
+    if (isDelimitedByConnection(this.#headers)) {
       // Whether the connection was reset is known only after this call.
       setImmediate(() => this.#onComplete());
     } else {
--- a/packages/entry/src/data-path/attempt.ts
+++ b/packages/entry/src/data-path/attempt.ts
@@ -8,6 +8,7 @@
 import type {Readable} from 'node:stream';
 import type {Dispatcher} from 'undici';
 import type {AttemptEnd} from '@wasabidyke/policy';
+import {findStatusFault, isDelimitedByConnection} from '@wasabidyke/shared';
 import type {AnswerSink} from './answer-sink.js';
 import {OUTCOME_HEADER, type HeaderFields} from './headers.js';
 
@@ -19,6 +20,11 @@
   readonly body: Buffer | Readable | null;
 }
 
+/** What a pool is told of an attempt: it gets its handler only wrapped. */
+export interface AttemptDispatchOptions extends Dispatcher.DispatchOptions {
+  readonly attempt: Attempt;
+}
+
 /** How an attempt ended. */
 export type AttemptResult =
   /** The sink has the complete answer. */
@@ -64,8 +70,8 @@
   #isSent = false;
   #isGivenUp = false;
   #isShed = false;
-  #isCloseDelimited = false;
   #isFinished = false;
+  #hasConnectionEnded = false;
   #status = 0;
   #retryAfterSeconds = DEFAULT_RETRY_AFTER_SECONDS;
 
@@ -85,15 +91,14 @@
   start(): void {
     const {dispatcher, request} = this.#options;
     try {
-      dispatcher.dispatch(
-        {
-          ...request,
-          method: request.method as Dispatcher.HttpMethod,
-          headersTimeout: 0,
-          bodyTimeout: 0,
-        },
-        this,
-      );
+      const options: AttemptDispatchOptions = {
+        ...request,
+        method: request.method as Dispatcher.HttpMethod,
+        headersTimeout: 0,
+        bodyTimeout: 0,
+        attempt: this,
+      };
+      dispatcher.dispatch(options, this);
     } catch (error) {
       this.#end({kind: 'not-sent', message: toMessage(error)});
     }
@@ -117,6 +122,12 @@
     });
   }
 
+  /** Called when the connection has ended; what was read of the answer is held back no longer. */
+  onConnectionEnd(): void {
+    this.#hasConnectionEnded = true;
+    this.#controller?.resume();
+  }
+
   /** @internal */
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this.#controller = controller;
@@ -134,6 +145,11 @@
     status: number,
     headers: IncomingHttpHeaders,
   ): void {
+    const statusFault = findStatusFault(status);
+    if (statusFault !== undefined) {
+      this.#refuse(controller, statusFault);
+      return;
+    }
     if (status < FIRST_FINAL_STATUS || this.#isFinished) {
       return;
     }
@@ -149,16 +165,17 @@
       controller.abort(new Error('a connection is not used after a refusal'));
       return;
     }
-    this.#isCloseDelimited = this.#hasCloseDelimitedBody(status, headers);
-    if (this.#isCloseDelimited) {
-      controller.abort(
-        new Error(
-          'the answer has neither Content-Length nor Transfer-Encoding',
-        ),
+    if (this.#hasCloseDelimitedBody(status, headers)) {
+      this.#refuse(
+        controller,
+        'the answer has neither a length nor chunked as its last coding',
       );
       return;
     }
-    this.#options.sink.onHead(status, headers, controller);
+    this.#options.sink.onHead(status, headers, {
+      pause: () => this.#hasConnectionEnded || controller.pause(),
+      resume: () => controller.resume(),
+    });
   }
 
   /** @internal */
@@ -206,7 +223,7 @@
       this.#end({kind: 'shed', retryAfterSeconds});
       return;
     }
-    const isConnectionLost = !this.#isCloseDelimited && isSocketError(error);
+    const isConnectionLost = isSocketError(error);
     this.#endBroken({
       kind: 'broken',
       message: toMessage(error),
@@ -214,6 +231,14 @@
     });
   }
 
+  /** Refuses an answer because of its head, and closes its connection. */
+  #refuse(controller: Dispatcher.DispatchController, message: string): void {
+    if (!this.#isFinished) {
+      this.#endBroken({kind: 'broken', message, isConnectionLost: false});
+    }
+    controller.abort(new Error(message));
+  }
+
   /** Whether the end of the body is marked only by the end of the connection, so that a cut goes unnoticed. */
   #hasCloseDelimitedBody(
     status: number,
@@ -223,10 +248,7 @@
       this.#options.request.method === 'HEAD' ||
       status === 204 ||
       status === 304;
-    const isDelimited =
-      headers['content-length'] !== undefined ||
-      headers['transfer-encoding'] !== undefined;
-    return !hasNoBody && !isDelimited;
+    return !hasNoBody && isDelimitedByConnection(headers);
   }
 
   #endBroken(result: AttemptResult): void {
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -1,6 +1,8 @@
 /** Types and utilities that the other packages share. */
 
 export * from './address.js';
+export * from './answer-framing.js';
+export * from './answer-status.js';
 export * from './backoff.js';
 export * from './byte-collector.js';
 export * from './clock.js';
@@ -10,6 +12,7 @@
 export * from './elapsed-clock.js';
 export * from './finding.js';
 export * from './header-fields.js';
+export * from './held-answer.js';
 export * from './life-cycle.js';
 export * from './limited-body.js';
 export * from './metrics.js';
